Add the core, the build and the request path from caller to endpoint

Cause: the shape of the code base (supervisor tree, one thread per duty, bounded rings, immutable values, abstract interfaces, hand-written fakes) has to stand before the parts are built in parallel.

Change: core types (ids, results, numbered codes and log events, POSIX mutex and condition, bounded ring, supervisor, metrics), value types and seams of state, membership, control and requests, and the path caller_server -> router -> endpoint_worker with a least-outstanding policy and a fake endpoint client.

Ruled out: absl::Mutex (false races under the thread sanitizer with Debian's build) and std::string_view in interfaces that reach Abseil, whose string_view is a type of its own in Debian's C++14 build.

--- /dev/null
+++ b/include/chivedeal/control/sample_sink.hpp
@@ -0,0 +1,19 @@
+#ifndef CHIVEDEAL_CONTROL_SAMPLE_SINK_HPP
+#define CHIVEDEAL_CONTROL_SAMPLE_SINK_HPP
+
+namespace chivedeal::control {
+
+struct attempt_sample;
+
+/// Takes the evidence of finished attempts. Does not block; a full ring drops the sample.
+class sample_sink
+{
+public:
+    virtual ~sample_sink() = default;
+
+    virtual void add_sample(const attempt_sample& sample) = 0;
+};
+
+} // namespace chivedeal::control
+
+#endif
--- /dev/null
+++ b/include/chivedeal/requests/attempt_start.hpp
@@ -0,0 +1,38 @@
+#ifndef CHIVEDEAL_REQUESTS_ATTEMPT_START_HPP
+#define CHIVEDEAL_REQUESTS_ATTEMPT_START_HPP
+
+#include "chivedeal/core/address.hpp"
+#include "chivedeal/core/id.hpp"
+#include "chivedeal/state/service.hpp"
+
+#include "absl/time/time.h"
+
+#include <string>
+#include <vector>
+
+namespace chivedeal::requests {
+
+/// An order to a worker to run one attempt at an endpoint.
+struct attempt_start
+{
+    request_id request;
+    int attempt = 0;
+    endpoint_id endpoint;
+    address target;
+    state::service_kind kind = state::service_kind::engine;
+    version_id version;
+    int priority = 5;
+    /// Monotonic time.
+    absl::Time deadline = absl::InfiniteFuture();
+    std::string body;
+    /// Tokens that the caller already has; the engine goes on after them.
+    std::vector<std::string> tokens_so_far;
+    /// Handle of a KV cache that the target has imported; empty for none.
+    std::string kv_handle;
+
+    friend bool operator==(const attempt_start&, const attempt_start&) = default;
+};
+
+} // namespace chivedeal::requests
+
+#endif
--- /dev/null
+++ b/include/chivedeal/requests/caller_server.hpp
@@ -0,0 +1,57 @@
+#ifndef CHIVEDEAL_REQUESTS_CALLER_SERVER_HPP
+#define CHIVEDEAL_REQUESTS_CALLER_SERVER_HPP
+
+#include "chivedeal/core/address.hpp"
+#include "chivedeal/core/bounded_ring.hpp"
+#include "chivedeal/core/duty.hpp"
+#include "chivedeal/requests/router_message.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace httplib {
+class Server;
+}
+
+namespace chivedeal {
+class clock;
+}
+
+namespace chivedeal::requests {
+
+/// HTTP listener for callers. Other parts add their routes through `install`.
+class caller_server : public duty
+{
+public:
+    struct options
+    {
+        address listen;
+        const clock& time;
+        bounded_ring<router_message>& router_inbox;
+        /// Open connections; one thread serves each.
+        std::size_t max_connections = 400;
+        std::size_t max_request_bytes = 4 * 1024 * 1024;
+        /// Adds routes of other parts to the listener.
+        std::function<void(httplib::Server&)> install;
+    };
+
+    explicit caller_server(options wiring);
+    ~caller_server() override;
+
+    std::string name() const override { return "caller_server"; }
+    /// Throws when the address can't be bound.
+    void run() override;
+    void request_stop() override;
+
+private:
+    void install_routes();
+
+    options m_options;
+    std::unique_ptr<httplib::Server> m_server;
+};
+
+} // namespace chivedeal::requests
+
+#endif
--- /dev/null
+++ b/include/chivedeal/requests/route_policy.hpp
@@ -0,0 +1,53 @@
+#ifndef CHIVEDEAL_REQUESTS_ROUTE_POLICY_HPP
+#define CHIVEDEAL_REQUESTS_ROUTE_POLICY_HPP
+
+#include "chivedeal/core/id.hpp"
+#include "chivedeal/core/result.hpp"
+
+#include "absl/time/time.h"
+
+#include <cstdint>
+#include <memory>
+
+namespace chivedeal::state {
+struct cluster_state;
+}
+
+namespace chivedeal::membership {
+struct membership_view;
+}
+
+namespace chivedeal::requests {
+
+struct load_report;
+struct route_choice;
+struct route_query;
+
+/// Decides where an attempt goes. Implementations are pure: they read no clock or socket.
+class route_policy
+{
+public:
+    virtual ~route_policy() = default;
+
+    virtual void on_state(std::shared_ptr<const state::cluster_state> state) = 0;
+    virtual void on_view(std::shared_ptr<const membership::membership_view> view,
+                         absl::Time now) = 0;
+    virtual void on_load(const load_report& report, absl::Time now) = 0;
+
+    /// `unknown_service` or `no_endpoint` when nothing can take the request.
+    virtual result<route_choice> choose(const route_query& query, absl::Time now) = 0;
+
+    /// Tells that an attempt at `endpoint` was started, and later that it is over.
+    virtual void on_attempt_started(const endpoint_id& endpoint, const route_query& query,
+                                    absl::Time now) = 0;
+    virtual void on_attempt_over(const endpoint_id& endpoint, const route_query& query, bool failed,
+                                 absl::Time now) = 0;
+
+    /// Tells how much of the prompt an endpoint had in its cache.
+    virtual void on_cached(const endpoint_id& endpoint, const route_query& query,
+                           std::uint64_t cached_tokens, absl::Time now) = 0;
+};
+
+} // namespace chivedeal::requests
+
+#endif
--- /dev/null
+++ b/include/chivedeal/requests/route_query.hpp
@@ -0,0 +1,29 @@
+#ifndef CHIVEDEAL_REQUESTS_ROUTE_QUERY_HPP
+#define CHIVEDEAL_REQUESTS_ROUTE_QUERY_HPP
+
+#include "chivedeal/core/id.hpp"
+
+#include <cstdint>
+#include <set>
+#include <string>
+
+namespace chivedeal::requests {
+
+/// What routing needs to know of a request.
+struct route_query
+{
+    request_id request;
+    service_id service;
+    std::string route;
+    std::string prefix;
+    /// Tokens to compute without any cache.
+    std::uint64_t prompt_tokens = 0;
+    /// Endpoints that earlier attempts of the request failed at.
+    std::set<endpoint_id> excluded;
+
+    friend bool operator==(const route_query&, const route_query&) = default;
+};
+
+} // namespace chivedeal::requests
+
+#endif
--- /dev/null
+++ b/include/chivedeal/state/applied_record.hpp
@@ -0,0 +1,27 @@
+#ifndef CHIVEDEAL_STATE_APPLIED_RECORD_HPP
+#define CHIVEDEAL_STATE_APPLIED_RECORD_HPP
+
+#include "chivedeal/core/error.hpp"
+#include "chivedeal/state/record.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace chivedeal::state {
+
+/// A record with its offset and the effect that it had.
+struct applied_record
+{
+    /// `control` or `claims`.
+    std::string stream;
+    std::uint64_t offset = 0;
+    record entry;
+    /// `ok` when it took effect; the same on every node.
+    error effect;
+
+    friend bool operator==(const applied_record&, const applied_record&) = default;
+};
+
+} // namespace chivedeal::state
+
+#endif
--- /dev/null
+++ b/include/chivedeal/state/declaration.hpp
@@ -0,0 +1,27 @@
+#ifndef CHIVEDEAL_STATE_DECLARATION_HPP
+#define CHIVEDEAL_STATE_DECLARATION_HPP
+
+#include "chivedeal/core/id.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace chivedeal::state {
+
+/// What is declared at a path, as the operator wrote it.
+struct declaration
+{
+    std::string path;
+    team_id team;
+    /// Offset of the record that set it; an operator names it as `expected_version`.
+    std::uint64_t version = 0;
+    /// JSON object.
+    std::string body;
+    change_id change;
+
+    friend bool operator==(const declaration&, const declaration&) = default;
+};
+
+} // namespace chivedeal::state
+
+#endif
--- /dev/null
+++ b/include/chivedeal/state/service.hpp
@@ -0,0 +1,38 @@
+#ifndef CHIVEDEAL_STATE_SERVICE_HPP
+#define CHIVEDEAL_STATE_SERVICE_HPP
+
+#include "chivedeal/core/id.hpp"
+
+#include "absl/time/time.h"
+
+#include <string>
+#include <vector>
+
+namespace chivedeal::state {
+
+enum class service_kind
+{
+    engine,
+    plain,
+};
+
+/// Declaration at /teams/TEAM/services/NAME.
+struct service
+{
+    service_id name;
+    team_id team;
+    service_kind kind = service_kind::engine;
+    /// Time to the first token, or to the answer of a plain service.
+    absl::Duration latency_target = absl::Milliseconds(1200);
+    absl::Duration token_gap = absl::Milliseconds(51);
+    /// Whether the service's endpoints refuse orders with an old fencing number.
+    bool checks_fencing = false;
+    /// Routes that callers may name; empty allows any.
+    std::vector<std::string> routes;
+
+    friend bool operator==(const service&, const service&) = default;
+};
+
+} // namespace chivedeal::state
+
+#endif
--- /dev/null
+++ b/test/requests_path_test.cpp
@@ -0,0 +1,121 @@
+#include "chivedeal/core/supervisor.hpp"
+#include "chivedeal/core/system_clock.hpp"
+#include "chivedeal/membership/membership_view.hpp"
+#include "chivedeal/requests/caller_server.hpp"
+#include "chivedeal/requests/endpoint_worker.hpp"
+#include "chivedeal/requests/least_outstanding_policy.hpp"
+#include "chivedeal/requests/router.hpp"
+#include "chivedeal/state/cluster_state.hpp"
+
+#include "chivedeal/core/posix_thread.hpp"
+
+#include "fakes/fake_endpoint_client.hpp"
+
+#include <gtest/gtest.h>
+#include <httplib.h>
+
+using namespace chivedeal;           // NOLINT(google-build-using-namespace)
+using namespace chivedeal::requests; // NOLINT(google-build-using-namespace)
+
+namespace {
+
+std::shared_ptr<const state::cluster_state> one_service()
+{
+    state::cluster_state state;
+    state.services[service_id("catalogue")] =
+        std::make_shared<const state::service>(state::service{.name = service_id("catalogue")});
+    return std::make_shared<const state::cluster_state>(state);
+}
+
+std::shared_ptr<const membership::membership_view> one_endpoint()
+{
+    return std::make_shared<const membership::membership_view>(
+        membership::membership_view{.endpoints = {{.id = endpoint_id("e1"),
+                                                   .listen = {.host = "127.0.0.1", .port = 1},
+                                                   .service = service_id("catalogue")}}});
+}
+
+// The requests subtree with a fake endpoint client, on a port of its own.
+class request_path
+{
+public:
+    explicit request_path(std::vector<attempt_event_body> answer)
+        : m_client(std::move(answer)),
+          m_root(
+              {.name = "requests"},
+              {{.name = "router",
+                .make =
+                    [this] {
+                        return std::make_unique<router>(
+                            router::options{.time = m_clock,
+                                            .policy = std::make_shared<least_outstanding_policy>(),
+                                            .inbox = m_inbox,
+                                            .attempts = m_attempts});
+                    }},
+               {.name = "endpoint_worker",
+                .make =
+                    [this] {
+                        return std::make_unique<endpoint_worker>(endpoint_worker::options{
+                            .client = m_client, .attempts = m_attempts, .router_inbox = m_inbox});
+                    }},
+               {.name = "caller_server",
+                .make =
+                    [this] {
+                        return std::make_unique<caller_server>(caller_server::options{
+                            .listen = m_listen, .time = m_clock, .router_inbox = m_inbox});
+                    }}}),
+          m_thread("requests", [this] { m_root.run(); })
+    {
+        (void)m_inbox.push({.event = state_changed{one_service()}, .reply = nullptr});
+        (void)m_inbox.push({.event = view_changed{one_endpoint()}, .reply = nullptr});
+    }
+
+    ~request_path() { m_root.request_stop(); }
+
+    httplib::Result post(const std::string& service)
+    {
+        httplib::Client client(m_listen.host, m_listen.port);
+        while (true) {
+            httplib::Result answer = client.Post("/v1/services/" + service + "/requests",
+                                                 R"({"prompt": "oak bowl"})", "application/json");
+            // The listener starts in its own thread; a refused connection means it is not there.
+            if (answer || answer.error() != httplib::Error::Connection)
+                return answer;
+        }
+    }
+
+private:
+    address m_listen{.host = "127.0.0.1", .port = 18'471};
+    system_clock m_clock;
+    fakes::fake_endpoint_client m_client;
+    bounded_ring<router_message> m_inbox{64};
+    bounded_ring<attempt_start> m_attempts{64};
+    supervisor m_root;
+    posix_thread m_thread;
+};
+
+} // namespace
+
+// Guards against a break anywhere between the caller's connection and the endpoint.
+TEST(request_path, streams_the_whole_answer)
+{
+    request_path path({attempt_started{.prompt_tokens = 2, .cached_tokens = 0},
+                       attempt_token{.position = 0, .text = "turned"},
+                       attempt_token{.position = 1, .text = "bowl"}, attempt_ended{}});
+    const httplib::Result answer = path.post("catalogue");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200);
+    EXPECT_EQ(answer->body, "id: 0\ndata: turned\n\nid: 1\ndata: bowl\n\n"
+                            "event: end\ndata: {\"outcome\":\"answered\"}\n\n");
+}
+
+// Guards against a vague refusal: an unknown service is refused as not run, by number.
+TEST(request_path, refuses_an_unknown_service)
+{
+    request_path path({});
+    const httplib::Result answer = path.post("nothing");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 404);
+    EXPECT_NE(answer->body.find("503 unknown_service"), std::string::npos);
+    EXPECT_NE(answer->body.find("not_run"), std::string::npos);
+}
