--- a/src/core/settings_parser.cpp
+++ b/src/core/settings_parser.cpp
@@ -1,5 +1,7 @@
 #include "chivedeal/core/settings_parser.hpp"
 
+#include "chivedeal/core/team_keys.hpp"
+
 #include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -8,10 +10,7 @@
 
 #include <boost/program_options.hpp>
 
-#include <cstdlib>
-#include <fstream>
 #include <functional>
-#include <iterator>
 #include <optional>
 #include <sstream>
 #include <utility>
@@ -23,12 +22,8 @@
 namespace program_options = boost::program_options;
 
 constexpr const char* environment_prefix = "CHIVEDEAL_";
-constexpr const char* team_keys_variable = "CHIVEDEAL_TEAM_KEYS";
 constexpr const char* team_keys_file_flag = "team-keys-file";
 
-// A team key shorter than this could be found by trial.
-constexpr std::size_t min_key_bytes = 16;
-
 using setter = std::function<std::optional<std::string>(settings&, const std::string&)>;
 
 // One setting: its flag, help with unit, default (empty for a required one) and how it is read.
@@ -189,42 +184,6 @@
     return {.code = result_code::invalid_setting, .message = std::move(message)};
 }
 
-// Reads TEAM=KEY entries; messages never repeat a key.
-void read_team_keys(const std::string& entries, settings& out, std::vector<error>& faults)
-{
-    int number = 0;
-    for (const auto& entry :
-         absl::StrSplit(entries, absl::ByAnyChar(",\n"), absl::SkipWhitespace())) {
-        ++number;
-        const std::pair<std::string, std::string> parts =
-            absl::StrSplit(absl::StripAsciiWhitespace(entry), absl::MaxSplits('=', 1));
-        if (parts.first.empty() || parts.second.size() < min_key_bytes) {
-            faults.push_back(invalid(absl::StrCat("team keys: entry ", number,
-                                                  " is not TEAM=KEY with a key of at least ",
-                                                  min_key_bytes, " characters")));
-            continue;
-        }
-        out.team_keys[team_id(parts.first)] = parts.second;
-    }
-}
-
-void read_team_keys(const program_options::variables_map& values, settings& out,
-                    std::vector<error>& faults)
-{
-    if (const char* keys = std::getenv(team_keys_variable); keys != nullptr)
-        read_team_keys(keys, out, faults);
-    if (!values.contains(team_keys_file_flag))
-        return;
-    const std::string file = values[team_keys_file_flag].as<std::string>();
-    std::ifstream in(file);
-    if (!in) {
-        faults.push_back(
-            invalid(absl::StrCat("--", team_keys_file_flag, ": cannot read '", file, "'")));
-        return;
-    }
-    read_team_keys(std::string(std::istreambuf_iterator<char>(in), {}), out, faults);
-}
-
 // Rules that bind two settings.
 void check_combinations(const settings& value, std::vector<error>& faults)
 {
@@ -291,7 +250,10 @@
         if (const auto fault = row.set(out, value))
             faults.push_back(invalid(absl::StrCat("--", row.flag, " '", value, "': ", *fault)));
     }
-    read_team_keys(values, out, faults);
+    team_keys keys = read_team_keys(
+        values.contains(team_keys_file_flag) ? values[team_keys_file_flag].as<std::string>() : "");
+    faults.insert(faults.end(), keys.faults.begin(), keys.faults.end());
+    out.team_keys = std::move(keys.keys);
     if (faults.empty())
         check_combinations(out, faults);
     if (!faults.empty())
