Complete the request flow: attempts, claims, resumes, drain and hand-off

The thin path ran one attempt and had no answer for a broken stream, a lost caller or a key that is sent twice. The flow now owns a request from arrival to one of four outcomes. Attempts are fenced by number, tokens are contiguous, idempotent requests are retried within deadline and budget and resume from the tokens so far, callers resume by request ID, and streams of a leaving endpoint or node go on elsewhere. Non-idempotent requests run only under a claim that was read back before its timeout, also when the node was paused meanwhile. Each finished attempt yields one sample.

Refusals of a keyed request are told as unknown until the log has decided on the key, since an earlier request of it may have run. Plain services get a new connection for each call: a reused one that the server closes would leave open whether the call ran. Endpoint calls beside attempts have threads of their own, so a cancel does not wait behind the streams.

--- a/fakes/fake_endpoint_client.hpp
+++ b/fakes/fake_endpoint_client.hpp
@@ -1,10 +1,13 @@
 #ifndef FAKES_FAKE_ENDPOINT_CLIENT_HPP
 #define FAKES_FAKE_ENDPOINT_CLIENT_HPP
 
+#include "chivedeal/core/mutex.hpp"
 #include "chivedeal/requests/attempt_event.hpp"
 #include "chivedeal/requests/attempt_start.hpp"
 #include "chivedeal/requests/endpoint_client.hpp"
+#include "chivedeal/requests/flow_command.hpp"
 
+#include <mutex>
 #include <string>
 #include <utility>
 #include <vector>
@@ -27,7 +30,26 @@
                 return;
     }
 
+    void cancel(const requests::cancel_attempt& order) override
+    {
+        const std::lock_guard<mutex> lock(m_mutex);
+        m_cancelled.push_back(order);
+    }
+
+    result<std::string> move(const requests::move_kv& order) override
+    {
+        return "kv of " + order.request.str();
+    }
+
+    std::vector<requests::cancel_attempt> cancelled() const
+    {
+        const std::lock_guard<mutex> lock(m_mutex);
+        return m_cancelled;
+    }
+
 private:
+    mutable mutex m_mutex;
+    std::vector<requests::cancel_attempt> m_cancelled;
     std::vector<requests::attempt_event_body> m_answer;
 };
 
--- a/fakes/stand_in/engine.cpp
+++ b/fakes/stand_in/engine.cpp
@@ -2,6 +2,7 @@
 // resumed answer can be compared with an undisturbed one.
 
 #include "chivedeal/core/condition.hpp"
+#include "chivedeal/requests/prompt_prefix.hpp"
 #include "fakes/stand_in/stand_in.hpp"
 
 #include "absl/strings/str_cat.h"
@@ -24,8 +25,6 @@
 constexpr const char* json_type = "application/json";
 constexpr std::size_t bytes_per_token = 4;
 constexpr std::size_t kv_bytes_per_token = 131'072;
-// Entry nodes name a prefix by its first bytes as well.
-constexpr std::size_t prefix_bytes = 1024;
 // Older events are dropped, which the reader sees as a gap.
 constexpr std::size_t kept_cache_events = 256;
 
@@ -46,12 +45,6 @@
     return absl::StrCat("t", absl::Hex(hash & 0xffffff));
 }
 
-std::string prefix_of(const std::string& prompt)
-{
-    const std::string start = prompt.substr(0, prefix_bytes);
-    return absl::StrCat(absl::Hex(XXH3_64bits(start.data(), start.size()), absl::kZeroPad16));
-}
-
 std::size_t common_tokens(const std::string& left, const std::string& right)
 {
     const auto end = std::mismatch(left.begin(), left.end(), right.begin(), right.end());
@@ -310,7 +303,7 @@
         m_cache_events.push_back({steady::now() + std::chrono::milliseconds(static_cast<int>(
                                                       m_options.cache_event_delay_ms)),
                                   json{{"seq", m_cache_seq},
-                                       {"prefix", prefix_of(prompt)},
+                                       {"prefix", chivedeal::requests::prompt_prefix(prompt)},
                                        {"tokens", prompt.size() / bytes_per_token},
                                        {"cached", cached}}});
         if (m_cache_events.size() > kept_cache_events)
--- a/include/chivedeal/requests/attempt_start.hpp
+++ b/include/chivedeal/requests/attempt_start.hpp
@@ -22,6 +22,8 @@
     state::service_kind kind = state::service_kind::engine;
     version_id version;
     int priority = 5;
+    /// Passed on to plain services; empty for an idempotent request.
+    std::string idempotency_key;
     /// Monotonic time.
     absl::Time deadline = absl::InfiniteFuture();
     std::string body;
--- a/include/chivedeal/requests/caller_server.hpp
+++ b/include/chivedeal/requests/caller_server.hpp
@@ -7,13 +7,15 @@
 #include "chivedeal/requests/router_message.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 
 namespace httplib {
+struct Response;
 class Server;
-}
+} // namespace httplib
 
 namespace chivedeal {
 class clock;
@@ -47,6 +49,8 @@
 
 private:
     void install_routes();
+    void serve(router_message message, const request_id& request, std::uint64_t connection,
+               httplib::Response& response);
 
     options m_options;
     std::unique_ptr<httplib::Server> m_server;
--- /dev/null
+++ b/include/chivedeal/requests/finished_answer.hpp
@@ -0,0 +1,28 @@
+#ifndef CHIVEDEAL_REQUESTS_FINISHED_ANSWER_HPP
+#define CHIVEDEAL_REQUESTS_FINISHED_ANSWER_HPP
+
+#include "chivedeal/core/error.hpp"
+#include "chivedeal/requests/caller_request.hpp"
+#include "chivedeal/requests/outcome.hpp"
+
+#include <string>
+#include <vector>
+
+namespace chivedeal::requests {
+
+/// A request with its outcome, kept for a caller that lost its connection.
+struct finished_answer
+{
+    caller_request request;
+    std::vector<std::string> tokens;
+    outcome result = outcome::answered;
+    error reason;
+    /// A caller was connected at the end.
+    bool delivered = false;
+
+    friend bool operator==(const finished_answer&, const finished_answer&) = default;
+};
+
+} // namespace chivedeal::requests
+
+#endif
--- a/include/chivedeal/requests/flow_command.hpp
+++ b/include/chivedeal/requests/flow_command.hpp
@@ -1,10 +1,15 @@
 #ifndef CHIVEDEAL_REQUESTS_FLOW_COMMAND_HPP
 #define CHIVEDEAL_REQUESTS_FLOW_COMMAND_HPP
 
+#include "chivedeal/control/attempt_sample.hpp"
+#include "chivedeal/core/address.hpp"
 #include "chivedeal/core/id.hpp"
+#include "chivedeal/membership/stream_state.hpp"
 #include "chivedeal/requests/answer_event.hpp"
 #include "chivedeal/requests/attempt_start.hpp"
+#include "chivedeal/state/record.hpp"
 
+#include <cstdint>
 #include <variant>
 
 namespace chivedeal::requests {
@@ -13,22 +18,86 @@
 struct send_answer
 {
     request_id request;
+    std::uint64_t connection = 0;
     answer_event event;
 
     friend bool operator==(const send_answer&, const send_answer&) = default;
 };
 
+/// Ends a connection whose caller has come back on another one.
+struct drop_connection
+{
+    std::uint64_t connection = 0;
+
+    friend bool operator==(const drop_connection&, const drop_connection&) = default;
+};
+
 /// Tells the endpoint to stop an attempt.
 struct cancel_attempt
 {
     request_id request;
     int attempt = 0;
+    address target;
 
     friend bool operator==(const cancel_attempt&, const cancel_attempt&) = default;
 };
 
+/// Moves the KV cache of a running attempt; answered by `kv_moved`.
+struct move_kv
+{
+    request_id request;
+    int attempt = 0;
+    address source;
+    endpoint_id target;
+    address target_address;
+
+    friend bool operator==(const move_kv&, const move_kv&) = default;
+};
+
+/// Appends a claim, a release or a result; `claim_refused` answers a claim that was not taken.
+struct append_record
+{
+    state::record entry;
+
+    friend bool operator==(const append_record&, const append_record&) = default;
+};
+
+/// Gives a stream to a peer; answered by `hand_off_answered`.
+struct hand_off_stream
+{
+    /// RPC address.
+    address peer;
+    /// Where the caller resumes.
+    address peer_http;
+    membership::stream_state stream;
+
+    friend bool operator==(const hand_off_stream&, const hand_off_stream&) = default;
+};
+
+/// Evidence on the version that ran an attempt.
+struct add_sample
+{
+    control::attempt_sample sample;
+
+    friend bool operator==(const add_sample&, const add_sample&) = default;
+};
+
+/// Marks this node as leaving, so that it is named to no more callers.
+struct delist_node
+{
+    friend bool operator==(const delist_node&, const delist_node&) = default;
+};
+
+/// The drain is over: the node holds no request and may stop.
+struct stop_node
+{
+    friend bool operator==(const stop_node&, const stop_node&) = default;
+};
+
 /// What the request flow wants done.
-using flow_command = std::variant<attempt_start, cancel_attempt, send_answer>;
+using flow_command =
+    std::variant<attempt_start, cancel_attempt, send_answer, drop_connection, move_kv,
+                 append_record, hand_off_stream, add_sample, delist_node, stop_node>;
 
 } // namespace chivedeal::requests
 
--- a/include/chivedeal/requests/flow_event.hpp
+++ b/include/chivedeal/requests/flow_event.hpp
@@ -1,13 +1,21 @@
 #ifndef CHIVEDEAL_REQUESTS_FLOW_EVENT_HPP
 #define CHIVEDEAL_REQUESTS_FLOW_EVENT_HPP
 
+#include "chivedeal/core/address.hpp"
+#include "chivedeal/core/error.hpp"
 #include "chivedeal/core/id.hpp"
+#include "chivedeal/membership/stream_state.hpp"
 #include "chivedeal/requests/attempt_event.hpp"
 #include "chivedeal/requests/caller_request.hpp"
 #include "chivedeal/requests/load_report.hpp"
+#include "chivedeal/state/applied_record.hpp"
+#include "chivedeal/state/claim_entry.hpp"
 
+#include <cstdint>
 #include <memory>
+#include <string>
 #include <variant>
+#include <vector>
 
 namespace chivedeal::state {
 struct cluster_state;
@@ -19,21 +27,107 @@
 
 namespace chivedeal::requests {
 
+/// Names a caller's connection within the node, so that an event of an earlier connection does not
+/// touch a request that its caller has resumed. 0 is no connection.
+using connection_number = std::uint64_t;
+
 struct request_arrived
 {
     caller_request request;
+    connection_number connection = 0;
 
     friend bool operator==(const request_arrived&, const request_arrived&) = default;
 };
 
+/// A caller comes back for the rest of an answer.
+struct request_resumed
+{
+    request_id request;
+    connection_number connection = 0;
+    std::uint64_t next_position = 0;
+
+    friend bool operator==(const request_resumed&, const request_resumed&) = default;
+};
+
 /// The caller's connection is gone.
 struct caller_left
 {
     request_id request;
+    connection_number connection = 0;
 
     friend bool operator==(const caller_left&, const caller_left&) = default;
 };
 
+/// The caller wants no answer any more.
+struct request_cancelled
+{
+    request_id request;
+
+    friend bool operator==(const request_cancelled&, const request_cancelled&) = default;
+};
+
+/// A record of the claims stream was read back.
+struct claim_read_back
+{
+    state::applied_record applied;
+
+    friend bool operator==(const claim_read_back&, const claim_read_back&) = default;
+};
+
+/// The log takes no record now.
+struct claim_refused
+{
+    std::string key;
+    error reason;
+
+    friend bool operator==(const claim_refused&, const claim_refused&) = default;
+};
+
+/// Claims that a snapshot holds.
+struct claims_restored
+{
+    std::vector<state::claim_entry> claims;
+
+    friend bool operator==(const claims_restored&, const claims_restored&) = default;
+};
+
+/// A KV cache was moved, or `handle` is empty.
+struct kv_moved
+{
+    request_id request;
+    int attempt = 0;
+    endpoint_id target;
+    std::string handle;
+
+    friend bool operator==(const kv_moved&, const kv_moved&) = default;
+};
+
+/// The node is to stop without cutting off a request.
+struct drain_requested
+{
+    friend bool operator==(const drain_requested&, const drain_requested&) = default;
+};
+
+/// A peer took over a stream, or refused it.
+struct hand_off_answered
+{
+    request_id request;
+    address peer;
+    bool taken = false;
+
+    friend bool operator==(const hand_off_answered&, const hand_off_answered&) = default;
+};
+
+/// A peer gives a stream to this node.
+struct stream_taken_over
+{
+    membership::stream_state stream;
+    /// As in `caller_request`.
+    std::string prefix;
+
+    friend bool operator==(const stream_taken_over&, const stream_taken_over&) = default;
+};
+
 struct state_changed
 {
     std::shared_ptr<const state::cluster_state> state;
@@ -55,8 +149,10 @@
 };
 
 /// What the request flow is told.
-using flow_event = std::variant<request_arrived, caller_left, attempt_event, load_report,
-                                state_changed, view_changed, tick>;
+using flow_event = std::variant<request_arrived, request_resumed, caller_left, request_cancelled,
+                                attempt_event, claim_read_back, claim_refused, claims_restored,
+                                kv_moved, drain_requested, hand_off_answered, stream_taken_over,
+                                load_report, state_changed, view_changed, tick>;
 
 } // namespace chivedeal::requests
 
--- a/include/chivedeal/requests/request_flow.hpp
+++ b/include/chivedeal/requests/request_flow.hpp
@@ -1,42 +1,81 @@
 #ifndef CHIVEDEAL_REQUESTS_REQUEST_FLOW_HPP
 #define CHIVEDEAL_REQUESTS_REQUEST_FLOW_HPP
 
+#include "chivedeal/core/id.hpp"
+#include "chivedeal/requests/admission.hpp"
+#include "chivedeal/requests/answer_store.hpp"
+#include "chivedeal/requests/drain_controller.hpp"
 #include "chivedeal/requests/flow_command.hpp"
 #include "chivedeal/requests/flow_event.hpp"
+#include "chivedeal/requests/retry_backoff.hpp"
+#include "chivedeal/requests/retry_budget.hpp"
+#include "chivedeal/requests/workspace_limiter.hpp"
 
-#include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 
+#include <cstddef>
+#include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
+namespace chivedeal {
+class metrics;
+}
+
 namespace chivedeal::requests {
 
 class route_policy;
-struct route_choice;
-struct route_query;
+
+namespace detail {
+class flow_core;
+}
 
 /// Owns all requests of the node from arrival to outcome. Pure: commands come back as values.
 ///
+///     request_flow flow({.policy = policy, .node = node_id("n1"), .series = "a4f0"});
 ///     for (const flow_command& command : flow.handle(event, now))
 ///         execute(command);
 class request_flow
 {
 public:
-    explicit request_flow(route_policy& policy);
+    struct options
+    {
+        route_policy& policy;
+        node_id node;
+        /// Unique to each start of the node, so that claims of an earlier start are not taken for
+        /// own ones.
+        std::string series;
+        /// Counters are added to it; may be null.
+        metrics* counters = nullptr;
+        absl::Duration claim_timeout = absl::Seconds(3);
+        /// How long an idempotent request runs on without its caller.
+        absl::Duration resume_window = absl::Seconds(10);
+        /// Attempts of one request, migrations not counted.
+        int max_attempts = 6;
+        /// Larger results are stored as `unknown`, since each record is kept by every node.
+        std::size_t max_result_bytes = 64 * 1024;
+        answer_store::options answers = {};
+        retry_budget::options retries = {};
+        retry_backoff::options backoff = {};
+        admission::options shedding = {};
+        workspace_limiter::options limits = {};
+        drain_controller::options drain = {};
+    };
+
+    explicit request_flow(options wiring);
     ~request_flow();
 
     std::vector<flow_command> handle(const flow_event& event, absl::Time now);
 
-    std::size_t open_requests() const { return m_requests.size(); }
+    std::size_t open_requests() const;
 
-private:
-    class entry;
-    class handler;
+    /// Demand and open requests of this node by workspace, for gossip.
+    std::map<workspace_id, double> demand(absl::Time now);
+    std::map<workspace_id, int> open_by_workspace() const;
 
-    route_policy& m_policy;
-    std::shared_ptr<const state::cluster_state> m_state;
-    absl::flat_hash_map<request_id, std::unique_ptr<entry>> m_requests;
+private:
+    std::unique_ptr<detail::flow_core> m_core;
 };
 
 } // namespace chivedeal::requests
--- a/include/chivedeal/requests/router.hpp
+++ b/include/chivedeal/requests/router.hpp
@@ -5,11 +5,14 @@
 #include "chivedeal/core/duty.hpp"
 #include "chivedeal/requests/answer_event.hpp"
 #include "chivedeal/requests/attempt_start.hpp"
+#include "chivedeal/requests/endpoint_order.hpp"
 #include "chivedeal/requests/request_flow.hpp"
 #include "chivedeal/requests/router_message.hpp"
 
 #include "absl/container/flat_hash_map.h"
 
+#include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -17,6 +20,18 @@
 class clock;
 }
 
+namespace chivedeal::control {
+class sample_sink;
+}
+
+namespace chivedeal::membership {
+class gossip_port;
+}
+
+namespace chivedeal::state {
+class record_sink;
+}
+
 namespace chivedeal::requests {
 
 class route_policy;
@@ -25,12 +40,22 @@
 class router : public duty
 {
 public:
+    /// A null pointer leaves that part of the node out.
     struct options
     {
         const clock& time;
         std::shared_ptr<route_policy> policy;
+        /// `flow.policy` is `*policy`; an empty `flow.series` is replaced by a random one.
+        request_flow::options flow;
         bounded_ring<router_message>& inbox;
         bounded_ring<attempt_start>& attempts;
+        bounded_ring<endpoint_order>& orders;
+        bounded_ring<hand_off_stream>* hand_offs = nullptr;
+        state::record_sink* records = nullptr;
+        control::sample_sink* samples = nullptr;
+        membership::gossip_port* gossip = nullptr;
+        /// Called once, in the router's thread, when the drain is over.
+        std::function<void()> on_drained = nullptr;
     };
 
     explicit router(options wiring);
@@ -41,11 +66,29 @@
     void request_stop() override;
 
 private:
-    void execute(const flow_command& command);
+    void handle(router_message message);
+    void handle_all(flow_event event);
+    void execute(const attempt_start& command);
+    void execute(const cancel_attempt& command);
+    void execute(const send_answer& command);
+    void execute(const drop_connection& command);
+    void execute(const move_kv& command);
+    void execute(const append_record& command);
+    void execute(const hand_off_stream& command);
+    void execute(const add_sample& command);
+    void execute(const delist_node& command);
+    void execute(const stop_node& command);
+    void close_reply(connection_number connection);
+    void send_records();
+    void publish_demand(absl::Time now);
 
     options m_options;
     request_flow m_flow;
-    absl::flat_hash_map<request_id, std::shared_ptr<bounded_ring<answer_event>>> m_replies;
+    absl::flat_hash_map<connection_number, std::shared_ptr<bounded_ring<answer_event>>> m_replies;
+    /// Events that follow at once from a command that could not be carried out.
+    std::deque<flow_event> m_follow_ups;
+    std::deque<append_record> m_unsent;
+    absl::Time m_next_demand = absl::InfinitePast();
 };
 
 } // namespace chivedeal::requests
--- a/src/requests/caller_server.cpp
+++ b/src/requests/caller_server.cpp
@@ -1,15 +1,18 @@
 #include "chivedeal/requests/caller_server.hpp"
 
 #include "chivedeal/core/clock.hpp"
+#include "chivedeal/requests/prompt_prefix.hpp"
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 #include <openssl/rand.h>
 
 #include <array>
+#include <atomic>
 #include <optional>
 #include <stdexcept>
 #include <utility>
@@ -24,9 +27,12 @@
 // Room for a burst of tokens while the caller's socket is busy.
 constexpr std::size_t reply_capacity = 1024;
 
-// Start of the prompt by which routing finds a warm cache; longer common starts are rare enough
-// that the whole need not be compared.
-constexpr std::size_t prefix_bytes = 1024;
+// A resumed answer comes at once up to where the stream is; a caller that is further behind
+// resumes again.
+constexpr std::size_t resumed_reply_capacity = 8192;
+
+// How soon a caller that left a silent stream is noticed.
+constexpr absl::Duration liveness_interval = absl::Seconds(1);
 
 constexpr int default_deadline_ms = 120'000;
 
@@ -48,10 +54,20 @@
     return value;
 }
 
-void refuse(httplib::Response& response, int http_status, const error& reason)
+// Over all servers of the process, since a restarted server talks to the same router.
+connection_number next_connection()
+{
+    static std::atomic<connection_number> last = 0;
+    return ++last;
+}
+
+void refuse(httplib::Response& response, int http_status, const error& reason,
+            outcome result = outcome::not_run)
 {
     response.status = http_status;
-    response.set_content(json{{"outcome", "not_run"},
+    if (reason.code == result_code::rate_limited)
+        response.set_header("Retry-After", "1");
+    response.set_content(json{{"outcome", to_string(result)},
                               {"code", static_cast<int>(reason.code)},
                               {"error", to_string(reason)}}
                              .dump(),
@@ -77,7 +93,9 @@
 std::string format_event(const answer_event& event)
 {
     if (const auto* token = std::get_if<answer_token>(&event))
-        return absl::StrCat("id: ", token->position, "\ndata: ", token->text, "\n\n");
+        return absl::StrCat("id: ", token->position,
+                            "\ndata: ", absl::StrReplaceAll(token->text, {{"\n", "\ndata: "}}),
+                            "\n\n");
     if (const auto* moved = std::get_if<answer_moved>(&event))
         return absl::StrCat(
             "event: moved\ndata: ", json{{"address", to_string(moved->peer)}}.dump(), "\n\n");
@@ -114,7 +132,7 @@
                           .idempotency_key = http.get_header_value("Idempotency-Key"),
                           .body = http.body,
                           .prefix = body.contains("prompt") && body["prompt"].is_string()
-                                        ? body["prompt"].get<std::string>().substr(0, prefix_bytes)
+                                        ? prompt_prefix(body["prompt"].get<std::string>())
                                         : std::string()};
 }
 
@@ -122,18 +140,27 @@
 class answer_stream
 {
 public:
-    answer_stream(std::shared_ptr<reply_ring> ring, answer_event first)
+    answer_stream(std::shared_ptr<reply_ring> ring, std::optional<answer_event> first)
         : m_ring(std::move(ring)), m_next(std::move(first))
     {}
 
+    // Returns false when the caller left.
     bool write(httplib::DataSink& sink)
     {
-        while (m_next) {
+        while (m_next || !m_ring->closed()) {
+            if (!m_next)
+                m_next = m_ring->pop(liveness_interval);
+            if (!m_next) {
+                if (!sink.is_writable())
+                    return false;
+                continue;
+            }
             const std::string text = format_event(*m_next);
             if (!sink.write(text.data(), text.size()))
                 return false;
-            const bool last = !std::holds_alternative<answer_token>(*m_next);
-            m_next = last ? std::nullopt : m_ring->pop();
+            if (!std::holds_alternative<answer_token>(*m_next))
+                break;
+            m_next = m_ring->pop(absl::ZeroDuration());
         }
         sink.done();
         return true;
@@ -171,37 +198,75 @@
 
 void caller_server::install_routes()
 {
+    const auto id_of = [](const httplib::Request& http) {
+        return request_id(http.matches[1].str());
+    };
     m_server->Post(R"(/v1/services/([^/]+)/requests)", [this](const httplib::Request& http,
                                                               httplib::Response& response) {
         const auto parsed = parse_request(http, m_options.time.now());
         if (!is_ok(parsed)) {
-            refuse(response, http_status_of(get_error(parsed).code), get_error(parsed));
+            const error& reason = get_error(parsed);
+            refuse(response, http_status_of(reason.code), reason);
             return;
         }
+        const connection_number connection = next_connection();
         const caller_request& request = get_value(parsed);
-        auto ring = std::make_shared<reply_ring>(reply_capacity);
-        if (!m_options.router_inbox.try_push({.event = request_arrived{request}, .reply = ring})) {
-            refuse(response, 503,
-                   {.code = result_code::ring_full, .message = "the node is overloaded"});
-            return;
-        }
-        auto first = ring->pop();
-        if (!first)
-            first =
-                answer_end{.result = outcome::unknown,
+        serve({.event = request_arrived{.request = request, .connection = connection},
+               .reply = std::make_shared<reply_ring>(reply_capacity)},
+              request.id, connection, response);
+    });
+    m_server->Get(R"(/v1/requests/([^/]+))", [this, id_of](const httplib::Request& http,
+                                                           httplib::Response& response) {
+        const int last = header_number(http, "Last-Event-ID", -1);
+        const connection_number connection = next_connection();
+        serve({.event = request_resumed{.request = id_of(http),
+                                        .connection = connection,
+                                        .next_position = static_cast<std::uint64_t>(last + 1)},
+               .reply = std::make_shared<reply_ring>(resumed_reply_capacity)},
+              id_of(http), connection, response);
+    });
+    m_server->Delete(R"(/v1/requests/([^/]+))", [this, id_of](const httplib::Request& http,
+                                                              httplib::Response& response) {
+        const bool taken = m_options.router_inbox.try_push(
+            {.event = request_cancelled{.request = id_of(http)}, .reply = nullptr});
+        response.status = taken ? 202 : 503;
+    });
+}
+
+void caller_server::serve(router_message message, const request_id& request,
+                          std::uint64_t connection, httplib::Response& response)
+{
+    const auto ring = message.reply;
+    // An arrival that is not taken did not run; a resumed request may have.
+    const bool arrival = std::holds_alternative<request_arrived>(message.event);
+    const bool may_have_run =
+        !arrival || !std::get<request_arrived>(message.event).request.idempotent();
+    if (!m_options.router_inbox.try_push(std::move(message))) {
+        refuse(response, 503, {.code = result_code::ring_full, .message = "the node is overloaded"},
+               may_have_run ? outcome::unknown : outcome::not_run);
+        return;
+    }
+    auto first = ring->pop();
+    if (!first)
+        first = answer_end{.result = outcome::unknown,
                            .reason = {.code = result_code::stopping,
                                       .message = "the node lost the request; resume by its ID"}};
-        if (const auto* end = std::get_if<answer_end>(&*first);
-            end != nullptr && end->result == outcome::not_run) {
-            refuse(response, http_status_of(end->reason.code), end->reason);
-            return;
-        }
-        response.set_header("Chivedeal-Request-Id", request.id.str());
-        auto stream = std::make_shared<answer_stream>(ring, std::move(*first));
-        response.set_chunked_content_provider(
-            "text/event-stream",
-            [stream](std::size_t, httplib::DataSink& sink) { return stream->write(sink); });
-    });
+    if (const auto* end = std::get_if<answer_end>(&*first);
+        end != nullptr && end->result != outcome::answered && arrival) {
+        refuse(response, http_status_of(end->reason.code), end->reason, end->result);
+        return;
+    }
+    response.set_header("Chivedeal-Request-Id", request.str());
+    auto stream = std::make_shared<answer_stream>(ring, std::move(first));
+    response.set_chunked_content_provider(
+        "text/event-stream",
+        [stream](std::size_t, httplib::DataSink& sink) { return stream->write(sink); },
+        [this, ring, request, connection](bool whole) {
+            if (!whole)
+                (void)m_options.router_inbox.push(
+                    {.event = caller_left{.request = request, .connection = connection},
+                     .reply = nullptr});
+        });
 }
 
 } // namespace chivedeal::requests
--- /dev/null
+++ b/src/requests/drain_controller.cpp
@@ -0,0 +1,74 @@
+#include "chivedeal/requests/drain_controller.hpp"
+
+#include "chivedeal/core/mechanism.hpp"
+
+namespace chivedeal::requests {
+
+drain_controller::drain_controller() : drain_controller(options{}) {}
+
+drain_controller::drain_controller(options times) : m_options(times) {}
+
+void drain_controller::start(absl::Time now)
+{
+    if (m_phase != phase::serving)
+        return;
+    m_phase = phase::starting;
+    m_until = now;
+}
+
+std::vector<drain_controller::step> drain_controller::advance(absl::Time now,
+                                                              std::size_t open_requests)
+{
+    std::vector<step> steps;
+    while (advance_one(now, open_requests, steps))
+        continue;
+    return steps;
+}
+
+// Returns whether the phase changed.
+bool drain_controller::advance_one(absl::Time now, std::size_t open_requests,
+                                   std::vector<step>& steps)
+{
+    switch (m_phase) {
+    case phase::serving:
+    case phase::finished:
+        return false;
+    case phase::starting:
+        if (!is_enabled(mechanism::node_drain)) {
+            steps.push_back(step::stop);
+            m_phase = phase::finished;
+            return false;
+        }
+        steps.push_back(step::delist);
+        m_until = now + m_options.address_ttl;
+        m_phase = phase::delisted;
+        return true;
+    case phase::delisted:
+        if (now < m_until)
+            return false;
+        steps.push_back(step::close_intake);
+        m_until = now + m_options.drain_grace;
+        m_phase = phase::ending;
+        return true;
+    case phase::ending:
+        if (open_requests != 0 && now < m_until)
+            return false;
+        m_until = now;
+        m_phase = phase::handing_off;
+        return true;
+    case phase::handing_off:
+        if (open_requests == 0) {
+            steps.push_back(step::stop);
+            m_phase = phase::finished;
+            return true;
+        }
+        if (now >= m_until) {
+            steps.push_back(step::hand_off);
+            m_until = now + m_options.hand_off_interval;
+        }
+        return false;
+    }
+    return false;
+}
+
+} // namespace chivedeal::requests
--- /dev/null
+++ b/src/requests/flow_claims.cpp
@@ -0,0 +1,151 @@
+#include "flow_core.hpp"
+
+#include "chivedeal/core/log_event.hpp"
+#include "chivedeal/core/mechanism.hpp"
+
+#include "absl/strings/str_join.h"
+#include "absl/strings/str_split.h"
+
+#include <utility>
+
+namespace chivedeal::requests::detail {
+
+namespace {
+
+// Joins the tokens of a stored result; no token or JSON text has this control character.
+constexpr char token_separator = '\x1f';
+
+outcome parse_outcome(const std::string& text)
+{
+    if (text == to_string(outcome::answered))
+        return outcome::answered;
+    return text == to_string(outcome::failed) ? outcome::failed : outcome::unknown;
+}
+
+std::vector<std::string> tokens_of(const state::claim_entry& stored)
+{
+    if (parse_outcome(stored.outcome) != outcome::answered)
+        return {};
+    return absl::StrSplit(stored.body, token_separator, absl::SkipEmpty());
+}
+
+error undecided()
+{
+    return {.code = result_code::claim_lost,
+            .message = "a request of this key is or was under way; ask again by the key"};
+}
+
+} // namespace
+
+// Answers a repeat of a key that the log or this node knows. Returns false for a new key.
+bool flow_core::answer_by_key(const request_arrived& event)
+{
+    const caller_request& request = event.request;
+    if (request.idempotent() || !is_enabled(mechanism::claims))
+        return false;
+    const state::claim_entry* known = m_claims.find(request.idempotency_key);
+    if (known == nullptr)
+        return false;
+    finished_answer answer{
+        .request = request, .tokens = {}, .result = outcome::unknown, .reason = undecided()};
+    if (known->finished) {
+        answer.result = parse_outcome(known->outcome);
+        answer.reason = {};
+        answer.tokens = tokens_of(*known);
+    }
+    replay(answer, event.connection, 0);
+    return true;
+}
+
+// Another node's request of the same key ended before this one's claim was decided.
+void flow_core::deliver_result(request_entry& entry, const state::claim_entry& stored)
+{
+    entry.set_tokens(tokens_of(stored));
+    for (std::size_t i = 0; i < entry.tokens().size(); ++i)
+        send(entry.request().id, entry.connection(),
+             answer_token{.position = i, .text = entry.tokens()[i]});
+    finish(entry, parse_outcome(stored.outcome), {});
+}
+
+void flow_core::claim_or_start(request_entry& entry)
+{
+    const caller_request& request = entry.request();
+    if (request.idempotent() || !is_enabled(mechanism::claims)) {
+        start_attempt(entry);
+        return;
+    }
+    entry.evidence.key_undecided = true;
+    auto claim = m_claims.propose(request.id, request.idempotency_key, m_now);
+    if (!claim) {
+        finish(entry, outcome::unknown, undecided());
+        return;
+    }
+    m_commands.emplace_back(append_record{*std::move(claim)});
+}
+
+void flow_core::take(const claim_read_back& event)
+{
+    const claim_book::decision decided = m_claims.apply(event.applied, m_now);
+    if (decided.result == claim_book::verdict::foreign)
+        return;
+    request_entry* entry = find(decided.request);
+    log_event(event_id::claim_decided,
+              {{"request", decided.request.str()},
+               {"won", decided.result == claim_book::verdict::won ? "yes" : "no"}});
+    if (decided.result == claim_book::verdict::lost) {
+        const state::claim_entry* known = m_claims.find(decided.key);
+        if (entry != nullptr && known != nullptr && known->finished)
+            deliver_result(*entry, *known);
+        else if (entry != nullptr)
+            finish(*entry, outcome::unknown, undecided());
+        return;
+    }
+    if (decided.result == claim_book::verdict::won && entry != nullptr &&
+        m_now < entry->request().deadline) {
+        entry->evidence.key_undecided = false;
+        start_attempt(*entry);
+        return;
+    }
+    // Nobody ran the key before and this node will not: the release says so to all.
+    m_commands.emplace_back(append_record{m_claims.release(decided.key)});
+    if (entry != nullptr)
+        finish(*entry, outcome::unknown,
+               {.code = result_code::claim_unavailable,
+                .message = "the claim was read back too late; ask again by the same key"});
+}
+
+void flow_core::take(const claim_refused& event)
+{
+    const auto request = m_claims.withdraw(event.key);
+    request_entry* entry = request ? find(*request) : nullptr;
+    if (entry != nullptr)
+        finish(*entry, outcome::unknown,
+               {.code = result_code::claim_unavailable, .message = to_string(event.reason)});
+}
+
+// Tells the log how a claimed request ended.
+void flow_core::settle_claim(const request_entry& entry, outcome result)
+{
+    const caller_request& request = entry.request();
+    if (request.idempotent() || !is_enabled(mechanism::claims))
+        return;
+    if (entry.evidence.key_undecided) {
+        m_claims.abandon(request.idempotency_key);
+        return;
+    }
+    if (result == outcome::not_run) {
+        m_commands.emplace_back(append_record{m_claims.release(request.idempotency_key)});
+        return;
+    }
+    std::string body;
+    if (result == outcome::answered)
+        body = absl::StrJoin(entry.tokens(), std::string(1, token_separator));
+    if (body.size() > m_options.max_result_bytes) {
+        result = outcome::unknown;
+        body.clear();
+    }
+    m_commands.emplace_back(append_record{
+        m_claims.finish(request.idempotency_key, to_string(result), std::move(body))});
+}
+
+} // namespace chivedeal::requests::detail
--- a/src/requests/http_endpoint_client.cpp
+++ b/src/requests/http_endpoint_client.cpp
@@ -1,18 +1,27 @@
 #include "chivedeal/requests/http_endpoint_client.hpp"
 
 #include "chivedeal/core/clock.hpp"
+#include "chivedeal/core/mechanism.hpp"
+#include "chivedeal/core/mutex.hpp"
 #include "chivedeal/requests/attempt_event.hpp"
 #include "chivedeal/requests/attempt_start.hpp"
+#include "chivedeal/requests/flow_command.hpp"
 #include "chivedeal/requests/sse_parser.hpp"
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <deque>
+#include <map>
+#include <mutex>
 #include <utility>
+#include <vector>
 
 namespace chivedeal::requests {
 
@@ -37,17 +46,20 @@
 class exchange
 {
 public:
-    exchange(const attempt_start& start, const std::function<bool(attempt_event)>& report)
-        : m_start(start), m_report(report)
+    exchange(const attempt_start& start, const std::function<bool(attempt_event)>& report,
+             httplib::Client& client)
+        : m_start(start), m_report(report), m_client(client)
     {}
 
     void run_engine();
     void run_plain();
+    /// Whether the answer was read to its end, so that the connection may be used again.
+    bool whole() const { return m_whole; }
 
 private:
     httplib::Request make_request(const std::string& path, const json& body) const;
-    httplib::Client make_client() const;
     bool take_event(const sse_parser::event& event);
+    bool take_token(const sse_parser::event& event);
     bool take_start(const std::string& data);
     void finish(const httplib::Result& answer);
     bool emit(attempt_event_body body);
@@ -55,21 +67,14 @@
 
     const attempt_start& m_start;
     const std::function<bool(attempt_event)>& m_report;
+    httplib::Client& m_client;
     sse_parser m_parser;
     bool m_over = false;
+    bool m_whole = false;
     int m_status = 0;
     std::string m_error_body;
 };
 
-httplib::Client exchange::make_client() const
-{
-    httplib::Client client(m_start.target.host, m_start.target.port);
-    client.set_connection_timeout(connect_timeout);
-    client.set_read_timeout(read_timeout);
-    client.set_tcp_nodelay(true);
-    return client;
-}
-
 httplib::Request exchange::make_request(const std::string& path, const json& body) const
 {
     httplib::Request request;
@@ -79,6 +84,8 @@
     request.set_header("Content-Type", "application/json");
     request.set_header("Request-Id", m_start.request.str());
     request.set_header("Attempt", absl::StrCat(m_start.attempt));
+    if (!m_start.idempotency_key.empty())
+        request.set_header("Idempotency-Key", m_start.idempotency_key);
     return request;
 }
 
@@ -105,15 +112,13 @@
         m_error_body.append(data, size);
         return m_error_body.size() < sse_parser::max_line_bytes;
     };
-    httplib::Client client = make_client();
-    finish(client.send(request));
+    finish(m_client.send(request));
 }
 
 void exchange::run_plain()
 {
     const httplib::Request request = make_request("/v1/call", parse_object(m_start.body));
-    httplib::Client client = make_client();
-    const httplib::Result answer = client.send(request);
+    const httplib::Result answer = m_client.send(request);
     if (answer && answer->status == 200) {
         m_over = true;
         if (emit(attempt_started{}) && emit(attempt_token{.position = 0, .text = answer->body}))
@@ -137,12 +142,25 @@
         fail(result_code::endpoint_failed, event.data);
         return false;
     }
+    return take_token(event);
+}
+
+// The event's ID is "POSITION" or "POSITION ATTEMPT REQUEST".
+bool exchange::take_token(const sse_parser::event& event)
+{
+    const std::vector<std::string> id = absl::StrSplit(event.id, absl::MaxSplits(' ', 2));
     std::uint64_t position = 0;
-    if (!absl::SimpleAtoi(event.id, &position)) {
+    if (!absl::SimpleAtoi(id[0], &position)) {
         fail(result_code::endpoint_failed, "token without a position");
         return false;
     }
-    return emit(attempt_token{.position = position, .text = event.data});
+    const bool own = id.size() < 3 || !is_enabled(mechanism::attempt_fencing) ||
+                     (id[1] == absl::StrCat(m_start.attempt) && id[2] == m_start.request.str());
+    // A token of another request goes out under attempt 0, which is never live, so that the
+    // request flow drops and counts it.
+    return m_report(attempt_event{.request = m_start.request,
+                                  .attempt = own ? m_start.attempt : 0,
+                                  .body = attempt_token{.position = position, .text = event.data}});
 }
 
 bool exchange::take_start(const std::string& data)
@@ -154,6 +172,7 @@
 
 void exchange::finish(const httplib::Result& answer)
 {
+    m_whole = static_cast<bool>(answer);
     if (m_over)
         return;
     if (!answer && answer.error() == httplib::Error::Connection) {
@@ -186,26 +205,160 @@
     emit(attempt_failed{.reason = {.code = code, .message = std::move(message)}});
 }
 
+std::unique_ptr<httplib::Client> make_client(const address& target)
+{
+    auto client = std::make_unique<httplib::Client>(target.host, target.port);
+    client->set_connection_timeout(connect_timeout);
+    client->set_read_timeout(read_timeout);
+    client->set_tcp_nodelay(true);
+    client->set_keep_alive(true);
+    return client;
+}
+
+result<json> post(const address& target, const std::string& path, const json& body)
+{
+    const auto client = make_client(target);
+    const httplib::Result answer = client->Post(path, body.dump(), "application/json");
+    if (!answer)
+        return error{.code = result_code::endpoint_lost,
+                     .message = httplib::to_string(answer.error())};
+    if (answer->status != 200)
+        return error{.code = result_code::endpoint_failed,
+                     .message = absl::StrCat(path, ": HTTP status ", answer->status)};
+    return parse_object(answer->body);
+}
+
 } // namespace
 
-http_endpoint_client::http_endpoint_client(const clock& time) : m_clock(time) {}
+// The attempts that run, so that another thread can stop one.
+class http_endpoint_client::attempt_table
+{
+public:
+    // Returns false when the attempt was cancelled before it came here.
+    bool add(const attempt_start& start, httplib::Client& client)
+    {
+        const std::lock_guard<mutex> lock(m_mutex);
+        const key added(start.request, start.attempt);
+        if (std::find(m_cancelled.begin(), m_cancelled.end(), added) != m_cancelled.end())
+            return false;
+        m_running[added] = &client;
+        return true;
+    }
+
+    void remove(const attempt_start& start)
+    {
+        const std::lock_guard<mutex> lock(m_mutex);
+        m_running.erase(key(start.request, start.attempt));
+    }
+
+    void cancel(const cancel_attempt& order)
+    {
+        const std::lock_guard<mutex> lock(m_mutex);
+        const key stopped(order.request, order.attempt);
+        m_cancelled.push_back(stopped);
+        if (m_cancelled.size() > max_cancelled)
+            m_cancelled.pop_front();
+        if (const auto found = m_running.find(stopped); found != m_running.end())
+            found->second->stop();
+    }
+
+private:
+    using key = std::pair<request_id, int>;
+
+    // As many as may wait in the ring of attempts; an older one has been taken from there.
+    static constexpr std::size_t max_cancelled = 512;
+
+    mutex m_mutex;
+    std::map<key, httplib::Client*> m_running;
+    std::deque<key> m_cancelled;
+};
+
+// Idle connections to engines. Calls to plain services get a new connection each, since a
+// connection that the server closes while idle would leave open whether the call ran.
+class http_endpoint_client::client_pool
+{
+public:
+    std::unique_ptr<httplib::Client> take(const address& target)
+    {
+        const std::lock_guard<mutex> lock(m_mutex);
+        auto& idle = m_idle[target];
+        if (idle.empty())
+            return make_client(target);
+        auto client = std::move(idle.back());
+        idle.pop_back();
+        return client;
+    }
+
+    void put(const address& target, std::unique_ptr<httplib::Client> client)
+    {
+        const std::lock_guard<mutex> lock(m_mutex);
+        if (m_idle.size() > max_addresses)
+            m_idle.clear();
+        if (auto& idle = m_idle[target]; idle.size() < max_idle)
+            idle.push_back(std::move(client));
+    }
+
+private:
+    static constexpr std::size_t max_idle = 8;
+    // Instances come and go with new addresses; the bound keeps those gone from piling up.
+    static constexpr std::size_t max_addresses = 256;
+
+    mutex m_mutex;
+    std::map<address, std::vector<std::unique_ptr<httplib::Client>>> m_idle;
+};
+
+http_endpoint_client::http_endpoint_client(const clock& time)
+    : m_clock(time),
+      m_attempts(std::make_unique<attempt_table>()),
+      m_clients(std::make_unique<client_pool>())
+{}
+
+http_endpoint_client::~http_endpoint_client() = default;
 
 void http_endpoint_client::run(const attempt_start& start,
                                const std::function<bool(attempt_event)>& report)
 {
-    exchange attempt(start, report);
-    if (m_clock.now() >= start.deadline) {
-        report(attempt_event{
-            .request = start.request,
-            .attempt = start.attempt,
-            .body = attempt_failed{.reason = {.code = result_code::endpoint_not_started,
-                                              .message = "deadline passed in the queue"}}});
+    const bool is_engine = start.kind == state::service_kind::engine;
+    auto client = is_engine ? m_clients->take(start.target) : make_client(start.target);
+    const bool in_time = m_clock.now() < start.deadline;
+    if (!in_time || !m_attempts->add(start, *client)) {
+        report(attempt_event{.request = start.request,
+                             .attempt = start.attempt,
+                             .body = attempt_failed{
+                                 .reason = {.code = result_code::endpoint_not_started,
+                                            .message = in_time ? "cancelled in the queue"
+                                                               : "deadline passed in the queue"}}});
         return;
     }
-    if (start.kind == state::service_kind::engine)
+    exchange attempt(start, report, *client);
+    if (is_engine)
         attempt.run_engine();
     else
         attempt.run_plain();
+    m_attempts->remove(start);
+    if (is_engine && attempt.whole())
+        m_clients->put(start.target, std::move(client));
+}
+
+void http_endpoint_client::cancel(const cancel_attempt& order)
+{
+    m_attempts->cancel(order);
+    (void)post(order.target, "/v1/cancel",
+               json{{"request_id", order.request.str()}, {"attempt", order.attempt}});
+}
+
+result<std::string> http_endpoint_client::move(const move_kv& order)
+{
+    const auto exported =
+        post(order.source, "/v1/kv/export", json{{"request_id", order.request.str()}});
+    if (!is_ok(exported))
+        return get_error(exported);
+    const std::string handle = get_value(exported).value("kv_handle", "");
+    const auto imported = post(order.target_address, "/v1/kv/import",
+                               json{{"kv_handle", handle}, {"from", to_string(order.source)}});
+    if (!is_ok(imported))
+        return get_error(imported);
+    return handle;
 }
 
 } // namespace chivedeal::requests
--- /dev/null
+++ b/src/requests/prompt_prefix.cpp
@@ -0,0 +1,34 @@
+#include "chivedeal/requests/prompt_prefix.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace chivedeal::requests {
+
+namespace {
+
+// Longer common starts are rare enough that the whole need not be compared.
+constexpr std::size_t prefix_bytes = 1024;
+
+bool continues_character(char byte) { return (static_cast<unsigned char>(byte) & 0xc0U) == 0x80U; }
+
+} // namespace
+
+std::string prompt_prefix(absl::string_view prompt)
+{
+    if (prompt.size() <= prefix_bytes)
+        return std::string(prompt);
+    std::size_t end = prefix_bytes;
+    while (end > 0 && continues_character(prompt[end]))
+        --end;
+    return std::string(prompt.substr(0, end));
+}
+
+std::string prompt_prefix_of_body(const std::string& body)
+{
+    const auto parsed = nlohmann::json::parse(body, nullptr, false);
+    if (!parsed.is_object() || !parsed.contains("prompt") || !parsed["prompt"].is_string())
+        return {};
+    return prompt_prefix(parsed["prompt"].get<std::string>());
+}
+
+} // namespace chivedeal::requests
--- a/src/requests/router.cpp
+++ b/src/requests/router.cpp
@@ -1,7 +1,14 @@
 #include "chivedeal/requests/router.hpp"
 
+#include "chivedeal/control/sample_sink.hpp"
 #include "chivedeal/core/clock.hpp"
+#include "chivedeal/membership/gossip_port.hpp"
 #include "chivedeal/requests/route_policy.hpp"
+#include "chivedeal/state/record_sink.hpp"
+
+#include "absl/strings/escaping.h"
+
+#include <openssl/rand.h>
 
 #include <utility>
 
@@ -12,14 +19,43 @@
 // Bounds how late a deadline or a delayed retry is noticed when nothing else happens.
 constexpr absl::Duration tick_interval = absl::Milliseconds(50);
 
+// Gossip goes out once a second; demand published more often is overwritten unseen.
+constexpr absl::Duration demand_interval = absl::Seconds(1);
+
+// Releases and results that wait for room in the appender's ring. A key whose record is dropped
+// is answered `unknown`, which is safe.
+constexpr std::size_t max_unsent = 1000;
+
+constexpr std::size_t series_bytes = 8;
+
+router::options with_series(router::options wiring)
+{
+    if (!wiring.flow.series.empty())
+        return wiring;
+    std::string bytes(series_bytes, '\0');
+    RAND_bytes(reinterpret_cast<unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
+    wiring.flow.series = absl::BytesToHexString(bytes);
+    return wiring;
+}
+
+connection_number connection_of(const flow_event& event)
+{
+    if (const auto* arrived = std::get_if<request_arrived>(&event))
+        return arrived->connection;
+    if (const auto* resumed = std::get_if<request_resumed>(&event))
+        return resumed->connection;
+    return 0;
+}
+
 } // namespace
 
-router::router(options wiring) : m_options(std::move(wiring)), m_flow(*m_options.policy) {}
+router::router(options wiring) : m_options(with_series(std::move(wiring))), m_flow(m_options.flow)
+{}
 
 router::~router()
 {
     // Callers whose request the router can no longer finish see their ring closed.
-    for (auto& [request, reply] : m_replies)
+    for (auto& [connection, reply] : m_replies)
         reply->close();
 }
 
@@ -30,51 +66,145 @@
         auto message = m_options.inbox.pop(next_tick - m_options.time.now());
         if (!message && m_options.inbox.closed())
             return;
+        if (message)
+            handle(*std::move(message));
         const absl::Time now = m_options.time.now();
-        if (message) {
-            if (message->reply)
-                m_replies[std::get<request_arrived>(message->event).request.id] = message->reply;
-            for (const flow_command& command : m_flow.handle(message->event, now))
-                execute(command);
-        }
         if (now < next_tick)
             continue;
         next_tick = now + tick_interval;
-        for (const flow_command& command : m_flow.handle(tick{}, now))
-            execute(command);
+        handle_all(tick{});
+        send_records();
+        publish_demand(now);
     }
 }
 
 void router::request_stop() { m_options.inbox.close(); }
 
-void router::execute(const flow_command& command)
-{
-    if (const auto* start = std::get_if<attempt_start>(&command)) {
-        if (!m_options.attempts.try_push(*start))
-            (void)m_options.inbox.try_push(
-                {.event =
-                     attempt_event{
-                         .request = start->request,
-                         .attempt = start->attempt,
-                         .body =
-                             attempt_failed{.reason = {.code = result_code::endpoint_not_started,
-                                                       .message = "no endpoint worker is free"}}},
-                 .reply = nullptr});
-        return;
+void router::handle(router_message message)
+{
+    if (message.reply)
+        m_replies[connection_of(message.event)] = std::move(message.reply);
+    handle_all(std::move(message.event));
+}
+
+void router::handle_all(flow_event event)
+{
+    m_follow_ups.push_back(std::move(event));
+    while (!m_follow_ups.empty()) {
+        const flow_event next = std::move(m_follow_ups.front());
+        m_follow_ups.pop_front();
+        for (const flow_command& command : m_flow.handle(next, m_options.time.now()))
+            std::visit([this](const auto& one) { execute(one); }, command);
     }
-    const auto* answer = std::get_if<send_answer>(&command);
-    if (answer == nullptr)
+}
+
+void router::execute(const attempt_start& command)
+{
+    if (m_options.attempts.try_push(command))
         return;
-    const auto found = m_replies.find(answer->request);
+    m_follow_ups.emplace_back(
+        attempt_event{.request = command.request,
+                      .attempt = command.attempt,
+                      .body = attempt_failed{.reason = {.code = result_code::endpoint_not_started,
+                                                        .message = "no endpoint worker is free"}}});
+}
+
+void router::execute(const cancel_attempt& command)
+{
+    // When the ring is full the attempt runs on; its events are dropped as stale.
+    (void)m_options.orders.try_push(command);
+}
+
+void router::execute(const send_answer& command)
+{
+    const auto found = m_replies.find(command.connection);
     if (found == m_replies.end())
         return;
+    const bool taken = found->second->try_push(command.event);
+    const bool last = !std::holds_alternative<answer_token>(command.event);
+    if (taken && !last)
+        return;
+    close_reply(command.connection);
     // A caller that reads too slowly loses its connection rather than holding up the others; it
     // resumes by request ID.
-    const bool taken = found->second->try_push(answer->event);
-    if (taken && std::holds_alternative<answer_token>(answer->event))
+    if (!taken)
+        m_follow_ups.emplace_back(
+            caller_left{.request = command.request, .connection = command.connection});
+}
+
+void router::execute(const drop_connection& command) { close_reply(command.connection); }
+
+void router::execute(const move_kv& command)
+{
+    if (!m_options.orders.try_push(command))
+        m_follow_ups.emplace_back(kv_moved{.request = command.request,
+                                           .attempt = command.attempt,
+                                           .target = command.target,
+                                           .handle = {}});
+}
+
+void router::execute(const append_record& command)
+{
+    status taken = error{.code = result_code::log_unavailable, .message = "there is no log"};
+    if (m_options.records != nullptr)
+        taken = m_options.records->append(command.entry);
+    if (is_ok(taken))
+        return;
+    if (const auto* claimed = std::get_if<state::claim>(&command.entry.body))
+        m_follow_ups.emplace_back(claim_refused{.key = claimed->key, .reason = get_error(taken)});
+    else if (m_options.records != nullptr && m_unsent.size() < max_unsent)
+        m_unsent.push_back(command);
+}
+
+void router::send_records()
+{
+    for (auto left = m_unsent.size(); left > 0; --left) {
+        const append_record next = std::move(m_unsent.front());
+        m_unsent.pop_front();
+        execute(next);
+    }
+}
+
+void router::execute(const hand_off_stream& command)
+{
+    if (m_options.hand_offs == nullptr || !m_options.hand_offs->try_push(command))
+        m_follow_ups.emplace_back(hand_off_answered{
+            .request = command.stream.request, .peer = command.peer_http, .taken = false});
+}
+
+void router::execute(const add_sample& command)
+{
+    if (m_options.samples != nullptr)
+        m_options.samples->add_sample(command.sample);
+}
+
+void router::execute(const delist_node& /*command*/)
+{
+    if (m_options.gossip != nullptr)
+        m_options.gossip->publish_leaving();
+}
+
+void router::execute(const stop_node& /*command*/)
+{
+    if (m_options.on_drained)
+        m_options.on_drained();
+}
+
+void router::close_reply(connection_number connection)
+{
+    const auto found = m_replies.find(connection);
+    if (found == m_replies.end())
         return;
     found->second->close();
     m_replies.erase(found);
 }
 
+void router::publish_demand(absl::Time now)
+{
+    if (m_options.gossip == nullptr || now < m_next_demand)
+        return;
+    m_next_demand = now + demand_interval;
+    m_options.gossip->publish_demand(m_flow.demand(now), m_flow.open_by_workspace());
+}
+
 } // namespace chivedeal::requests
--- a/test/requests_path_test.cpp
+++ b/test/requests_path_test.cpp
@@ -22,6 +22,8 @@
 std::shared_ptr<const state::cluster_state> one_service()
 {
     state::cluster_state state;
+    state.workspaces[workspace_id("w1")] =
+        std::make_shared<const state::workspace>(state::workspace{.name = workspace_id("w1")});
     state.services[service_id("catalogue")] =
         std::make_shared<const state::service>(state::service{.name = service_id("catalogue")});
     return std::make_shared<const state::cluster_state>(state);
@@ -30,7 +32,9 @@
 std::shared_ptr<const membership::membership_view> one_endpoint()
 {
     return std::make_shared<const membership::membership_view>(
-        membership::membership_view{.endpoints = {{.id = endpoint_id("e1"),
+        membership::membership_view{.self = node_id("n1"),
+                                    .nodes = {{.id = node_id("n1")}},
+                                    .endpoints = {{.id = endpoint_id("e1"),
                                                    .listen = {.host = "127.0.0.1", .port = 1},
                                                    .service = service_id("catalogue")}}});
 }
@@ -46,11 +50,14 @@
               {{.name = "router",
                 .make =
                     [this] {
+                        auto policy = std::make_shared<least_outstanding_policy>();
                         return std::make_unique<router>(
                             router::options{.time = m_clock,
-                                            .policy = std::make_shared<least_outstanding_policy>(),
+                                            .policy = policy,
+                                            .flow = {.policy = *policy, .node = node_id("n1")},
                                             .inbox = m_inbox,
-                                            .attempts = m_attempts});
+                                            .attempts = m_attempts,
+                                            .orders = m_orders});
                     }},
                {.name = "endpoint_worker",
                 .make =
@@ -77,6 +84,7 @@
         httplib::Client client(m_listen.host, m_listen.port);
         while (true) {
             httplib::Result answer = client.Post("/v1/services/" + service + "/requests",
+                                                 {{"Chivedeal-Workspace", "w1"}},
                                                  R"({"prompt": "oak bowl"})", "application/json");
             // The listener starts in its own thread; a refused connection means it is not there.
             if (answer || answer.error() != httplib::Error::Connection)
@@ -90,6 +98,7 @@
     fakes::fake_endpoint_client m_client;
     bounded_ring<router_message> m_inbox{64};
     bounded_ring<attempt_start> m_attempts{64};
+    bounded_ring<endpoint_order> m_orders{64};
     supervisor m_root;
     posix_thread m_thread;
 };
