Add the affinity policy with cache index and zone health

Cause: with the least-outstanding policy equal requests land on many endpoints, and each computes the same prompt again.

Change: affinity_policy scores candidates in milliseconds (predicted time to first token, tokens to recompute, link, recent failures) and takes the better of two of the best few.

Ruled out: scoring all endpoints of a large service, since it would take most of the 20 us; a directory of cached prefixes shared between nodes, since rendezvous hashing gives the same placement without messages.

--- /dev/null
+++ b/include/chivedeal/requests/affinity_policy.hpp
@@ -0,0 +1,111 @@
+#ifndef CHIVEDEAL_REQUESTS_AFFINITY_POLICY_HPP
+#define CHIVEDEAL_REQUESTS_AFFINITY_POLICY_HPP
+
+#include "chivedeal/requests/cache_index.hpp"
+#include "chivedeal/requests/endpoint_load.hpp"
+#include "chivedeal/requests/route_policy.hpp"
+#include "chivedeal/requests/route_table.hpp"
+#include "chivedeal/requests/zone_health.hpp"
+
+#include "absl/container/flat_hash_map.h"
+
+#include <cstdint>
+#include <memory>
+
+namespace chivedeal::requests {
+
+/// Chooses by predicted time to first token, tokens to recompute and link, all in milliseconds.
+///
+/// Requests with the same prefix meet at the endpoint that rendezvous hashing names, unless it is
+/// loaded beyond a bound or the score of another is better.
+///
+///     affinity_policy policy({.own_region = region, .own_zone = zone});
+class affinity_policy : public route_policy
+{
+public:
+    struct options
+    {
+        region_id own_region;
+        zone_id own_zone;
+        /// Prompt tokens that an engine computes in a second.
+        double prefill_tokens_per_second = 8000;
+        /// Tokens of a usual answer; with the engine's rate they give the time until a slot is
+        /// free.
+        double answer_tokens = 300;
+        /// Time for which a request holds a slot when the engine's rate is not known.
+        double service_ms = 3000;
+        /// Delay that each request in an engine's batch adds to the first token of another.
+        double batch_ms = 3;
+        /// Price of computing 1,000 tokens anew, beyond the time that it takes.
+        double recompute_ms_per_kilotoken = 60;
+        /// Round trip to another region and to another zone of the own one.
+        double region_ms = 24;
+        double zone_ms = 2;
+        /// Price of sending 1,000 bytes to another region.
+        double region_ms_per_kilobyte = 2;
+        double bytes_per_token = 4;
+        /// Part of a prompt assumed cached at its rendezvous endpoint when nothing is known.
+        double assumed_cached = 0.5;
+        /// The rendezvous endpoint is passed over above this multiple of the mean load.
+        double load_bound = 1.5;
+        /// Candidates this much worse than the best count as equally good.
+        double spread_ms = 15;
+        /// A new endpoint reaches its full share after this time.
+        absl::Duration ramp = absl::Seconds(30);
+        /// Added for a zone where all attempts fail, and for a recent failure of an endpoint.
+        double zone_failure_ms = 2000;
+        double endpoint_failure_ms = 300;
+        /// Added on a retry for the zones of the endpoints that failed the request.
+        double retry_zone_ms = 200;
+        detail::endpoint_load::options load = {};
+        cache_index::options cache = {};
+        zone_health::options zones = {};
+    };
+
+    explicit affinity_policy(options tunables);
+    affinity_policy(const affinity_policy&) = delete;
+    affinity_policy& operator=(const affinity_policy&) = delete;
+    ~affinity_policy() override;
+
+    void on_state(std::shared_ptr<const state::cluster_state> state) override;
+    void on_view(std::shared_ptr<const membership::membership_view> view, absl::Time now) override;
+    void on_load(const load_report& report, absl::Time now) override;
+    result<route_choice> choose(const route_query& query, absl::Time now) override;
+    void on_attempt_started(const endpoint_id& endpoint, const route_query& query,
+                            absl::Time now) override;
+    void on_attempt_over(const endpoint_id& endpoint, const route_query& query, bool failed,
+                         absl::Time now) override;
+    void on_cached(const endpoint_id& endpoint, const route_query& query,
+                   std::uint64_t cached_tokens, absl::Time now) override;
+    void on_cache_events(const cache_event_batch& batch, absl::Time now) override;
+
+    /// Number of the next cache event to poll from an engine.
+    std::uint64_t next_cache_event(const endpoint_id& endpoint) const;
+
+private:
+    class decision;
+
+    /// An attempt that is under way.
+    struct attempt
+    {
+        endpoint_id endpoint;
+        /// Tokens that the engine was expected to compute; 0 once it has.
+        double tokens = 0;
+    };
+
+    double expected_cached(const endpoint_id& endpoint, const route_query& query,
+                           absl::Time now) const;
+
+    options m_options;
+    std::shared_ptr<const state::cluster_state> m_state;
+    std::shared_ptr<const membership::membership_view> m_view;
+    detail::route_table m_table;
+    cache_index m_cache;
+    zone_health m_zones;
+    absl::flat_hash_map<request_id, attempt> m_attempts;
+    absl::Time m_now = absl::InfinitePast();
+};
+
+} // namespace chivedeal::requests
+
+#endif
--- /dev/null
+++ b/include/chivedeal/requests/endpoint_load.hpp
@@ -0,0 +1,75 @@
+#ifndef CHIVEDEAL_REQUESTS_ENDPOINT_LOAD_HPP
+#define CHIVEDEAL_REQUESTS_ENDPOINT_LOAD_HPP
+
+#include "absl/time/time.h"
+
+#include <cstdint>
+#include <deque>
+#include <utility>
+
+namespace chivedeal::requests {
+
+struct load_report;
+
+namespace detail {
+
+/// Load of one endpoint: its last report, corrected by this node's attempts since then.
+class endpoint_load
+{
+public:
+    struct options
+    {
+        /// An older report is ignored and only the node's own attempts count.
+        absl::Duration stale_after = absl::Seconds(5);
+        /// Assumed without a report.
+        int default_slots = 8;
+        /// After this time a failed attempt counts half.
+        absl::Duration failure_half_life = absl::Seconds(10);
+    };
+
+    /// `options` must outlive the object; all endpoints share one.
+    endpoint_load(const options& tunables, absl::Time first_seen);
+
+    void on_report(const load_report& report, absl::Time now);
+    /// `tokens` are those that the engine has to compute first.
+    void on_started(double tokens, absl::Time now);
+    void on_prefilled(double tokens);
+    void on_over(bool failed, absl::Time now);
+    /// `share` of the tokens that were expected in the cache and were there.
+    void on_cache_use(double share);
+
+    bool has_report(absl::Time now) const { return now - m_reported_at <= m_options->stale_after; }
+    /// Attempts of all nodes at the endpoint, as far as known.
+    int busy(absl::Time now) const;
+    int slots(absl::Time now) const { return has_report(now) ? m_slots : m_options->default_slots; }
+    /// 0 when not known.
+    double tokens_per_second(absl::Time now) const { return has_report(now) ? m_rate : 0; }
+    double prefill_tokens() const { return m_prefill_tokens; }
+    double failures(absl::Time now) const;
+    double cache_reliability() const { return m_cache_reliability; }
+    int outstanding() const { return m_outstanding; }
+    absl::Time first_seen() const { return m_first_seen; }
+
+private:
+    void add_change(int change, absl::Time now);
+
+    const options* m_options;
+    absl::Time m_first_seen;
+    absl::Time m_reported_at = absl::InfinitePast();
+    int m_reported = 0;
+    int m_slots = 1;
+    double m_rate = 0;
+    int m_outstanding = 0;
+    /// Starts (+1) and ends (-1) of own attempts since the report.
+    std::deque<std::pair<absl::Time, int>> m_changes;
+    int m_change = 0;
+    double m_prefill_tokens = 0;
+    double m_failures = 0;
+    absl::Time m_failed_at = absl::InfinitePast();
+    double m_cache_reliability = 0.9;
+};
+
+} // namespace detail
+} // namespace chivedeal::requests
+
+#endif
--- a/include/chivedeal/requests/route_policy.hpp
+++ b/include/chivedeal/requests/route_policy.hpp
@@ -19,6 +19,7 @@
 
 namespace chivedeal::requests {
 
+struct cache_event_batch;
 struct load_report;
 struct route_choice;
 struct route_query;
@@ -46,6 +47,9 @@
     /// Tells how much of the prompt an endpoint had in its cache.
     virtual void on_cached(const endpoint_id& endpoint, const route_query& query,
                            std::uint64_t cached_tokens, absl::Time now) = 0;
+
+    /// Tells what an engine reports of its cache; ignored by policies that don't use it.
+    virtual void on_cache_events(const cache_event_batch& /*batch*/, absl::Time /*now*/) {}
 };
 
 } // namespace chivedeal::requests
--- /dev/null
+++ b/include/chivedeal/requests/route_table.hpp
@@ -0,0 +1,104 @@
+#ifndef CHIVEDEAL_REQUESTS_ROUTE_TABLE_HPP
+#define CHIVEDEAL_REQUESTS_ROUTE_TABLE_HPP
+
+#include "chivedeal/core/id.hpp"
+#include "chivedeal/requests/endpoint_load.hpp"
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace chivedeal::state {
+struct cluster_state;
+struct version_move;
+} // namespace chivedeal::state
+
+namespace chivedeal::membership {
+struct endpoint;
+struct membership_view;
+} // namespace chivedeal::membership
+
+namespace chivedeal::requests::detail {
+
+/// Endpoints by service and version, laid out for quick decisions. Rebuilt when the state or the
+/// view changes, so that a decision copies and filters nothing.
+class route_table
+{
+public:
+    /// One endpoint that may be chosen.
+    struct member
+    {
+        /// `cache_index::hash_of` the endpoint.
+        std::uint64_t hash = 0;
+        const membership::endpoint* info = nullptr;
+        endpoint_load* load = nullptr;
+    };
+
+    /// Live endpoints of one version that isn't bad.
+    struct group
+    {
+        version_id version;
+        std::uint64_t hash = 0;
+        /// Those of the own region come first.
+        std::vector<member> members;
+        std::size_t own_region = 0;
+        /// Sums over the members, refreshed at intervals.
+        double busy = 0;
+        double slots = 0;
+        absl::Time refreshed = absl::InfinitePast();
+    };
+
+    /// Groups of a service and how requests are divided between them.
+    struct service_entry
+    {
+        /// Carry the rest; several only when no version is named as the current one.
+        std::vector<group> regular;
+        /// The version that a move tries out; empty outside a move.
+        std::vector<group> trial;
+        /// Share of requests that goes to `trial`.
+        double trial_share = 0;
+        /// Whether `trial` may also take over from `regular`.
+        bool trial_proven = false;
+    };
+
+    route_table(const endpoint_load::options& tunables, region_id own_region);
+
+    void rebuild(std::shared_ptr<const state::cluster_state> state,
+                 std::shared_ptr<const membership::membership_view> view, absl::Time now);
+
+    /// Null when the service is not declared.
+    service_entry* find(const service_id& service);
+    /// Null when the endpoint is not listed.
+    endpoint_load* find_load(const endpoint_id& endpoint);
+    const membership::endpoint* find_endpoint(const endpoint_id& endpoint) const;
+
+private:
+    struct listed
+    {
+        std::unique_ptr<endpoint_load> load;
+        const membership::endpoint* info = nullptr;
+        std::uint64_t hash = 0;
+    };
+
+    void update_listed(absl::Time now);
+    bool is_bad(const service_id& service, const version_id& version) const;
+    void add(const membership::endpoint& endpoint);
+    void arrange(const service_id& service, service_entry& entry) const;
+
+    const endpoint_load::options& m_load_options;
+    region_id m_own_region;
+    std::shared_ptr<const state::cluster_state> m_state;
+    std::shared_ptr<const membership::membership_view> m_view;
+    absl::flat_hash_map<endpoint_id, listed> m_listed;
+    absl::flat_hash_map<service_id, service_entry> m_services;
+    bool m_has_view = false;
+};
+
+} // namespace chivedeal::requests::detail
+
+#endif
--- /dev/null
+++ b/src/requests/affinity_policy.cpp
@@ -0,0 +1,528 @@
+#include "chivedeal/requests/affinity_policy.hpp"
+
+#include "chivedeal/core/mechanism.hpp"
+#include "chivedeal/membership/membership_view.hpp"
+#include "chivedeal/requests/cache_event_batch.hpp"
+#include "chivedeal/requests/load_report.hpp"
+#include "chivedeal/requests/route_choice.hpp"
+#include "chivedeal/requests/route_query.hpp"
+#include "chivedeal/state/cluster_state.hpp"
+
+#include "absl/container/inlined_vector.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <utility>
+
+namespace chivedeal::requests {
+
+namespace {
+
+using detail::endpoint_load;
+using detail::route_table;
+
+// Groups up to this size are scored whole; of larger ones a sample is.
+constexpr std::size_t whole_group = 24;
+constexpr std::size_t sample_own_region = 14;
+constexpr std::size_t sample_any_region = 6;
+
+// Candidates among which two are sampled, and which the log line names.
+constexpr std::size_t best_few = 4;
+
+// Endpoints of a prefix in rendezvous order; the first within the load bound is taken.
+constexpr std::size_t rendezvous_depth = 4;
+
+// Sums over a group are only used for the load bound, which this delay does not affect much.
+constexpr absl::Duration sums_lifetime = absl::Milliseconds(200);
+
+// A new endpoint gets this part of its share at once, since it would never be measured at zero.
+constexpr double least_ramp = 0.1;
+
+// Seeds that make independent hashes of one request or prefix.
+enum seed : std::uint64_t
+{
+    version_seed = 1,
+    sample_seed,
+    pair_seed,
+    ramp_seed,
+};
+
+std::uint64_t mix(std::uint64_t value, std::uint64_t seed)
+{
+    return XXH3_64bits_withSeed(&value, sizeof value, seed);
+}
+
+double to_fraction(std::uint64_t hash) { return std::ldexp(static_cast<double>(hash >> 11), -53); }
+
+struct candidate
+{
+    const route_table::member* member = nullptr;
+    double score = 0;
+    double cached = 0;
+    bool is_home = false;
+};
+
+struct ranked
+{
+    std::uint64_t score = 0;
+    const route_table::member* member = nullptr;
+};
+
+// The highest few by score, in descending order.
+class top_ranked
+{
+public:
+    void offer(std::uint64_t score, const route_table::member* member)
+    {
+        if (score <= m_best.back().score)
+            return;
+        std::size_t at = m_best.size() - 1;
+        for (; at > 0 && m_best[at - 1].score < score; --at)
+            m_best[at] = m_best[at - 1];
+        m_best[at] = {.score = score, .member = member};
+    }
+
+    const std::array<ranked, rendezvous_depth>& best() const { return m_best; }
+
+private:
+    std::array<ranked, rendezvous_depth> m_best;
+};
+
+} // namespace
+
+// One choice. Lives on the stack and refers to the policy's tables.
+class affinity_policy::decision
+{
+public:
+    decision(affinity_policy& policy, const route_query& query, absl::Time now)
+        : m_policy(policy),
+          m_options(policy.m_options),
+          m_query(query),
+          m_now(now),
+          m_request(XXH3_64bits(query.request.str().data(), query.request.str().size())),
+          m_prefix(query.prefix.empty() ? 0 : cache_index::hash_of(query.prefix)),
+          m_affinity(!query.prefix.empty() && is_enabled(mechanism::prefix_affinity))
+    {
+        for (const endpoint_id& failed : query.excluded)
+            if (const auto* info = policy.m_table.find_endpoint(failed))
+                m_failed_zones.push_back(info->zone);
+    }
+
+    result<route_choice> run(route_table::service_entry& entry);
+
+private:
+    result<route_choice> choose_from(route_table::group& group, const char* note);
+    route_table::group& regular_group(std::vector<route_table::group>& groups) const;
+    void gather(route_table::group& group);
+    void gather_homes(route_table::group& group);
+    void gather_holders(route_table::group& group);
+    void gather_sample(const route_table::group& group);
+    void add(const route_table::member& member, bool is_home);
+    bool is_within_bound(const route_table::group& group, const route_table::member& member) const;
+    double ramp_of(const route_table::member& member) const;
+    double cached_at(const route_table::member& member, bool is_home) const;
+    double score_of(const route_table::member& member, double cached) const;
+    double queue_ms(const endpoint_load& load, double ramp) const;
+    double link_ms(const membership::endpoint& target) const;
+    double failure_ms(const route_table::member& member) const;
+    route_choice pick(const char* note);
+    std::string describe() const;
+
+    affinity_policy& m_policy;
+    const options& m_options;
+    const route_query& m_query;
+    absl::Time m_now;
+    std::uint64_t m_request;
+    std::uint64_t m_prefix;
+    bool m_affinity;
+    absl::InlinedVector<zone_id, 2> m_failed_zones;
+    /// Holders of the prefix that are still valid.
+    absl::InlinedVector<cache_index::holder, 8> m_holders;
+    absl::InlinedVector<candidate, 48> m_candidates;
+};
+
+result<route_choice> affinity_policy::decision::run(route_table::service_entry& entry)
+{
+    if (m_affinity)
+        if (const auto* holders = m_policy.m_cache.find(m_prefix))
+            for (const cache_index::holder& each : *holders)
+                if (m_policy.m_cache.is_valid(each, m_now))
+                    m_holders.push_back(each);
+    const bool tried = to_fraction(mix(m_request, version_seed)) < entry.trial_share;
+    if (tried && !entry.trial.empty()) {
+        auto chosen = choose_from(entry.trial.front(), "_of_new_version");
+        if (is_ok(chosen))
+            return chosen;
+    }
+    if (!entry.regular.empty()) {
+        auto chosen = choose_from(regular_group(entry.regular), "");
+        if (is_ok(chosen))
+            return chosen;
+    }
+    // An unproven version never takes over the traffic of the old one.
+    if (!tried && !entry.trial.empty() && entry.trial_proven)
+        return choose_from(entry.trial.front(), "_of_new_version");
+    return error{.code = result_code::no_endpoint,
+                 .message = absl::StrCat("no live endpoint of service '", m_query.service.str(),
+                                         "' is listed that has not failed this request")};
+}
+
+result<route_choice> affinity_policy::decision::choose_from(route_table::group& group,
+                                                            const char* note)
+{
+    m_candidates.clear();
+    gather(group);
+    if (m_candidates.empty())
+        return error{.code = result_code::no_endpoint, .message = "no candidate"};
+    for (candidate& each : m_candidates) {
+        each.cached = cached_at(*each.member, each.is_home);
+        each.score = score_of(*each.member, each.cached);
+    }
+    return pick(note);
+}
+
+// Without a current version the groups share the traffic by their sizes.
+route_table::group&
+affinity_policy::decision::regular_group(std::vector<route_table::group>& groups) const
+{
+    std::size_t total = 0;
+    for (const route_table::group& each : groups)
+        total += each.members.size();
+    std::size_t at = mix(m_request, version_seed) % std::max<std::size_t>(1, total);
+    for (route_table::group& each : groups) {
+        if (at < each.members.size())
+            return each;
+        at -= each.members.size();
+    }
+    return groups.front();
+}
+
+void affinity_policy::decision::gather(route_table::group& group)
+{
+    if (m_affinity) {
+        gather_homes(group);
+        gather_holders(group);
+    }
+    gather_sample(group);
+    if (!m_candidates.empty())
+        return;
+    // The sample held only excluded endpoints.
+    for (const route_table::member& each : group.members)
+        add(each, false);
+}
+
+void affinity_policy::decision::gather_homes(route_table::group& group)
+{
+    if (m_now - group.refreshed > sums_lifetime) {
+        group.busy = 0;
+        group.slots = 0;
+        for (const route_table::member& each : group.members) {
+            group.busy += each.load->busy(m_now);
+            group.slots += each.load->slots(m_now);
+        }
+        group.refreshed = m_now;
+    }
+    const std::uint64_t key = m_prefix ^ group.hash;
+    top_ranked everywhere;
+    top_ranked in_region;
+    for (std::size_t i = 0; i < group.members.size(); ++i) {
+        const route_table::member& each = group.members[i];
+        const std::uint64_t score = mix(each.hash, key);
+        everywhere.offer(score, &each);
+        if (i < group.own_region)
+            in_region.offer(score, &each);
+    }
+    for (const top_ranked* order : {&in_region, &everywhere})
+        for (const ranked& each : order->best()) {
+            if (each.member == nullptr)
+                break;
+            if (m_query.excluded.contains(each.member->info->id) ||
+                !is_within_bound(group, *each.member) ||
+                to_fraction(mix(each.score, ramp_seed)) >= ramp_of(*each.member))
+                continue;
+            add(*each.member, true);
+            break;
+        }
+}
+
+void affinity_policy::decision::gather_holders(route_table::group& group)
+{
+    if (m_holders.empty())
+        return;
+    std::size_t left = m_holders.size();
+    for (const route_table::member& each : group.members) {
+        const bool holds =
+            std::any_of(m_holders.begin(), m_holders.end(),
+                        [&](const cache_index::holder& one) { return one.endpoint == each.hash; });
+        if (!holds)
+            continue;
+        add(each, false);
+        if (--left == 0)
+            return;
+    }
+}
+
+void affinity_policy::decision::gather_sample(const route_table::group& group)
+{
+    const std::size_t count = group.members.size();
+    if (count <= whole_group) {
+        for (const route_table::member& each : group.members)
+            add(each, false);
+        return;
+    }
+    std::uint64_t draw = mix(m_request, sample_seed);
+    for (std::size_t i = 0; i < sample_own_region + sample_any_region; ++i) {
+        const bool near = i < sample_own_region && group.own_region > 0;
+        add(group.members[draw % (near ? group.own_region : count)], false);
+        draw = mix(draw, sample_seed);
+    }
+}
+
+void affinity_policy::decision::add(const route_table::member& member, bool is_home)
+{
+    for (const candidate& each : m_candidates)
+        if (each.member == &member)
+            return;
+    if (m_query.excluded.contains(member.info->id))
+        return;
+    m_candidates.push_back({.member = &member, .is_home = is_home});
+}
+
+bool affinity_policy::decision::is_within_bound(const route_table::group& group,
+                                                const route_table::member& member) const
+{
+    const double mean = (group.busy + 1) / std::max(1.0, group.slots);
+    const double allowed = std::ceil(m_options.load_bound * mean * member.load->slots(m_now));
+    // An endpoint with free slots makes nobody wait, whatever the mean is.
+    return member.load->busy(m_now) < std::max<double>(allowed, member.load->slots(m_now));
+}
+
+double affinity_policy::decision::ramp_of(const route_table::member& member) const
+{
+    const absl::Duration age = m_now - member.load->first_seen();
+    if (age >= m_options.ramp)
+        return 1;
+    return std::max(least_ramp, absl::FDivDuration(age, m_options.ramp));
+}
+
+double affinity_policy::decision::cached_at(const route_table::member& member, bool is_home) const
+{
+    if (!m_affinity)
+        return 0;
+    const auto prompt = static_cast<double>(m_query.prompt_tokens);
+    for (const cache_index::holder& each : m_holders)
+        if (each.endpoint == member.hash)
+            return std::min(prompt, static_cast<double>(each.tokens)) *
+                   member.load->cache_reliability();
+    return is_home ? prompt * m_options.assumed_cached * member.load->cache_reliability() : 0;
+}
+
+double affinity_policy::decision::score_of(const route_table::member& member, double cached) const
+{
+    const endpoint_load& load = *member.load;
+    const double compute = static_cast<double>(m_query.prompt_tokens) - cached;
+    const double prefill_ms =
+        (compute + load.prefill_tokens()) * 1000 / m_options.prefill_tokens_per_second;
+    return queue_ms(load, ramp_of(member)) + prefill_ms +
+           compute / 1000 * m_options.recompute_ms_per_kilotoken + link_ms(*member.info) +
+           failure_ms(member);
+}
+
+double affinity_policy::decision::queue_ms(const endpoint_load& load, double ramp) const
+{
+    const double slots = std::max(1.0, load.slots(m_now) * ramp);
+    const double busy = load.busy(m_now);
+    const double waiting = std::max(0.0, busy + 1 - slots);
+    const double rate = load.tokens_per_second(m_now);
+    const double until_free_ms =
+        rate > 0 ? m_options.answer_tokens * 1000 / rate : m_options.service_ms / slots;
+    return busy * m_options.batch_ms + waiting * until_free_ms;
+}
+
+double affinity_policy::decision::link_ms(const membership::endpoint& target) const
+{
+    if (target.region == m_options.own_region)
+        return target.zone == m_options.own_zone ? 0 : m_options.zone_ms;
+    const double bytes = static_cast<double>(m_query.prompt_tokens) * m_options.bytes_per_token;
+    return m_options.region_ms + bytes / 1000 * m_options.region_ms_per_kilobyte;
+}
+
+double affinity_policy::decision::failure_ms(const route_table::member& member) const
+{
+    const zone_id& zone = member.info->zone;
+    double total = m_policy.m_zones.failed_share(zone, m_now) * m_options.zone_failure_ms +
+                   member.load->failures(m_now) * m_options.endpoint_failure_ms;
+    if (std::find(m_failed_zones.begin(), m_failed_zones.end(), zone) != m_failed_zones.end())
+        total += m_options.retry_zone_ms;
+    return total;
+}
+
+// Takes the better of two sampled from the best few. Always taking the best would send the
+// requests of all nodes to the same endpoint until its next report.
+route_choice affinity_policy::decision::pick(const char* note)
+{
+    const std::size_t kept = std::min(best_few, m_candidates.size());
+    std::partial_sort(
+        m_candidates.begin(), m_candidates.begin() + static_cast<std::ptrdiff_t>(kept),
+        m_candidates.end(), [](const candidate& a, const candidate& b) {
+            return std::pair(a.score, a.member->hash) < std::pair(b.score, b.member->hash);
+        });
+    m_candidates.resize(kept);
+    std::size_t close = 1;
+    while (close < kept &&
+           m_candidates[close].score <= m_candidates.front().score + m_options.spread_ms)
+        ++close;
+    std::size_t at = 0;
+    if (close > 1) {
+        const std::uint64_t draw = mix(m_request, pair_seed);
+        const std::size_t first = draw % close;
+        const std::size_t second = (first + 1 + (draw >> 32) % (close - 1)) % close;
+        at = std::min(first, second);
+    }
+    const candidate& best = m_candidates[at];
+    const char* reason = "predicted_load";
+    if (best.cached > 0)
+        reason = best.is_home ? "rendezvous" : "cached";
+    return route_choice{.target = *best.member->info,
+                        .score = best.score,
+                        .reason = absl::StrCat(reason, note),
+                        .weighed = describe()};
+}
+
+std::string affinity_policy::decision::describe() const
+{
+    std::string text;
+    for (const candidate& each : m_candidates)
+        absl::StrAppend(&text, text.empty() ? "" : ",", each.member->info->id.str(), "=",
+                        std::llround(each.score), "ms");
+    return text;
+}
+
+affinity_policy::affinity_policy(options tunables)
+    : m_options(std::move(tunables)),
+      m_table(m_options.load, m_options.own_region),
+      m_cache(m_options.cache),
+      m_zones(m_options.zones)
+{}
+
+affinity_policy::~affinity_policy() = default;
+
+void affinity_policy::on_state(std::shared_ptr<const state::cluster_state> state)
+{
+    m_state = std::move(state);
+    m_table.rebuild(m_state, m_view, m_now);
+}
+
+void affinity_policy::on_view(std::shared_ptr<const membership::membership_view> view,
+                              absl::Time now)
+{
+    const std::shared_ptr<const membership::membership_view> before = std::move(m_view);
+    m_now = now;
+    m_view = std::move(view);
+    m_table.rebuild(m_state, m_view, now);
+    if (!before)
+        return;
+    for (const membership::endpoint& each : before->endpoints)
+        if (m_table.find_load(each.id) == nullptr)
+            m_cache.erase(each.id);
+}
+
+void affinity_policy::on_load(const load_report& report, absl::Time now)
+{
+    if (endpoint_load* load = m_table.find_load(report.endpoint))
+        load->on_report(report, now);
+}
+
+result<route_choice> affinity_policy::choose(const route_query& query, absl::Time now)
+{
+    route_table::service_entry* entry = m_table.find(query.service);
+    if (entry == nullptr)
+        return error{.code = result_code::unknown_service,
+                     .message =
+                         absl::StrCat("service '", query.service.str(), "' is not declared")};
+    return decision(*this, query, now).run(*entry);
+}
+
+void affinity_policy::on_attempt_started(const endpoint_id& endpoint, const route_query& query,
+                                         absl::Time now)
+{
+    endpoint_load* load = m_table.find_load(endpoint);
+    if (load == nullptr)
+        return;
+    const double tokens =
+        static_cast<double>(query.prompt_tokens) - expected_cached(endpoint, query, now);
+    load->on_started(tokens, now);
+    m_attempts[query.request] = {.endpoint = endpoint, .tokens = tokens};
+}
+
+void affinity_policy::on_attempt_over(const endpoint_id& endpoint, const route_query& query,
+                                      bool failed, absl::Time now)
+{
+    const auto under_way = m_attempts.find(query.request);
+    if (under_way == m_attempts.end() || under_way->second.endpoint != endpoint)
+        return;
+    const double tokens = under_way->second.tokens;
+    m_attempts.erase(under_way);
+    endpoint_load* load = m_table.find_load(endpoint);
+    if (load == nullptr)
+        return;
+    load->on_prefilled(tokens);
+    load->on_over(failed, now);
+    if (const membership::endpoint* info = m_table.find_endpoint(endpoint))
+        m_zones.on_attempt_over(info->zone, failed, now);
+}
+
+void affinity_policy::on_cached(const endpoint_id& endpoint, const route_query& query,
+                                std::uint64_t cached_tokens, absl::Time now)
+{
+    endpoint_load* load = m_table.find_load(endpoint);
+    if (load == nullptr)
+        return;
+    if (const auto under_way = m_attempts.find(query.request);
+        under_way != m_attempts.end() && under_way->second.endpoint == endpoint) {
+        load->on_prefilled(under_way->second.tokens);
+        under_way->second.tokens = 0;
+    }
+    if (query.prefix.empty())
+        return;
+    const double expected = expected_cached(endpoint, query, now);
+    if (expected > 0)
+        load->on_cache_use(static_cast<double>(cached_tokens) / expected);
+    // The engine caches the prompt that it has just computed; how much of it later requests share
+    // shows in the counts that they report.
+    m_cache.on_observed(endpoint, query.prefix,
+                        cached_tokens > 0 ? cached_tokens : query.prompt_tokens, now);
+}
+
+void affinity_policy::on_cache_events(const cache_event_batch& batch, absl::Time now)
+{
+    m_cache.on_events(batch, now);
+}
+
+std::uint64_t affinity_policy::next_cache_event(const endpoint_id& endpoint) const
+{
+    return m_cache.next_seq(endpoint);
+}
+
+double affinity_policy::expected_cached(const endpoint_id& endpoint, const route_query& query,
+                                        absl::Time now) const
+{
+    if (query.prefix.empty())
+        return 0;
+    const auto* holders = m_cache.find(cache_index::hash_of(query.prefix));
+    if (holders == nullptr)
+        return 0;
+    const std::uint64_t hash = cache_index::hash_of(endpoint);
+    for (const cache_index::holder& each : *holders)
+        if (each.endpoint == hash && m_cache.is_valid(each, now))
+            return std::min(static_cast<double>(query.prompt_tokens),
+                            static_cast<double>(each.tokens));
+    return 0;
+}
+
+} // namespace chivedeal::requests
--- /dev/null
+++ b/src/requests/endpoint_load.cpp
@@ -0,0 +1,89 @@
+#include "chivedeal/requests/endpoint_load.hpp"
+
+#include "chivedeal/requests/load_report.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chivedeal::requests::detail {
+
+namespace {
+
+// Weight of the newest cache use; about ten uses settle the estimate.
+constexpr double cache_use_weight = 0.2;
+
+} // namespace
+
+endpoint_load::endpoint_load(const options& tunables, absl::Time first_seen)
+    : m_options(&tunables), m_first_seen(first_seen)
+{}
+
+void endpoint_load::on_report(const load_report& report, absl::Time now)
+{
+    const absl::Time reported_at = now - std::max(absl::ZeroDuration(), report.age);
+    if (reported_at < m_reported_at)
+        return;
+    m_reported_at = reported_at;
+    m_reported = std::max(0, report.running) + std::max(0, report.queued);
+    m_slots = std::max(1, report.slots);
+    m_rate = std::max(0.0, report.tokens_per_second);
+    while (!m_changes.empty() && m_changes.front().first <= reported_at) {
+        m_change -= m_changes.front().second;
+        m_changes.pop_front();
+    }
+}
+
+void endpoint_load::on_started(double tokens, absl::Time now)
+{
+    ++m_outstanding;
+    m_prefill_tokens += tokens;
+    add_change(1, now);
+}
+
+void endpoint_load::on_prefilled(double tokens)
+{
+    m_prefill_tokens = std::max(0.0, m_prefill_tokens - tokens);
+}
+
+void endpoint_load::on_over(bool failed, absl::Time now)
+{
+    m_outstanding = std::max(0, m_outstanding - 1);
+    add_change(-1, now);
+    if (!failed)
+        return;
+    m_failures = failures(now) + 1;
+    m_failed_at = now;
+}
+
+void endpoint_load::on_cache_use(double share)
+{
+    m_cache_reliability += cache_use_weight * (std::clamp(share, 0.0, 1.0) - m_cache_reliability);
+}
+
+int endpoint_load::busy(absl::Time now) const
+{
+    if (!has_report(now))
+        return m_outstanding;
+    return std::max(m_outstanding, m_reported + m_change);
+}
+
+double endpoint_load::failures(absl::Time now) const
+{
+    if (m_failures == 0)
+        return 0;
+    return m_failures *
+           std::exp2(-absl::FDivDuration(now - m_failed_at, m_options->failure_half_life));
+}
+
+void endpoint_load::add_change(int change, absl::Time now)
+{
+    m_changes.emplace_back(now, change);
+    m_change += change;
+    // Without reports nothing else would remove entries; older ones are past any report's use.
+    while (now - m_changes.front().first > m_options->stale_after) {
+        m_change -= m_changes.front().second;
+        m_changes.pop_front();
+    }
+}
+
+} // namespace chivedeal::requests::detail
--- /dev/null
+++ b/test/requests_affinity_policy_test.cpp
@@ -0,0 +1,296 @@
+#include "chivedeal/requests/affinity_policy.hpp"
+
+#include "chivedeal/requests/load_report.hpp"
+#include "chivedeal/requests/route_choice.hpp"
+
+#include "fakes/cluster_builder.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <cstdlib>
+#include <map>
+#include <set>
+
+using namespace chivedeal;           // NOLINT(google-build-using-namespace)
+using namespace chivedeal::requests; // NOLINT(google-build-using-namespace)
+using fakes::cluster_builder;
+
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(1'000'000);
+
+affinity_policy::options in_first_zone()
+{
+    return {.own_region = region_id("r0"), .own_zone = zone_id("z0")};
+}
+
+// A policy that has been given the builder's state and view.
+class routed
+{
+public:
+    explicit routed(const cluster_builder& cluster) : m_policy(in_first_zone())
+    {
+        m_policy.on_state(cluster.make_state());
+        m_policy.on_view(cluster.make_view(), start);
+    }
+
+    affinity_policy& operator*() { return m_policy; }
+    affinity_policy* operator->() { return &m_policy; }
+
+    route_choice choose(const route_query& query, absl::Time now = start)
+    {
+        const auto chosen = m_policy.choose(query, now);
+        RC_ASSERT(is_ok(chosen));
+        return get_value(chosen);
+    }
+
+    std::string endpoint_for(const std::string& request, const std::string& prefix = "")
+    {
+        return choose(cluster_builder::query(request, prefix)).target.id.str();
+    }
+
+private:
+    affinity_policy m_policy;
+};
+
+std::string numbered(const char* name, int number) { return name + std::to_string(number); }
+
+load_report idle_report(const std::string& endpoint)
+{
+    return {.endpoint = endpoint_id(endpoint), .slots = 8, .tokens_per_second = 800};
+}
+
+} // namespace
+
+// Guards against work sent to an endpoint that is leaving, of a bad version, or that has already
+// failed the request, and against a refusal while a usable endpoint is listed.
+RC_GTEST_PROP(affinity_policy, never_chooses_an_unusable_endpoint, ())
+{
+    const int count = *rc::gen::inRange(1, 60);
+    cluster_builder cluster(0);
+    cluster.declare("v2", 2).move(*rc::gen::element(0.0, 0.05, 0.5, 1.0));
+    const bool bad_by_state = *rc::gen::arbitrary<bool>();
+    const bool bad_by_fact = *rc::gen::arbitrary<bool>();
+    if (bad_by_state)
+        cluster.state().bad_versions[{service_id("s"), version_id("v2")}] = 2;
+    if (bad_by_fact)
+        cluster.view().bad_versions = {
+            {.service = service_id("s"), .version = version_id("v2"), .declared_offset = 2}};
+    route_query query = cluster_builder::query(*rc::gen::arbitrary<std::string>(), "p");
+    std::set<std::string> usable;
+    for (int i = 0; i < count; ++i) {
+        const bool trial = *rc::gen::arbitrary<bool>();
+        const bool leaving = *rc::gen::arbitrary<bool>();
+        const bool failed = *rc::gen::arbitrary<bool>();
+        cluster.add(i, i % 6, trial ? "v2" : "v1");
+        auto& added = cluster.view().endpoints.back();
+        if (leaving)
+            added.status = membership::endpoint_status::leaving;
+        if (failed)
+            query.excluded.insert(added.id);
+        if (!leaving && !failed && (!trial || (!bad_by_state && !bad_by_fact)))
+            usable.insert(added.id.str());
+    }
+    routed policy(cluster);
+    const auto chosen = policy->choose(query, start);
+    if (is_ok(chosen))
+        RC_ASSERT(usable.contains(get_value(chosen).target.id.str()));
+    bool has_regular = false;
+    for (const auto& each : cluster.view().endpoints)
+        has_regular =
+            has_regular || (each.version == version_id("v1") && usable.contains(each.id.str()));
+    RC_ASSERT(is_ok(chosen) || !has_regular);
+}
+
+// Guards against a verdict that outlives the declaration that it was about.
+TEST(affinity_policy, a_new_declaration_clears_a_verdict)
+{
+    cluster_builder cluster(6);
+    cluster.view().bad_versions = {
+        {.service = service_id("s"), .version = version_id("v1"), .declared_offset = 1}};
+    routed policy(cluster);
+    EXPECT_FALSE(is_ok(policy->choose(cluster_builder::query("r"), start)));
+    policy->on_state(cluster.declare("v1", 5).make_state());
+    EXPECT_TRUE(is_ok(policy->choose(cluster_builder::query("r"), start)));
+}
+
+// Guards against nodes that place the same prefix at different endpoints.
+RC_GTEST_PROP(affinity_policy, nodes_agree_without_messages,
+              (const std::string& prefix, const std::string& a, const std::string& b))
+{
+    RC_PRE(!prefix.empty());
+    cluster_builder cluster(60);
+    routed one(cluster);
+    routed other(cluster);
+    RC_ASSERT(one.endpoint_for(a, prefix) == other.endpoint_for(b, prefix));
+}
+
+// Guards against a change of the list that moves the prefixes of endpoints that stay.
+RC_GTEST_PROP(affinity_policy, a_lost_endpoint_moves_only_its_own_prefixes, ())
+{
+    cluster_builder cluster(30);
+    routed before(cluster);
+    const auto gone = *rc::gen::inRange<std::size_t>(0, 30);
+    const std::string gone_id = cluster.view().endpoints[gone].id.str();
+    cluster.view().endpoints[gone].status = membership::endpoint_status::leaving;
+    routed after(cluster);
+    for (int i = 0; i < 50; ++i) {
+        const std::string home = before.endpoint_for("r", numbered("p", i));
+        const std::string now = after.endpoint_for("r", numbered("p", i));
+        RC_ASSERT(home == gone_id || now == home);
+    }
+}
+
+// Guards against a hot prefix that overloads its endpoint: the node's own attempts count even
+// though the reports still say idle.
+TEST(affinity_policy, own_attempts_since_the_report_count)
+{
+    cluster_builder cluster(12);
+    routed policy(cluster);
+    for (int i = 0; i < 12; ++i)
+        policy->on_load(idle_report(numbered("e", i)), start);
+    std::map<std::string, int> uses;
+    for (int i = 0; i < 12 * 8; ++i) {
+        const route_query query = cluster_builder::query(numbered("r", i), "hot");
+        const std::string chosen = policy.choose(query).target.id.str();
+        policy->on_attempt_started(endpoint_id(chosen), query, start);
+        ++uses[chosen];
+    }
+    for (const auto& [endpoint, count] : uses)
+        EXPECT_LE(count, 16) << endpoint;
+    EXPECT_GE(uses.size(), 4U);
+}
+
+// Guards against trust in a report that is too old: it says full, the endpoint is idle.
+TEST(affinity_policy, a_stale_report_counts_for_nothing)
+{
+    cluster_builder cluster(12);
+    routed policy(cluster);
+    const std::string home = policy.endpoint_for("r", "p");
+    load_report full = idle_report(home);
+    full.running = 8;
+    full.queued = 50;
+    policy->on_load(full, start);
+    EXPECT_NE(policy.endpoint_for("r", "p"), home);
+    const absl::Time later = start + absl::Seconds(20);
+    EXPECT_EQ(policy.choose(cluster_builder::query("r", "p"), later).target.id.str(), home);
+    // A report that was old when it came is no better.
+    full.age = absl::Seconds(20);
+    policy->on_load(full, later);
+    EXPECT_EQ(policy.choose(cluster_builder::query("r", "p"), later).target.id.str(), home);
+}
+
+// Guards against placement by hash alone when an engine reports the prefix in its cache.
+TEST(affinity_policy, reported_cache_outweighs_the_hash)
+{
+    cluster_builder cluster(12, 2);
+    routed policy(cluster);
+    const std::string home = policy.endpoint_for("r", "p");
+    const std::string other = home == "e0" ? "e1" : "e0";
+    const route_query query = cluster_builder::query("r", "p");
+    policy->on_cached(endpoint_id(other), query, 4000, start);
+    EXPECT_EQ(policy.endpoint_for("r2", "p"), other);
+    EXPECT_EQ(policy.choose(query).reason, "cached");
+}
+
+// Guards against traffic of an unproven version above its share or spread over many endpoints,
+// where it would never show how it behaves under load.
+TEST(affinity_policy, an_unproven_version_gets_its_share_on_few_endpoints)
+{
+    cluster_builder cluster(40);
+    cluster.declare("v2", 2).move(0.05);
+    for (int i = 40; i < 80; ++i)
+        cluster.add(i, i % 6, "v2");
+    routed policy(cluster);
+    std::set<std::string> used;
+    int tried = 0;
+    constexpr int requests = 20'000;
+    for (int i = 0; i < requests; ++i) {
+        const route_choice chosen = policy.choose(cluster_builder::query(numbered("r", i)));
+        if (chosen.target.version != version_id("v2"))
+            continue;
+        ++tried;
+        used.insert(chosen.target.id.str());
+    }
+    // Five standard deviations of a binomial around 5 in 100.
+    EXPECT_NEAR(tried, 1000, 155);
+    EXPECT_LE(used.size(), 2U);
+}
+
+// Guards against a request that changes version between two nodes.
+RC_GTEST_PROP(affinity_policy, the_version_depends_on_the_request_alone,
+              (const std::string& request))
+{
+    cluster_builder cluster(12);
+    cluster.declare("v2", 2).move(0.5);
+    for (int i = 12; i < 24; ++i)
+        cluster.add(i, i % 6, "v2");
+    routed one(cluster);
+    routed other(cluster);
+    const auto busy = cluster_builder::query("busy", "p");
+    for (int i = 0; i < 30; ++i)
+        other->on_attempt_started(endpoint_id(numbered("e", i % 24)), busy, start);
+    RC_ASSERT(one.choose(cluster_builder::query(request)).target.version ==
+              other.choose(cluster_builder::query(request)).target.version);
+}
+
+// Guards against all traffic falling on an unproven or rolled-back version when the old one has no
+// endpoint left.
+TEST(affinity_policy, an_unproven_version_does_not_take_over)
+{
+    cluster_builder cluster(0);
+    cluster.declare("v2", 2).move(0).add(1, 0, "v2");
+    routed policy(cluster);
+    EXPECT_FALSE(is_ok(policy->choose(cluster_builder::query("r"), start)));
+    policy->on_state(cluster.move(0.5, state::move_status::rolled_back).make_state());
+    EXPECT_FALSE(is_ok(policy->choose(cluster_builder::query("r"), start)));
+    policy->on_state(cluster.move(0.5).make_state());
+    EXPECT_TRUE(is_ok(policy->choose(cluster_builder::query("r"), start)));
+}
+
+// Guards against a retry in the zone that has just failed.
+RC_GTEST_PROP(affinity_policy, a_retry_leaves_the_failed_zone, (const std::string& request))
+{
+    cluster_builder cluster(24);
+    routed policy(cluster);
+    route_query query = cluster_builder::query(request, "p");
+    const membership::endpoint first = policy.choose(query).target;
+    policy->on_attempt_started(first.id, query, start);
+    policy->on_attempt_over(first.id, query, true, start);
+    query.excluded.insert(first.id);
+    RC_ASSERT(policy.choose(query).target.zone != first.zone);
+}
+
+// Guards against a new endpoint that is flooded because it looks idle, and against one that never
+// gets its share.
+TEST(affinity_policy, a_new_endpoint_is_ramped_up)
+{
+    cluster_builder cluster(11, 1);
+    routed policy(cluster);
+    cluster.add(11, 0);
+    policy->on_view(cluster.make_view(), start);
+    const auto prefixes_at_new = [&](absl::Time now) {
+        int count = 0;
+        for (int i = 0; i < 1200; ++i)
+            count += policy.choose(cluster_builder::query("r", numbered("p", i)), now).target.id ==
+                             endpoint_id("e11")
+                         ? 1
+                         : 0;
+        return count;
+    };
+    // One in twelve is the full share, a tenth of it the least.
+    EXPECT_LT(prefixes_at_new(start + absl::Seconds(1)), 30);
+    EXPECT_GT(prefixes_at_new(start + absl::Seconds(60)), 60);
+}
+
+// Guards against a decision that cannot be explained from the log.
+TEST(affinity_policy, names_the_alternatives)
+{
+    routed policy((cluster_builder(6)));
+    const route_choice chosen = policy.choose(cluster_builder::query("r", "p"));
+    EXPECT_EQ(chosen.reason, "rendezvous");
+    EXPECT_NE(chosen.weighed.find(chosen.target.id.str() + "="), std::string::npos);
+    EXPECT_GT(chosen.score, 0);
+    EXPECT_EQ(chosen.target.version, version_id("v1"));
+}
--- /dev/null
+++ b/test/requests_cache_index_test.cpp
@@ -0,0 +1,100 @@
+#include "chivedeal/requests/cache_index.hpp"
+
+#include "chivedeal/requests/cache_event_batch.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+#include <vector>
+
+using namespace chivedeal;           // NOLINT(google-build-using-namespace)
+using namespace chivedeal::requests; // NOLINT(google-build-using-namespace)
+
+namespace {
+
+const endpoint_id engine("e1");
+const absl::Time start = absl::FromUnixSeconds(1000);
+
+// Tokens that the index holds for certain; 0 for none.
+std::uint64_t tokens_of(const cache_index& index, const std::string& prefix, absl::Time now)
+{
+    const auto* holders = index.find(cache_index::hash_of(prefix));
+    if (holders == nullptr)
+        return 0;
+    for (const cache_index::holder& each : *holders)
+        if (each.endpoint == cache_index::hash_of(engine) && index.is_valid(each, now))
+            return each.tokens;
+    return 0;
+}
+
+cache_event_batch one_event(std::uint64_t seq, const std::string& prefix, bool cached)
+{
+    return {.endpoint = engine,
+            .first = 1,
+            .next = seq + 1,
+            .events = {{.seq = seq, .prefix = prefix, .tokens = 100, .cached = cached}}};
+}
+
+} // namespace
+
+// Guards against a late eviction event that undoes what a newer request has just shown.
+TEST(cache_index, own_observation_outweighs_late_events)
+{
+    cache_index index;
+    index.on_observed(engine, "p", 500, start);
+    index.on_events(one_event(1, "p", false), start + absl::Seconds(1));
+    EXPECT_EQ(tokens_of(index, "p", start + absl::Seconds(1)), 500U);
+    index.on_events(one_event(2, "p", false), start + absl::Seconds(10));
+    EXPECT_EQ(tokens_of(index, "p", start + absl::Seconds(10)), 0U);
+}
+
+// Guards against old knowledge that is trusted for ever.
+TEST(cache_index, forgets_what_is_not_confirmed)
+{
+    cache_index index;
+    index.on_observed(engine, "p", 500, start);
+    EXPECT_EQ(tokens_of(index, "p", start + absl::Minutes(11)), 0U);
+}
+
+// Guards against trust in a cache of an engine that started anew.
+TEST(cache_index, lower_numbers_mean_a_new_start)
+{
+    cache_index index;
+    index.on_events(one_event(1, "p", true), start);
+    index.on_events({.endpoint = engine, .first = 1, .next = 1, .events = {}}, start);
+    EXPECT_EQ(tokens_of(index, "p", start), 0U);
+    EXPECT_EQ(index.next_seq(engine), 1U);
+}
+
+// Guards against trust in entries whose eviction was among lost events: whatever events are lost,
+// a prefix that counts as cached is in the engine's cache.
+RC_GTEST_PROP(cache_index, never_trusts_across_a_gap, ())
+{
+    const auto steps = *rc::gen::container<std::vector<std::tuple<int, bool, bool>>>(rc::gen::tuple(
+        rc::gen::inRange(0, 5), rc::gen::arbitrary<bool>(), rc::gen::arbitrary<bool>()));
+    cache_index index;
+    std::vector<bool> truth(5, false);
+    std::uint64_t seq = 0;
+    for (const auto& [prefix, cached, lost] : steps) {
+        truth[prefix] = cached;
+        ++seq;
+        if (lost)
+            continue;
+        index.on_events(one_event(seq, std::to_string(prefix), cached), start);
+        for (std::size_t i = 0; i < truth.size(); ++i)
+            if (tokens_of(index, std::to_string(i), start) > 0)
+                RC_ASSERT(truth[i]);
+    }
+}
+
+// Guards against memory that grows with the number of prefixes.
+RC_GTEST_PROP(cache_index, keeps_the_bound, (const std::vector<std::uint8_t>& prefixes))
+{
+    cache_index index({.max_prefixes = 10, .max_holders = 2});
+    for (const std::uint8_t each : prefixes) {
+        index.on_observed(engine, std::to_string(each), 1, start);
+        RC_ASSERT(index.size() <= 10U);
+        RC_ASSERT(tokens_of(index, std::to_string(each), start) == 1U);
+    }
+}
