--- a/include/chivedeal/requests/flow_event.hpp
+++ b/include/chivedeal/requests/flow_event.hpp
@@ -6,6 +6,7 @@
 #include "chivedeal/core/id.hpp"
 #include "chivedeal/membership/stream_state.hpp"
 #include "chivedeal/requests/attempt_event.hpp"
+#include "chivedeal/requests/cache_event_batch.hpp"
 #include "chivedeal/requests/caller_request.hpp"
 #include "chivedeal/requests/load_report.hpp"
 #include "chivedeal/state/applied_record.hpp"
@@ -152,7 +153,7 @@
 using flow_event = std::variant<request_arrived, request_resumed, caller_left, request_cancelled,
                                 attempt_event, claim_read_back, claim_refused, claims_restored,
                                 kv_moved, drain_requested, hand_off_answered, stream_taken_over,
-                                load_report, state_changed, view_changed, tick>;
+                                load_report, cache_event_batch, state_changed, view_changed, tick>;
 
 } // namespace chivedeal::requests
 
--- /dev/null
+++ b/include/chivedeal/requests/load_watcher.hpp
@@ -0,0 +1,49 @@
+#ifndef CHIVEDEAL_REQUESTS_LOAD_WATCHER_HPP
+#define CHIVEDEAL_REQUESTS_LOAD_WATCHER_HPP
+
+#include "chivedeal/core/bounded_ring.hpp"
+#include "chivedeal/core/duty.hpp"
+#include "chivedeal/membership/membership_listener.hpp"
+#include "chivedeal/requests/poll_schedule.hpp"
+#include "chivedeal/requests/router_message.hpp"
+
+#include <memory>
+#include <string>
+
+namespace chivedeal {
+class clock;
+}
+
+namespace chivedeal::requests {
+
+/// Thread that polls the load and the cache events of its part of the endpoints.
+class load_watcher : public duty
+{
+public:
+    using view_ring = bounded_ring<std::shared_ptr<const membership::membership_view>>;
+
+    struct options
+    {
+        const clock& time;
+        /// Each new view.
+        view_ring& views;
+        bounded_ring<router_message>& router_inbox;
+        poll_schedule::options pace = {};
+    };
+
+    explicit load_watcher(options wiring);
+
+    std::string name() const override { return "load_watcher"; }
+    void run() override;
+    void request_stop() override;
+
+private:
+    void poll(const poll_schedule::poll& one);
+
+    options m_options;
+    poll_schedule m_schedule;
+};
+
+} // namespace chivedeal::requests
+
+#endif
--- /dev/null
+++ b/include/chivedeal/requests/poll_schedule.hpp
@@ -0,0 +1,77 @@
+#ifndef CHIVEDEAL_REQUESTS_POLL_SCHEDULE_HPP
+#define CHIVEDEAL_REQUESTS_POLL_SCHEDULE_HPP
+
+#include "chivedeal/core/id.hpp"
+#include "chivedeal/membership/endpoint.hpp"
+
+#include "absl/time/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace chivedeal::membership {
+struct membership_view;
+}
+
+namespace chivedeal::requests {
+
+/// Decides which endpoint is polled next, so that polls are spread evenly over time. Pure.
+///
+/// Each of `parts` schedules has its own part of the endpoints. With many endpoints the interval
+/// grows, so that the cost of polling stays bounded.
+class poll_schedule
+{
+public:
+    struct options
+    {
+        absl::Duration interval = absl::Milliseconds(500);
+        /// Least time between two polls of one schedule.
+        absl::Duration min_gap = absl::Milliseconds(10);
+        std::size_t part = 0;
+        std::size_t parts = 1;
+    };
+
+    /// What to poll, and the cache event after which the endpoint goes on.
+    struct poll
+    {
+        membership::endpoint target;
+        std::uint64_t after = 0;
+
+        friend bool operator==(const poll&, const poll&) = default;
+    };
+
+    explicit poll_schedule(options pace);
+
+    void on_view(const membership::membership_view& view, absl::Time now);
+
+    /// Returns when `next` is due; infinite without endpoints.
+    absl::Time due() const;
+    /// Returns a poll that is due and plans the one after it.
+    std::optional<poll> next(absl::Time now);
+
+    /// Returns true when the endpoint has just become silent: its third poll in a row failed.
+    bool on_polled(const endpoint_id& endpoint, bool answered, std::uint64_t after);
+
+private:
+    struct place
+    {
+        membership::endpoint target;
+        absl::Time due;
+        std::uint64_t after = 0;
+        int failures = 0;
+    };
+
+    absl::Duration interval() const;
+
+    options m_options;
+    std::map<endpoint_id, place> m_places;
+    std::multimap<absl::Time, endpoint_id> m_order;
+};
+
+} // namespace chivedeal::requests
+
+#endif
--- a/src/requests/flow_core.cpp
+++ b/src/requests/flow_core.cpp
@@ -184,6 +184,11 @@
     m_options.policy.on_load(event, m_now);
 }
 
+void flow_core::take(const cache_event_batch& event)
+{
+    m_options.policy.on_cache_events(event, m_now);
+}
+
 void flow_core::take(const state_changed& event)
 {
     m_state = event.state;
--- a/src/requests/flow_core.hpp
+++ b/src/requests/flow_core.hpp
@@ -37,6 +37,7 @@
     void take(const caller_left& event);
     void take(const request_cancelled& event);
     void take(const load_report& event);
+    void take(const cache_event_batch& event);
     void take(const state_changed& event);
     void take(const drain_requested& event);
     void advance_drain();
--- /dev/null
+++ b/src/requests/load_watcher.cpp
@@ -0,0 +1,117 @@
+#include "chivedeal/requests/load_watcher.hpp"
+
+#include "chivedeal/core/clock.hpp"
+#include "chivedeal/core/log_event.hpp"
+#include "chivedeal/membership/membership_view.hpp"
+
+#include "absl/strings/str_cat.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <utility>
+
+namespace chivedeal::requests {
+
+namespace {
+
+using nlohmann::json;
+
+// A poll that takes longer says nothing of the present; one silent endpoint must not hold up the
+// others of its thread for long.
+constexpr auto poll_timeout = std::chrono::milliseconds(300);
+
+std::optional<json> get(httplib::Client& client, const std::string& path)
+{
+    const httplib::Result answer = client.Get(path);
+    if (!answer || answer->status != 200)
+        return std::nullopt;
+    json parsed = json::parse(answer->body, nullptr, false);
+    return parsed.is_object() ? std::optional<json>(std::move(parsed)) : std::nullopt;
+}
+
+load_report parse_load(const endpoint_id& endpoint, const json& body)
+{
+    return {.endpoint = endpoint,
+            .version = version_id(body.value("version", "")),
+            .running = body.value("running", 0),
+            .queued = body.value("queued", 0),
+            .slots = body.value("slots", 1),
+            .kv_used = body.value("kv_used", 0.0),
+            .kv_limit = body.value("kv_limit", 0.0),
+            .tokens_per_second = body.value("tokens_per_s", 0.0),
+            .age = absl::Milliseconds(body.value("age_ms", 0.0))};
+}
+
+cache_event_batch parse_cache_events(const endpoint_id& endpoint, const json& body)
+{
+    cache_event_batch batch{.endpoint = endpoint,
+                            .first = body.value("first", std::uint64_t{1}),
+                            .next = body.value("next", std::uint64_t{1}),
+                            .events = {}};
+    for (const json& one : body.value("events", json::array()))
+        batch.events.push_back({.seq = one.value("seq", std::uint64_t{0}),
+                                .prefix = one.value("prefix", ""),
+                                .tokens = one.value("tokens", std::uint64_t{0}),
+                                .cached = one.value("cached", false)});
+    return batch;
+}
+
+} // namespace
+
+load_watcher::load_watcher(options wiring) : m_options(wiring), m_schedule(wiring.pace) {}
+
+void load_watcher::run()
+{
+    while (!m_options.views.closed()) {
+        const absl::Duration wait = m_schedule.due() - m_options.time.now();
+        // A due poll does not wait, but a new view still goes first.
+        if (const auto view = m_options.views.pop(std::max(wait, absl::ZeroDuration()))) {
+            m_schedule.on_view(**view, m_options.time.now());
+            continue;
+        }
+        if (const auto next = m_schedule.next(m_options.time.now()))
+            poll(*next);
+    }
+}
+
+void load_watcher::request_stop() { m_options.views.close(); }
+
+void load_watcher::poll(const poll_schedule::poll& one)
+{
+    const endpoint_id& endpoint = one.target.id;
+    httplib::Client client(one.target.listen.host, one.target.listen.port);
+    client.set_connection_timeout(poll_timeout);
+    client.set_read_timeout(poll_timeout);
+    client.set_keep_alive(true);
+    std::uint64_t after = one.after;
+    bool answered = false;
+    try {
+        if (const auto load = get(client, "/v1/load")) {
+            answered = true;
+            (void)m_options.router_inbox.try_push(
+                {.event = parse_load(endpoint, *load), .reply = nullptr});
+        }
+        const bool has_cache = one.target.kind == state::service_kind::engine;
+        if (const auto events = has_cache && answered
+                                    ? get(client, absl::StrCat("/v1/cache-events?after=", after))
+                                    : std::nullopt) {
+            const cache_event_batch batch = parse_cache_events(endpoint, *events);
+            // A batch that finds no room is asked for again.
+            if (m_options.router_inbox.try_push({.event = batch, .reply = nullptr}) &&
+                batch.next > 0)
+                after = batch.next - 1;
+        }
+    }
+    catch (const json::exception&) {
+        // A member of the wrong type counts as no answer.
+        answered = false;
+    }
+    if (m_schedule.on_polled(endpoint, answered, after))
+        log_event(event_id::endpoint_report_missing, {{"endpoint", endpoint.str()}});
+}
+
+} // namespace chivedeal::requests
