--- a/include/chivedeal/requests/admission.hpp
+++ b/include/chivedeal/requests/admission.hpp
@@ -15,7 +15,8 @@
 /// Bounds the node's open requests before any queue, by priority and by fair share.
 ///
 /// A priority may fill its own part of the node, so under load lower ones are refused first. A
-/// workspace above its weighted max-min fair share leaves a reserve free for those below theirs.
+/// workspace may hold its weighted max-min fair share of that part less a reserve, which stays
+/// free for a workspace that has just become busy.
 class admission
 {
 public:
@@ -25,9 +26,9 @@
         int max_open = 200;
         /// Part of `max_open` that each priority step below the highest gives up.
         double priority_step = 0.05;
-        /// Part of the room that only workspaces below their fair share may use.
+        /// Part of the room that is not divided into fair shares.
         double reserve = 0.1;
-        /// A workspace whose last request is older has no demand beyond its open requests.
+        /// A workspace that was refused within this time wants more than it has.
         absl::Duration demand_window = absl::Seconds(1);
         /// Weights of workspaces in the fair share; 1 for one not named.
         std::map<workspace_id, double> weights = {};
@@ -48,7 +49,7 @@
     {
         int open = 0;
         double weight = 1;
-        absl::Time last_asked = absl::InfinitePast();
+        absl::Time last_refused = absl::InfinitePast();
     };
 
     double fair_share(const workspace_id& workspace, double room, absl::Time now) const;
--- a/include/chivedeal/requests/workspace_limiter.hpp
+++ b/include/chivedeal/requests/workspace_limiter.hpp
@@ -29,7 +29,8 @@
 ///
 /// Overshoot bound: over an interval all nodes together admit at most rate x interval + burst, plus
 /// for each node whose demand the others do not know yet one gossip round of the rate and that
-/// node's part of the burst, which is at least one request.
+/// node's part of the burst, which is at least one request. Open requests exceed the concurrency by
+/// at most such a node's part of it, or by one request for each node.
 ///
 ///     const status admitted = limiter.admit(request.workspace, now);
 ///     if (!is_ok(admitted))
@@ -57,7 +58,7 @@
 
     void finished(const workspace_id& workspace);
 
-    /// Returns the wait until the next token; zero when one is there.
+    /// Returns the wait until the next token at the present share; zero when one is there.
     absl::Duration retry_after(const workspace_id& workspace, absl::Time now);
 
     /// Returns what this node gossips: requests a second offered to it, refused ones included.
@@ -69,7 +70,7 @@
     {
         /// Tokens spent and not yet regained.
         double spent = 0;
-        /// Requests a second.
+        /// Requests a second, averaged; too low until the window has passed once.
         double own_demand = 0;
         absl::Time updated = absl::InfinitePast();
         absl::Time active_since = absl::InfinitePast();
@@ -83,12 +84,11 @@
 
     account& bring_up_to_date(const state::workspace& declared, absl::Time now);
     others others_of(const workspace_id& workspace) const;
+    double demand_of(const account& held) const;
     double share_of(const workspace_id& workspace, const account& held) const;
-    double burst_of(const state::workspace& declared, const account& held, absl::Time now) const;
-    bool is_over_concurrency(const state::workspace& declared, const account& held,
-                             absl::Time now) const;
-    absl::Duration wait_of(const state::workspace& declared, const account& held,
-                           absl::Time now) const;
+    double cautious_share_of(const workspace_id& workspace, const account& held) const;
+    bool is_over_concurrency(const state::workspace& declared, const account& held) const;
+    absl::Duration wait_of(const state::workspace& declared, const account& held) const;
     const state::workspace* find(const workspace_id& workspace) const;
 
     options m_options;
--- a/src/requests/admission.cpp
+++ b/src/requests/admission.cpp
@@ -23,17 +23,19 @@
     if (const auto weight = m_options.weights.find(request.workspace);
         weight != m_options.weights.end())
         held.weight = weight->second;
-    held.last_asked = now;
     const int priority = std::clamp(request.priority, 0, 9);
     const double room = m_options.max_open * (1 - m_options.priority_step * priority);
-    const bool below_share = held.open < fair_share(request.workspace, room, now);
-    const double limit = below_share ? room : room * (1 - m_options.reserve);
-    if (m_open + 1 > limit && is_enabled(mechanism::priority_shedding))
+    const double share = std::max(1.0, fair_share(request.workspace, room, now));
+    const bool fits = m_open + 1 <= room && held.open + 1 <= share;
+    if (!fits && is_enabled(mechanism::priority_shedding)) {
+        held.last_refused = now;
         return error{.code = result_code::shed,
-                     .message = absl::StrCat("the node has ", m_open, " open requests; priority ",
-                                             priority, " of workspace '", request.workspace.str(),
-                                             "' may fill it to ", static_cast<int>(limit),
-                                             "; send again later or to another node")};
+                     .message = absl::StrCat(
+                         "the node has ", m_open, " open requests, of which ", held.open,
+                         " of workspace '", request.workspace.str(), "'; priority ", priority,
+                         " may fill it to ", static_cast<int>(room), ", the workspace to ",
+                         static_cast<int>(share), "; send again later or to another node")};
+    }
     ++held.open;
     ++m_open;
     return ok_status();
@@ -60,20 +62,15 @@
     double weights = 0;
     for (const auto& [name, held] : m_accounts) {
         const bool wants_more =
-            name == workspace || now - held.last_asked < m_options.demand_window;
+            name == workspace || now - held.last_refused < m_options.demand_window;
         claims.push_back({.per_weight = wants_more ? std::numeric_limits<double>::infinity()
                                                    : static_cast<double>(held.open) / held.weight,
                           .weight = held.weight});
         weights += held.weight;
     }
-    // One more claimant stands for a workspace that has not asked yet; without it the active ones
-    // could fill the whole node within their shares.
-    const double newcomer = std::max(1.0, weights * m_options.reserve / (1 - m_options.reserve));
-    claims.push_back({.per_weight = std::numeric_limits<double>::infinity(), .weight = newcomer});
-    weights += newcomer;
     std::sort(claims.begin(), claims.end(),
               [](const claim& a, const claim& b) { return a.per_weight < b.per_weight; });
-    double left = room;
+    double left = room * (1 - m_options.reserve);
     for (const claim& each : claims) {
         const double level = left / weights;
         if (each.per_weight >= level)
@@ -87,7 +84,7 @@
 void admission::drop_idle(absl::Time now)
 {
     std::erase_if(m_accounts, [&](const auto& entry) {
-        return entry.second.open == 0 && now - entry.second.last_asked >= m_options.demand_window;
+        return entry.second.open == 0 && now - entry.second.last_refused >= m_options.demand_window;
     });
 }
 
--- a/src/requests/workspace_limiter.cpp
+++ b/src/requests/workspace_limiter.cpp
@@ -69,7 +69,7 @@
     if (held.own_demand < idle_demand)
         held.active_since = now;
     held.own_demand += 1 / absl::ToDoubleSeconds(m_options.demand_window);
-    const absl::Duration wait = wait_of(*declared, held, now);
+    const absl::Duration wait = wait_of(*declared, held);
     if (wait > absl::ZeroDuration() && is_enabled(mechanism::workspace_limits))
         return error{.code = result_code::rate_limited,
                      .message = absl::StrCat(
@@ -93,7 +93,7 @@
     const state::workspace* declared = find(workspace);
     if (declared == nullptr)
         return absl::ZeroDuration();
-    return wait_of(*declared, bring_up_to_date(*declared, now), now);
+    return wait_of(*declared, bring_up_to_date(*declared, now));
 }
 
 std::map<workspace_id, double> workspace_limiter::demand(absl::Time now)
@@ -106,7 +106,7 @@
             continue;
         const account& held = bring_up_to_date(*declared, now);
         if (held.own_demand >= idle_demand)
-            all[name] = held.own_demand;
+            all[name] = demand_of(held);
     }
     return all;
 }
@@ -140,44 +140,52 @@
     return found == m_others.end() ? others{} : found->second;
 }
 
+// Corrects the average for the time before the workspace became active. Without it two nodes that
+// begin together would each take the other's demand for lower than their own.
+double workspace_limiter::demand_of(const account& held) const
+{
+    const absl::Duration age = std::max(m_options.gossip_round, held.updated - held.active_since);
+    return held.own_demand / (1 - std::exp(-absl::FDivDuration(age, m_options.demand_window)));
+}
+
 double workspace_limiter::share_of(const workspace_id& workspace, const account& held) const
 {
     const double elsewhere = others_of(workspace).demand;
-    if (held.own_demand + elsewhere < idle_demand)
+    const double own = demand_of(held);
+    if (own + elsewhere < idle_demand)
         return 1.0 / m_alive_nodes;
-    return held.own_demand / (held.own_demand + elsewhere);
+    return own / (own + elsewhere);
 }
 
-double workspace_limiter::burst_of(const state::workspace& declared, const account& held,
-                                   absl::Time now) const
+// The estimate settles in one round and reaches the others in a second one. Until then each node
+// that has just become busy would spend the whole burst.
+double workspace_limiter::cautious_share_of(const workspace_id& workspace,
+                                            const account& held) const
 {
-    double share = share_of(declared.name, held);
-    // Until the others know of this node's demand, each node that has just become busy would
-    // otherwise spend the whole burst.
-    if (now - held.active_since < m_options.gossip_round)
-        share = std::min(share, 1.0 / m_alive_nodes);
-    // With a share below one request a node could never admit anything.
-    return std::max(1.0, declared.burst * share);
+    const double share = share_of(workspace, held);
+    if (held.updated - held.active_since < 2 * m_options.gossip_round)
+        return std::min(share, 1.0 / m_alive_nodes);
+    return share;
 }
 
-bool workspace_limiter::is_over_concurrency(const state::workspace& declared, const account& held,
-                                            absl::Time now) const
+bool workspace_limiter::is_over_concurrency(const state::workspace& declared,
+                                            const account& held) const
 {
     if (held.open + others_of(declared.name).open >= declared.concurrency)
         return true;
-    double share = share_of(declared.name, held);
-    if (now - held.active_since < m_options.gossip_round)
-        share = std::min(share, 1.0 / m_alive_nodes);
-    return held.open >= std::max(1.0, std::floor(declared.concurrency * share));
+    const double part = declared.concurrency * cautious_share_of(declared.name, held);
+    // With a part below one request a node could never admit anything.
+    return held.open >= std::max(1.0, std::floor(part));
 }
 
-absl::Duration workspace_limiter::wait_of(const state::workspace& declared, const account& held,
-                                          absl::Time now) const
+absl::Duration workspace_limiter::wait_of(const state::workspace& declared,
+                                          const account& held) const
 {
     // When an open request will end is not known; the next round of gossip brings new counts.
     const absl::Duration for_open =
-        is_over_concurrency(declared, held, now) ? m_options.gossip_round : absl::ZeroDuration();
-    const double missing = held.spent + 1 - burst_of(declared, held, now);
+        is_over_concurrency(declared, held) ? m_options.gossip_round : absl::ZeroDuration();
+    const double burst = std::max(1.0, declared.burst * cautious_share_of(declared.name, held));
+    const double missing = held.spent + 1 - burst;
     if (missing <= token_tolerance)
         return for_open;
     const double per_second = declared.rate * share_of(declared.name, held);
