--- /dev/null
+++ b/include/chivedeal/requests/reclaim_stream.hpp
@@ -0,0 +1,30 @@
+#ifndef CHIVEDEAL_REQUESTS_RECLAIM_STREAM_HPP
+#define CHIVEDEAL_REQUESTS_RECLAIM_STREAM_HPP
+
+#include "chivedeal/core/id.hpp"
+
+#include <cstdint>
+
+namespace chivedeal::requests {
+
+/// A running stream on a leaving endpoint.
+struct reclaim_stream
+{
+    request_id request;
+    endpoint_id source;
+    service_id service;
+    version_id version;
+    std::uint64_t prompt_tokens = 0;
+    std::uint64_t tokens_so_far = 0;
+    std::uint64_t expected_tokens_left = 0;
+    /// 0 when the engine can't export it.
+    std::uint64_t kv_bytes = 0;
+    /// False for non-idempotent and plain-service calls, which are left to finish.
+    bool movable = true;
+
+    friend bool operator==(const reclaim_stream&, const reclaim_stream&) = default;
+};
+
+} // namespace chivedeal::requests
+
+#endif
