--- a/src/membership/gossip_state.cpp
+++ b/src/membership/gossip_state.cpp
@@ -23,6 +23,8 @@
 constexpr int sends_per_doubling = 2;
 // Items sent in rotation repair what was lost, such as after a partition.
 constexpr int rotated_items = 2;
+// A longer reason would take up a whole message.
+constexpr std::size_t max_reason_bytes = 128;
 
 int doublings(std::size_t nodes) { return static_cast<int>(std::bit_width(nodes)); }
 
@@ -384,13 +386,15 @@
     if (!added && (!has_time || entry.reclaim_at != absl::InfiniteFuture()))
         return false;
     entry.value = value;
+    if (auto* bad = std::get_if<version_bad>(&entry.value))
+        bad->reason.resize(std::min(bad->reason.size(), max_reason_bytes));
     entry.bucket = bucket_of(key);
     if (!added)
         m_digest[entry.bucket] -= digest_part(key, false);
     m_digest[entry.bucket] += digest_part(key, has_time);
     entry.reclaim_at = reclaim_at;
     entry.sending = fresh();
-    m_unpushed.push_back(value);
+    m_unpushed.push_back(entry.value);
     if (leaving != nullptr) {
         m_registry.mark_leaving(leaving->endpoint, reclaim_at);
         report(event_id::endpoint_leaving, leaving->endpoint.str(), source);
@@ -546,9 +550,10 @@
     for (fact_entry* entry : missing) {
         const fact value = current_fact(*entry);
         const std::size_t size = encoded_size(value);
-        if (size > room)
+        // One fact goes with each message even when it alone is over the budget.
+        if (size > room && !out.facts.empty())
             return;
-        room -= size;
+        room -= std::min(size, room);
         ++entry->sending.sent;
         out.facts.push_back(value);
     }
