--- /dev/null
+++ b/src/membership/peer_loop.hpp
@@ -0,0 +1,87 @@
+#ifndef CHIVEDEAL_SRC_MEMBERSHIP_PEER_LOOP_HPP
+#define CHIVEDEAL_SRC_MEMBERSHIP_PEER_LOOP_HPP
+
+#include "chivedeal/core/address.hpp"
+#include "chivedeal/membership/peer_server.hpp"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+#include <kj/function.h>
+#include <kj/refcount.h>
+#include <peer.capnp.h>
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace chivedeal::membership {
+
+struct send_exchange;
+struct send_probe;
+
+/// What lives in the RPC thread: connections to peers and exchanges that wait for gossip.
+class peer_loop : private kj::TaskSet::ErrorHandler
+{
+public:
+    peer_loop(kj::AsyncIoContext& io, const peer_server::options& wiring);
+
+    /// Calls a method of the peer within the timeout. A connection that failed is not used again.
+    template<class T>
+    kj::Promise<T> call(const address& peer,
+                        kj::Function<kj::Promise<T>(wire::Peer::Client)> method)
+    {
+        auto work = connect(peer).then(
+            [method = kj::mv(method)](kj::Own<connection>&& open) mutable -> kj::Promise<T> {
+                auto answer = method(open->peer);
+                return answer.attach(kj::mv(open));
+            });
+        return m_io.provider->getTimer()
+            .timeoutAfter(m_timeout, kj::mv(work))
+            .catch_([this, peer](kj::Exception&& fault) -> kj::Promise<T> {
+                m_connections.remove_if([&](const auto& item) { return item.first == peer; });
+                return kj::mv(fault);
+            });
+    }
+
+    void start_exchange(const send_exchange& command);
+    void start_probe(const send_probe& command);
+    kj::Promise<bool> probe(const address& peer, const address& target);
+
+    /// Hands a received exchange to gossip and waits for its answer.
+    kj::Promise<std::string> ask_gossip(gossip_message message);
+    void answer(std::uint64_t reply, std::string bytes);
+
+private:
+    struct connection : public kj::Refcounted
+    {
+        explicit connection(kj::Own<kj::AsyncIoStream>&& opened)
+            : stream(kj::mv(opened)), client(*stream), peer(client.bootstrap().castAs<wire::Peer>())
+        {}
+
+        kj::Own<kj::AsyncIoStream> stream;
+        capnp::TwoPartyClient client;
+        wire::Peer::Client peer;
+    };
+
+    kj::Promise<kj::Own<connection>> connect(const address& peer);
+    void keep(const address& peer, kj::Own<connection> open);
+    void put(gossip_event event);
+    void taskFailed(kj::Exception&& fault) override; // NOLINT(readability-identifier-naming)
+
+    kj::AsyncIoContext& m_io;
+    bounded_ring<gossip_event>& m_inbox;
+    kj::Duration m_timeout;
+    std::size_t m_max_connections;
+    // Most recently used first.
+    std::list<std::pair<address, kj::Own<connection>>> m_connections;
+    std::map<std::uint64_t, kj::Own<kj::PromiseFulfiller<std::string>>> m_replies;
+    std::uint64_t m_next_reply = 1;
+    std::size_t m_open_calls = 0;
+    kj::TaskSet m_tasks;
+};
+
+} // namespace chivedeal::membership
+
+#endif
