Move streams of leaving endpoints by the reclaim plan

On a view with newly leaving endpoints the flow now asks the reclaim planner: streams finish, move with their exported KV cache, or resume from their tokens, at the times of the plan, so a wave does not overload its targets. Plain and non-idempotent calls stay. Failures now limit a request instead of attempts, since migrations are no failures.

The listeners no longer set SO_REUSEPORT, the library's default: two processes on one port shared its callers, and a path test failed once (1 of about 30 runs) while other test runs used its fixed port.

--- a/fakes/fake_cluster.hpp
+++ b/fakes/fake_cluster.hpp
@@ -10,6 +10,8 @@
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
+#include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -183,12 +185,27 @@
 
     void tick(std::size_t on) { give(on, requests::tick{}); }
 
-    void set_leaving(std::size_t endpoint)
+    void set_leaving(std::size_t endpoint, absl::Duration left = absl::Seconds(30))
     {
-        m_leaving.insert(endpoint);
+        m_leaving.try_emplace(endpoint, m_now + left);
         publish_view();
     }
 
+    /// Answers the oldest transfer of a KV cache that is under way.
+    void answer_kv(bool moved)
+    {
+        if (m_kv.empty())
+            return;
+        const auto [on, order] = m_kv.front();
+        m_kv.pop_front();
+        give(on, requests::kv_moved{.request = order.request,
+                                    .attempt = order.attempt,
+                                    .target = order.target,
+                                    .handle = moved ? "kv" : ""});
+    }
+
+    const std::deque<std::pair<std::size_t, requests::move_kv>>& transfers() const { return m_kv; }
+
     void give(std::size_t on, const requests::flow_event& event)
     {
         for (const requests::flow_command& command : m_nodes[on]->flow->handle(event, m_now))
@@ -374,8 +391,10 @@
                 membership::endpoint listed{.id = endpoint_id(absl::StrCat("e", one)),
                                             .zone = zone_id(absl::StrCat("z", one % 2)),
                                             .service = service_id("s")};
-                if (m_leaving.contains(one))
+                if (const auto left = m_leaving.find(one); left != m_leaving.end()) {
                     listed.status = membership::endpoint_status::leaving;
+                    listed.reclaim_at = left->second;
+                }
                 view.endpoints.push_back(listed);
             }
             give(i,
@@ -389,11 +408,11 @@
     std::vector<connection> m_connections;
     std::vector<submission> m_submissions;
     std::vector<state::record> m_appends;
-    std::vector<std::pair<std::size_t, requests::move_kv>> m_kv;
+    std::deque<std::pair<std::size_t, requests::move_kv>> m_kv;
     std::vector<requests::hand_off_stream> m_hand_offs;
     std::vector<control::attempt_sample> m_samples;
     fake_claim_log m_log;
-    std::set<std::size_t> m_leaving;
+    std::map<std::size_t, absl::Time> m_leaving;
     std::set<std::string> m_ran;
     std::set<std::string> m_ran_keys;
     std::vector<std::string> m_faults;
--- a/fakes/stand_in/stand_in.hpp
+++ b/fakes/stand_in/stand_in.hpp
@@ -147,6 +147,11 @@
     // One thread for each open stream; a smaller pool would queue streams unseen.
     server.new_task_queue = [] { return new httplib::ThreadPool(256); };
     server.set_tcp_nodelay(true);
+    // The library's default, SO_REUSEPORT, would let two stand-ins share a port unseen.
+    server.set_socket_options([](socket_t socket) {
+        const int yes = 1;
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+    });
     server.set_keep_alive_max_count(1'000'000);
     if (!server.bind_to_port("127.0.0.1", self.port)) {
         std::fprintf(stderr, "cannot listen on port %d\n", self.port);
--- a/include/chivedeal/requests/caller_request.hpp
+++ b/include/chivedeal/requests/caller_request.hpp
@@ -5,6 +5,7 @@
 
 #include "absl/time/time.h"
 
+#include <cstdint>
 #include <string>
 
 namespace chivedeal::requests {
@@ -24,7 +25,9 @@
     std::string idempotency_key;
     /// JSON object.
     std::string body;
-    /// Start of the body that endpoints cache, as routing sees it.
+    /// Longest answer, in tokens; 0 when the body names none.
+    std::uint64_t max_tokens = 0;
+    /// Start of the prompt that endpoints cache, as routing sees it.
     std::string prefix;
 
     bool idempotent() const { return idempotency_key.empty(); }
--- a/include/chivedeal/requests/request_entry.hpp
+++ b/include/chivedeal/requests/request_entry.hpp
@@ -3,6 +3,7 @@
 
 #include "chivedeal/requests/attempt_record.hpp"
 #include "chivedeal/requests/caller_request.hpp"
+#include "chivedeal/requests/reclaim_step.hpp"
 #include "chivedeal/requests/route_query.hpp"
 #include "chivedeal/requests/run_evidence.hpp"
 
@@ -34,6 +35,7 @@
     absl::Time arrived() const { return m_arrived; }
     /// Same for all attempts, but for the excluded endpoints.
     route_query& query() { return m_query; }
+    std::uint64_t prompt_tokens() const { return m_query.prompt_tokens; }
 
     const std::vector<std::string>& tokens() const { return m_tokens; }
     token_effect add_token(std::uint64_t position, const std::string& text);
@@ -57,10 +59,15 @@
     run_evidence evidence;
     /// Counted by the limits of its workspace and of the node.
     bool admitted = false;
+    /// Failed attempts; migrations are none.
+    int failures = 0;
     /// When the next attempt is due; infinite when none is.
     absl::Time retry_at = absl::InfiniteFuture();
     /// A KV cache of the live attempt is on its way to this endpoint; empty for none.
     endpoint_id kv_target;
+    /// What becomes of the stream of a leaving endpoint, and when; infinite when nothing is due.
+    reclaim_step planned;
+    absl::Time planned_at = absl::InfiniteFuture();
     /// The stream was offered to a peer this often.
     int hand_offs = 0;
     /// A peer has been asked and has not answered.
--- a/include/chivedeal/requests/request_flow.hpp
+++ b/include/chivedeal/requests/request_flow.hpp
@@ -7,6 +7,7 @@
 #include "chivedeal/requests/drain_controller.hpp"
 #include "chivedeal/requests/flow_command.hpp"
 #include "chivedeal/requests/flow_event.hpp"
+#include "chivedeal/requests/reclaim_planner.hpp"
 #include "chivedeal/requests/retry_backoff.hpp"
 #include "chivedeal/requests/retry_budget.hpp"
 #include "chivedeal/requests/workspace_limiter.hpp"
@@ -51,7 +52,7 @@
         absl::Duration claim_timeout = absl::Seconds(3);
         /// How long an idempotent request runs on without its caller.
         absl::Duration resume_window = absl::Seconds(10);
-        /// Attempts of one request, migrations not counted.
+        /// Failures after which a request is given up.
         int max_attempts = 6;
         /// Larger results are stored as `unknown`, since each record is kept by every node.
         std::size_t max_result_bytes = 64 * 1024;
@@ -60,6 +61,7 @@
         retry_backoff::options backoff = {};
         admission::options shedding = {};
         workspace_limiter::options limits = {};
+        reclaim_planner::options reclaims = {};
         drain_controller::options drain = {};
     };
 
--- a/src/requests/caller_server.cpp
+++ b/src/requests/caller_server.cpp
@@ -131,6 +131,10 @@
                           .deadline = now + absl::Milliseconds(deadline_ms),
                           .idempotency_key = http.get_header_value("Idempotency-Key"),
                           .body = http.body,
+                          .max_tokens =
+                              body.contains("max_tokens") && body["max_tokens"].is_number_unsigned()
+                                  ? body["max_tokens"].get<std::uint64_t>()
+                                  : 0,
                           .prefix = body.contains("prompt") && body["prompt"].is_string()
                                         ? prompt_prefix(body["prompt"].get<std::string>())
                                         : std::string()};
@@ -181,6 +185,11 @@
     };
     m_server->set_payload_max_length(m_options.max_request_bytes);
     m_server->set_tcp_nodelay(true);
+    // The library's default, SO_REUSEPORT, would let a second process take a part of the callers.
+    m_server->set_socket_options([](socket_t socket) {
+        const int yes = 1;
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+    });
     install_routes();
     if (m_options.install)
         m_options.install(*m_server);
--- a/src/requests/flow_attempts.cpp
+++ b/src/requests/flow_attempts.cpp
@@ -135,10 +135,15 @@
     log_event(event_id::attempt_failed, {{"request", entry.request().id.str()},
                                          {"endpoint", entry.live()->target.id.str()},
                                          {"reason", to_string(event.reason)}});
+    const bool leaving = is_leaving(entry.live()->target.id);
     exclude(entry, entry.live()->target);
     entry.evidence = after_failure(entry.evidence, event.reason.code);
     close_attempt(entry, event.reason.code != result_code::endpoint_not_started);
-    retry_or_finish(entry, event.reason);
+    // An announced reclaim must not spend the budget: a wave would leave none for the last streams.
+    if (leaving && is_enabled(mechanism::reclaim_migration) && may_retry(entry, event.reason))
+        start_attempt(entry);
+    else
+        retry_or_finish(entry, event.reason);
 }
 
 void flow_core::exclude(request_entry& entry, const membership::endpoint& failed)
@@ -168,12 +173,13 @@
         return false;
     if (!entry.tokens().empty() && !is_enabled(mechanism::stream_resume))
         return false;
-    return entry.last_attempt() < m_options.max_attempts;
+    return entry.failures < m_options.max_attempts;
 }
 
 void flow_core::retry_or_finish(request_entry& entry, const error& reason)
 {
-    const absl::Time due = m_now + m_backoff.delay(entry.request().id, entry.last_attempt());
+    ++entry.failures;
+    const absl::Time due = m_now + m_backoff.delay(entry.request().id, entry.failures);
     if (!may_retry(entry, reason) || due >= entry.request().deadline) {
         finish(entry, failure_outcome(entry.evidence), reason);
         return;
--- a/src/requests/flow_core.cpp
+++ b/src/requests/flow_core.cpp
@@ -34,6 +34,7 @@
       m_backoff(m_options.backoff),
       m_admission(m_options.shedding),
       m_limiter(m_options.limits),
+      m_planner(m_options.reclaims),
       m_drain(m_options.drain)
 {}
 
@@ -254,6 +255,8 @@
     }
     if (m_now >= entry.retry_at)
         start_attempt(entry);
+    else
+        run_planned_step(entry);
 }
 
 void flow_core::finish(request_entry& entry, outcome result, error reason)
--- a/src/requests/flow_core.hpp
+++ b/src/requests/flow_core.hpp
@@ -13,6 +13,12 @@
 struct node_record;
 } // namespace chivedeal::membership
 
+namespace chivedeal::requests {
+struct reclaim_source;
+struct reclaim_stream;
+struct reclaim_target;
+} // namespace chivedeal::requests
+
 namespace chivedeal::requests::detail {
 
 /// Handles the events of the request flow. The parts are in one file each: arrival and end
@@ -86,8 +92,13 @@
     // Leaving endpoints.
     void take(const view_changed& event);
     void take(const kv_moved& event);
-    void plan_leaving(const std::vector<membership::endpoint>& leaving);
-    void resume_elsewhere(request_entry& entry);
+    void plan_reclaims();
+    void run_planned_step(request_entry& entry);
+    void resume_elsewhere(request_entry& entry, const membership::endpoint* target);
+    reclaim_stream stream_of(const request_entry& entry) const;
+    reclaim_source source_of(const membership::endpoint& endpoint) const;
+    reclaim_target target_of(const membership::endpoint& endpoint) const;
+    const membership::endpoint* find_live(const endpoint_id& id) const;
 
     // Peers.
     void hand_off_streams();
@@ -112,6 +123,7 @@
     std::shared_ptr<const membership::membership_view> m_view;
     absl::flat_hash_map<endpoint_id, load_report> m_loads;
     absl::flat_hash_set<endpoint_id> m_leaving;
+    reclaim_planner m_planner;
     drain_controller m_drain;
     bool m_intake_closed = false;
 };
--- a/src/requests/request_entry.cpp
+++ b/src/requests/request_entry.cpp
@@ -38,6 +38,7 @@
     begun.number = ++m_last_attempt;
     retry_at = absl::InfiniteFuture();
     kv_target = {};
+    planned_at = absl::InfiniteFuture();
     m_live = std::move(begun);
     return *m_live;
 }
--- /dev/null
+++ b/test/requests_http_endpoint_client_test.cpp
@@ -0,0 +1,173 @@
+#include "chivedeal/requests/http_endpoint_client.hpp"
+
+#include "chivedeal/core/bounded_ring.hpp"
+#include "chivedeal/core/posix_thread.hpp"
+#include "chivedeal/core/system_clock.hpp"
+#include "chivedeal/requests/attempt_event.hpp"
+#include "chivedeal/requests/attempt_start.hpp"
+#include "chivedeal/requests/flow_command.hpp"
+
+#include <gtest/gtest.h>
+#include <httplib.h>
+
+#include <set>
+
+using namespace chivedeal;           // NOLINT(google-build-using-namespace)
+using namespace chivedeal::requests; // NOLINT(google-build-using-namespace)
+
+namespace {
+
+// An engine that plays a script of server-sent events; the part "block" waits for a cancel.
+class scripted_engine
+{
+public:
+    explicit scripted_engine(std::vector<std::string> parts) : m_parts(std::move(parts))
+    {
+        m_server.Post("/v1/generate", [this](const auto& request, auto& answer) {
+            m_remote_ports.insert(request.remote_port);
+            if (m_parts.empty()) {
+                answer.status = 503;
+                answer.set_content(R"({"not_started": true})", "application/json");
+                return;
+            }
+            answer.set_chunked_content_provider(
+                "text/event-stream", [this](std::size_t, auto& sink) { return play(sink); });
+        });
+        m_server.Post("/v1/cancel", [this](const auto&, auto&) { m_blocked.close(); });
+        m_port = m_server.bind_to_any_port("127.0.0.1");
+        m_thread =
+            std::make_unique<posix_thread>("engine", [this] { m_server.listen_after_bind(); });
+    }
+
+    ~scripted_engine()
+    {
+        m_blocked.close();
+        m_server.stop();
+    }
+
+    attempt_start start() const
+    {
+        return {.request = request_id("r1"),
+                .attempt = 1,
+                .endpoint = endpoint_id("e1"),
+                .target = {.host = "127.0.0.1", .port = static_cast<std::uint16_t>(m_port)},
+                .version = {},
+                .idempotency_key = {},
+                .body = R"({"prompt": "oak"})",
+                .tokens_so_far = {},
+                .kv_handle = {}};
+    }
+
+    std::size_t connections() const { return m_remote_ports.size(); }
+
+private:
+    bool play(httplib::DataSink& sink)
+    {
+        for (const std::string& part : m_parts) {
+            if (part == "block")
+                (void)m_blocked.pop();
+            else if (part == "break" || !sink.write(part.data(), part.size()))
+                return false;
+        }
+        sink.done();
+        return true;
+    }
+
+    std::vector<std::string> m_parts;
+    bounded_ring<int> m_blocked{1};
+    httplib::Server m_server;
+    int m_port = 0;
+    std::set<int> m_remote_ports;
+    std::unique_ptr<posix_thread> m_thread;
+};
+
+std::vector<attempt_event> run(http_endpoint_client& client, const attempt_start& start)
+{
+    std::vector<attempt_event> events;
+    client.run(start, [&](attempt_event event) {
+        events.push_back(std::move(event));
+        return true;
+    });
+    return events;
+}
+
+result_code failure_of(const std::vector<attempt_event>& events)
+{
+    const auto* failed =
+        events.empty() ? nullptr : std::get_if<attempt_failed>(&events.back().body);
+    return failed == nullptr ? result_code::ok : failed->reason.code;
+}
+
+const std::string token = "id: 0 1 r1\ndata: oak\n\n";
+const std::string end_marker = "event: end\ndata: {}\n\n";
+
+} // namespace
+
+// Guards against a token of another request that goes to this one's caller.
+TEST(http_endpoint_client, reports_a_crossed_token_under_no_live_attempt)
+{
+    scripted_engine engine({"id: 0 1 r2\ndata: elm\n\n", token, end_marker});
+    const system_clock clock;
+    http_endpoint_client client(clock);
+    const auto events = run(client, engine.start());
+    ASSERT_EQ(events.size(), 3U);
+    EXPECT_EQ(events[0].attempt, 0);
+    EXPECT_EQ(events[1].attempt, 1);
+    EXPECT_TRUE(std::holds_alternative<attempt_ended>(events[2].body));
+}
+
+// Guards against "not started" for an attempt that may have run, and the reverse.
+TEST(http_endpoint_client, tells_refused_starts_from_broken_streams)
+{
+    scripted_engine refusing({});
+    scripted_engine breaking({token, "break"});
+    scripted_engine silent({token});
+    const system_clock clock;
+    http_endpoint_client client(clock);
+    EXPECT_EQ(failure_of(run(client, refusing.start())), result_code::endpoint_not_started);
+    EXPECT_EQ(failure_of(run(client, breaking.start())), result_code::endpoint_lost);
+    EXPECT_EQ(failure_of(run(client, silent.start())), result_code::endpoint_lost);
+}
+
+// Guards against a worker that stays with an attempt that was given up.
+TEST(http_endpoint_client, cancels_a_blocked_attempt)
+{
+    scripted_engine engine({token, "block"});
+    const system_clock clock;
+    http_endpoint_client client(clock);
+    const attempt_start start = engine.start();
+    bounded_ring<attempt_event> events(16);
+    posix_thread runner("attempt", [&] {
+        client.run(start, [&](attempt_event event) { return events.push(std::move(event)); });
+        events.close();
+    });
+    ASSERT_TRUE(events.pop());
+    client.cancel({.request = start.request, .attempt = start.attempt, .target = start.target});
+    result_code last = result_code::ok;
+    while (const auto event = events.pop())
+        last = failure_of({*event});
+    EXPECT_EQ(last, result_code::endpoint_lost);
+}
+
+// Guards against an attempt that runs after its cancel because it waited for a worker.
+TEST(http_endpoint_client, does_not_start_an_attempt_cancelled_before)
+{
+    scripted_engine engine({token, end_marker});
+    const system_clock clock;
+    http_endpoint_client client(clock);
+    const attempt_start start = engine.start();
+    client.cancel({.request = start.request, .attempt = start.attempt, .target = start.target});
+    EXPECT_EQ(failure_of(run(client, start)), result_code::endpoint_not_started);
+    EXPECT_EQ(engine.connections(), 0U);
+}
+
+// Guards against a connection set-up before each first token.
+TEST(http_endpoint_client, uses_a_connection_again)
+{
+    scripted_engine engine({token, end_marker});
+    const system_clock clock;
+    http_endpoint_client client(clock);
+    for (int i = 0; i < 3; ++i)
+        EXPECT_EQ(run(client, engine.start()).size(), 2U);
+    EXPECT_EQ(engine.connections(), 1U);
+}
