Move versions by sequential evidence against the old version

A bad version has to lose its traffic soon after its badness shows and a good one must not be rolled back by frequent looks. evidence_counter counts outcomes by route and load band, move_evidence compares the new version with the old one over the same interval, and move_policy acts on it. harm_test bets on the split of errors and slow answers between the versions, which is hypergeometric for equal versions whatever the base rate, and starts its bets anew so that late faults are found. proof_test shows that the version is at most 5 points worse in all and 15 on each route; before that the share stays at max_unproven_share. Steps are planned backward from the deadline with the bake at half of the traffic. A verdict goes to gossip first and needs no log.

A margin of 5 points on each route was ruled out: by calculation a route with a tenth of 30 requests/s needs over 40 minutes for it. A bake at 90% was ruled out, since by calculation it needs about six times the bad requests for a verdict.

--- /dev/null
+++ b/include/chivedeal/control/fixed_step_policy.hpp
@@ -0,0 +1,38 @@
+#ifndef CHIVEDEAL_CONTROL_FIXED_STEP_POLICY_HPP
+#define CHIVEDEAL_CONTROL_FIXED_STEP_POLICY_HPP
+
+#include "chivedeal/control/rollout_policy.hpp"
+#include "chivedeal/core/id.hpp"
+
+#include "absl/time/time.h"
+
+#include <map>
+#include <vector>
+
+namespace chivedeal::control {
+
+/// Baseline of the benchmark: 10, 25, 50 and 100% of the traffic at fixed times, and a plain
+/// threshold on the share of errors.
+class fixed_step_policy : public rollout_policy
+{
+public:
+    struct options
+    {
+        absl::Duration step = absl::Minutes(2);
+        double error_threshold = 0.05;
+        /// Requests of the new version before the threshold counts.
+        double min_requests = 20;
+    };
+
+    explicit fixed_step_policy(options settings) : m_options(settings) {}
+
+    std::vector<move_command> handle(const move_look& look, absl::Time now) override;
+
+private:
+    options m_options;
+    std::map<service_id, absl::Time> m_started;
+};
+
+} // namespace chivedeal::control
+
+#endif
--- /dev/null
+++ b/include/chivedeal/control/move_evidence.hpp
@@ -0,0 +1,129 @@
+#ifndef CHIVEDEAL_CONTROL_MOVE_EVIDENCE_HPP
+#define CHIVEDEAL_CONTROL_MOVE_EVIDENCE_HPP
+
+#include "chivedeal/control/harm_test.hpp"
+#include "chivedeal/control/paired_batch.hpp"
+#include "chivedeal/control/proof_test.hpp"
+#include "chivedeal/core/id.hpp"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace chivedeal::membership {
+struct outcome_count;
+}
+
+namespace chivedeal::control {
+
+/// Evidence on one move: compares the new version with the old one by route and load band.
+class move_evidence
+{
+public:
+    struct options
+    {
+        service_id service;
+        version_id from;
+        std::uint64_t from_offset = 0;
+        version_id to;
+        std::uint64_t to_offset = 0;
+        /// Chance of a false alarm for a good version, over all looks, routes, bands and both
+        /// tests.
+        double false_alarm = 0.008;
+        /// Chance that a version that is worse by a margin is taken as proven.
+        double false_proof = 0.002;
+        /// Share of all requests by which a version may not be worse.
+        double margin = 0.05;
+        /// The same on each route. Wider, since a proof takes requests in inverse proportion and a
+        /// route with a tenth of the traffic would hold up a move ten times as long.
+        double route_margin = 0.15;
+    };
+
+    explicit move_evidence(options settings);
+
+    /// Makes the counts so far the zero point; for counts from before the move began.
+    void set_baseline(const std::vector<membership::outcome_count>& counts);
+
+    /// Takes the newest counts of all nodes.
+    void add(const std::vector<membership::outcome_count>& counts);
+
+    /// Weighs what is pending, before the shares of the versions change.
+    void close_batches();
+
+    /// Whether the version is shown to be worse.
+    bool is_bad() const;
+
+    /// Whether the version is shown not to be worse, in all and on each route with traffic.
+    bool is_proven() const { return missing().empty(); }
+
+    /// What is missing for a proof, one sentence each.
+    std::vector<std::string> missing() const;
+
+    /// Evidence of harm and how far it is from the verdict, for logs and reasons.
+    std::string describe() const;
+
+    /// Requests that the new version has had.
+    std::uint64_t new_requests() const { return m_whole.all.fresh.requests; }
+
+private:
+    enum kind
+    {
+        errors,
+        slow,
+    };
+
+    struct totals
+    {
+        std::uint64_t requests = 0;
+        std::uint64_t errors = 0;
+        std::uint64_t slow = 0;
+    };
+
+    struct pair
+    {
+        totals fresh;
+        totals old;
+    };
+
+    struct proof_state
+    {
+        explicit proof_state(double margin) : proofs{proof_test(margin), proof_test(margin)} {}
+
+        pair pending;
+        pair all;
+        std::array<proof_test, 2> proofs;
+    };
+
+    struct group
+    {
+        double weight = 0;
+        std::array<harm_test, 2> tests;
+    };
+
+    using counter_key = std::tuple<node_id, bool, std::string, int>;
+
+    static paired_batch batch_of(const pair& counts, kind which);
+    totals take_delta(const membership::outcome_count& count, bool fresh);
+    void weigh_harm(const std::pair<std::string, int>& stratum, const pair& counts);
+    void weigh_proof(proof_state& where);
+    void report_missing(const std::string& where, const proof_state& proof,
+                        std::vector<std::string>& out) const;
+    group& group_of(const std::string& name, double weight);
+    double harm() const;
+
+    options m_options;
+    std::map<counter_key, totals> m_seen;
+    std::map<std::pair<std::string, int>, pair> m_strata;
+    std::map<std::string, proof_state> m_routes;
+    proof_state m_whole;
+    std::map<std::string, group> m_groups;
+    std::size_t m_route_groups = 0;
+};
+
+} // namespace chivedeal::control
+
+#endif
--- /dev/null
+++ b/src/control/fixed_step_policy.cpp
@@ -0,0 +1,67 @@
+#include "chivedeal/control/fixed_step_policy.hpp"
+
+#include "chivedeal/control/lease_scope.hpp"
+#include "chivedeal/control/move_look.hpp"
+#include "chivedeal/membership/membership_view.hpp"
+#include "chivedeal/state/cluster_state.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace chivedeal::control {
+
+namespace {
+
+constexpr std::array<double, 3> shares{0.1, 0.25, 0.5};
+
+bool exceeds(const move_look& look, const state::version_move& move, double threshold,
+             double min_requests)
+{
+    double requests = 0;
+    double errors = 0;
+    for (const auto* counts : {&look.own_counts, &look.view->outcomes})
+        for (const membership::outcome_count& count : *counts)
+            if (count.service == move.service && count.version == move.to) {
+                requests += static_cast<double>(count.requests);
+                errors += static_cast<double>(count.errors);
+            }
+    return requests >= min_requests && errors > threshold * requests;
+}
+
+} // namespace
+
+std::vector<move_command> fixed_step_policy::handle(const move_look& look, absl::Time now)
+{
+    std::vector<move_command> out;
+    for (const auto& [service, move] : look.state->moves) {
+        if (move->status != state::move_status::open) {
+            m_started.erase(service);
+            continue;
+        }
+        const auto lease = look.held.find(move_scope(service), now);
+        if (!lease)
+            continue;
+        if (exceeds(look, *move, m_options.error_threshold, m_options.min_requests)) {
+            out.emplace_back(state::move_outcome{.service = service,
+                                                 .version = move->to,
+                                                 .done = false,
+                                                 .reason = "share of errors over the threshold"});
+            continue;
+        }
+        const absl::Time start = m_started.try_emplace(service, now).first->second;
+        const auto step = static_cast<std::size_t>((now - start) / m_options.step);
+        if (step >= shares.size())
+            out.emplace_back(state::move_outcome{
+                .service = service, .version = move->to, .done = true, .reason = "last step"});
+        else if (shares[step] > move->share)
+            out.emplace_back(append_step{.step = {.service = service,
+                                                  .version = move->to,
+                                                  .share = shares[step],
+                                                  .scope = move_scope(service),
+                                                  .lease_offset = lease->fence},
+                                         .evidence = "fixed time"});
+    }
+    return out;
+}
+
+} // namespace chivedeal::control
--- /dev/null
+++ b/src/control/proof_test.cpp
@@ -0,0 +1,35 @@
+#include "chivedeal/control/proof_test.hpp"
+
+#include <cmath>
+
+namespace chivedeal::control {
+
+namespace {
+
+// Parts of the wealth bet on each request; the best one falls as the share of hits rises.
+constexpr std::array<double, 4> stakes{0.2, 0.4, 0.6, 0.95};
+
+} // namespace
+
+void proof_test::add(const paired_batch& batch)
+{
+    if (batch.old_requests == 0)
+        return;
+    const double reference =
+        static_cast<double>(batch.old_hits) / static_cast<double>(batch.old_requests);
+    const auto hits = static_cast<double>(batch.new_hits);
+    const auto others = static_cast<double>(batch.new_requests) - hits;
+    for (std::size_t i = 0; i < stakes.size(); ++i)
+        m_log_wealth[i] += hits * std::log(1 + stakes[i] * (m_margin + reference - 1)) +
+                           others * std::log(1 + stakes[i] * (m_margin + reference));
+}
+
+double proof_test::value() const
+{
+    double sum = 0;
+    for (const double wealth : m_log_wealth)
+        sum += std::exp(wealth);
+    return sum / static_cast<double>(m_log_wealth.size());
+}
+
+} // namespace chivedeal::control
--- a/test/control_lease_policy_test.cpp
+++ b/test/control_lease_policy_test.cpp
@@ -6,9 +6,9 @@
 #include "chivedeal/core/posix_thread.hpp"
 #include "chivedeal/core/system_clock.hpp"
 #include "chivedeal/state/cluster_state.hpp"
-#include "chivedeal/state/record_sink.hpp"
 
 #include "fakes/fake_control_log.hpp"
+#include "fakes/fake_record_sink.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -102,18 +102,6 @@
 // Uniform in [0, limit); the generator alone would stay near zero in the first runs.
 int pick(int limit) { return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, limit)); }
 
-class recording_sink : public state::record_sink
-{
-public:
-    status append(state::record entry) override
-    {
-        (void)m_records.try_push(std::move(entry));
-        return ok_status();
-    }
-
-    bounded_ring<state::record> m_records{16};
-};
-
 } // namespace
 
 // Guards against a lease that nobody takes, or that its holder does not renew in time.
@@ -233,7 +221,7 @@
     std::vector<change_id> changes;
     for (int start = 0; start < 2; ++start) {
         bounded_ring<lease_event> inbox(16);
-        recording_sink sink;
+        fakes::fake_record_sink sink;
         shared_cell<held_leases> held(std::make_shared<const held_leases>());
         lease_feed feed(inbox);
         lease_keeper keeper({.time = time,
@@ -246,11 +234,11 @@
                                         .change_prefix = ""}});
         posix_thread thread("lease_keeper", [&] { keeper.run(); });
         feed.on_state(std::make_shared<const state::cluster_state>());
-        const auto grant = sink.m_records.pop();
+        const auto grant = sink.m_records.pop(absl::Seconds(10));
         ASSERT_TRUE(grant.has_value());
         changes.push_back(grant->change);
         feed.on_applied({.stream = "control", .offset = 1, .entry = *grant, .effect = {}});
-        const auto renewal = sink.m_records.pop();
+        const auto renewal = sink.m_records.pop(absl::Seconds(10));
         ASSERT_TRUE(renewal.has_value());
         EXPECT_EQ(std::get<state::lease_grant>(renewal->body).previous_offset, 1U);
         keeper.request_stop();
--- /dev/null
+++ b/test/control_move_policy_test.cpp
@@ -0,0 +1,302 @@
+#include "chivedeal/control/move_policy.hpp"
+
+#include "chivedeal/control/evidence_counter.hpp"
+#include "chivedeal/control/fixed_step_policy.hpp"
+#include "chivedeal/control/harm_test.hpp"
+#include "chivedeal/control/move_controller.hpp"
+#include "chivedeal/control/move_feed.hpp"
+#include "chivedeal/control/proof_test.hpp"
+#include "chivedeal/core/posix_thread.hpp"
+#include "chivedeal/core/system_clock.hpp"
+
+#include "fakes/fake_gossip_port.hpp"
+#include "fakes/fake_record_sink.hpp"
+#include "fakes/move_trial.hpp"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <random>
+
+using namespace chivedeal;          // NOLINT(google-build-using-namespace)
+using namespace chivedeal::control; // NOLINT(google-build-using-namespace)
+using fakes::move_trial;
+using fakes::move_trial_options;
+using fakes::move_trial_result;
+using fakes::version_fault;
+
+namespace {
+
+move_trial_result run(move_trial_options options)
+{
+    move_policy policy;
+    return move_trial(options).run(policy);
+}
+
+std::uint64_t draw(std::mt19937_64& random, std::uint64_t requests, double share)
+{
+    return std::binomial_distribution<std::uint64_t>(requests, share)(random);
+}
+
+paired_batch draw_batch(std::mt19937_64& random, double old_share, double new_share)
+{
+    return {.new_requests = 10,
+            .new_hits = draw(random, 10, new_share),
+            .old_requests = 190,
+            .old_hits = draw(random, 190, old_share)};
+}
+
+std::shared_ptr<const state::cluster_state> open_move()
+{
+    state::cluster_state state;
+    state.moves[move_trial::service()] = std::make_shared<const state::version_move>(
+        state::version_move{.service = move_trial::service(),
+                            .from = version_id("v1"),
+                            .to = move_trial::to(),
+                            .deadline = system_clock().wall_now() + absl::Hours(1),
+                            .share = 0.05});
+    return std::make_shared<const state::cluster_state>(state);
+}
+
+attempt_sample sample(const std::string& version, bool failed)
+{
+    return {.service = move_trial::service(),
+            .version = version_id(version),
+            .route = "r",
+            .failed = failed};
+}
+
+} // namespace
+
+// Guards against false alarms from looking often: the target is under 1 in 100 at any look. The
+// rate of hits drifts, which a test against a fixed rate would take for harm.
+TEST(harm_test, false_alarms_stay_under_one_in_a_hundred)
+{
+    constexpr int runs = 2000;
+    int alarms = 0;
+    for (int seed = 0; seed < runs; ++seed) {
+        std::mt19937_64 random(seed);
+        harm_test test;
+        bool alarm = false;
+        for (int i = 0; i < 200 && !alarm; ++i) {
+            const double share = 0.01 + 0.001 * i;
+            test.multiply(harm_test::ratios(draw_batch(random, share, share)), 10);
+            alarm = test.value() >= 100;
+        }
+        alarms += alarm ? 1 : 0;
+    }
+    EXPECT_LE(alarms, runs / 100);
+}
+
+// Guards against a long good time that hides a fault that begins later.
+TEST(harm_test, finds_a_late_fault)
+{
+    std::mt19937_64 random(1);
+    harm_test test;
+    for (int i = 0; i < 1000; ++i)
+        test.multiply(harm_test::ratios(draw_batch(random, 0.01, 0.01)), 10);
+    EXPECT_LT(test.value(), 100);
+    for (int i = 0; i < 100; ++i)
+        test.multiply(harm_test::ratios(draw_batch(random, 0.01, 0.2)), 10);
+    EXPECT_GE(test.value(), 100);
+}
+
+// Guards against batches without a comparison that count as evidence.
+TEST(harm_test, a_batch_of_one_version_says_nothing)
+{
+    for (const double ratio : harm_test::ratios({.new_requests = 50, .new_hits = 50}))
+        EXPECT_EQ(ratio, 0);
+    for (const double ratio : harm_test::ratios({.old_requests = 50, .old_hits = 50}))
+        EXPECT_EQ(ratio, 0);
+}
+
+// Guards against a version that is worse by the whole margin and passes as proven.
+TEST(proof_test, rarely_proves_a_version_that_is_worse_by_the_margin)
+{
+    constexpr int runs = 2000;
+    int proofs = 0;
+    for (int seed = 0; seed < runs; ++seed) {
+        std::mt19937_64 random(seed);
+        proof_test test(0.05);
+        bool proven = false;
+        for (int i = 0; i < 200 && !proven; ++i) {
+            test.add(draw_batch(random, 0.01, 0.06));
+            proven = test.value() >= 100;
+        }
+        proofs += proven ? 1 : 0;
+    }
+    EXPECT_LE(proofs, runs / 100);
+}
+
+// Guards against good versions that are rolled back: at most 1 in 100, over all routes, bands and
+// looks, also where errors and slow answers are frequent.
+TEST(move_policy, good_versions_finish)
+{
+    int rolled_back = 0;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        const auto result = run({.seed = seed,
+                                 .requests_per_second = 60,
+                                 .error_share = seed % 2 == 0 ? 0.01 : 0.03,
+                                 .slow_share = 0.05});
+        rolled_back += result.status == state::move_status::done ? 0 : 1;
+        EXPECT_LE(result.finished, absl::Minutes(40));
+    }
+    EXPECT_LE(rolled_back, 2);
+}
+
+// Guards against a bad version that gets more than the unproven share or stays.
+TEST(move_policy, version_with_five_points_more_errors_stays_under_five_percent)
+{
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        const auto result = run({.seed = seed, .fault = version_fault::five_points});
+        EXPECT_LE(result.highest_share, 0.05) << "seed " << seed;
+        EXPECT_EQ(result.status, state::move_status::rolled_back) << "seed " << seed;
+        EXPECT_TRUE(result.announced) << "seed " << seed;
+    }
+}
+
+// Guards against each way of being bad that an average over all requests would hide.
+TEST(move_policy, rolls_back_each_kind_of_fault)
+{
+    for (const version_fault fault :
+         {version_fault::fails_at_once, version_fault::slow, version_fault::later,
+          version_fault::under_load, version_fault::one_route})
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            const auto result = run({.seed = seed, .fault = fault});
+            EXPECT_EQ(result.status, state::move_status::rolled_back)
+                << "fault " << static_cast<int>(fault) << " seed " << seed;
+        }
+}
+
+// Guards against a rollback that waits for the log: the announcement goes out all the same.
+TEST(move_policy, announces_a_bad_version_with_the_log_down)
+{
+    class half_way : public rollout_policy
+    {
+    public:
+        std::vector<move_command> handle(const move_look& look, absl::Time now) override
+        {
+            move_look seen = look;
+            state::cluster_state state = *look.state;
+            state::version_move move = *state.moves.at(move_trial::service());
+            move.share = 0.05;
+            state.moves[move_trial::service()] = std::make_shared<const state::version_move>(move);
+            seen.state = std::make_shared<const state::cluster_state>(state);
+            // Another node's counts show the fault.
+            auto view = *look.view;
+            m_requests += 10;
+            view.outcomes = {{.node = node_id("n2"),
+                              .service = move_trial::service(),
+                              .version = move_trial::to(),
+                              .declared_offset = 7,
+                              .requests = m_requests,
+                              .errors = m_requests / 2},
+                             {.node = node_id("n2"),
+                              .service = move_trial::service(),
+                              .version = version_id("v1"),
+                              .requests = m_requests * 10}};
+            seen.view = std::make_shared<const membership::membership_view>(view);
+            return m_policy.handle(seen, now);
+        }
+
+    private:
+        move_policy m_policy;
+        std::uint64_t m_requests = 0;
+    };
+    half_way policy;
+    const auto result = move_trial({.log_up = false, .has_lease = false}).run(policy);
+    EXPECT_TRUE(result.announced);
+    EXPECT_EQ(result.status, state::move_status::open);
+}
+
+// Guards against an advance without the lease: only the outcome after the deadline is allowed.
+TEST(move_policy, does_not_advance_without_the_lease)
+{
+    const auto result = run({.has_lease = false});
+    EXPECT_EQ(result.highest_share, 0);
+    EXPECT_EQ(result.status, state::move_status::rolled_back);
+}
+
+// Guards against a rollback at the deadline that does not say what was missing.
+TEST(move_policy, rolls_back_at_the_deadline_with_the_missing_evidence)
+{
+    const auto result = run({.requests_per_second = 1, .deadline = absl::Minutes(10)});
+    EXPECT_EQ(result.status, state::move_status::rolled_back);
+    EXPECT_LE(result.highest_share, 0.05);
+    EXPECT_NE(result.reason.find("missing: all routes: too little evidence"), std::string::npos)
+        << result.reason;
+}
+
+// Guards against steps that are themselves the cause of a missed deadline: with the evidence in
+// time, short notice shortens the waits and not the bake.
+TEST(move_policy, steps_are_planned_backward_from_the_deadline)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        const auto result =
+            run({.seed = seed, .requests_per_second = 600, .deadline = absl::Minutes(6)});
+        EXPECT_EQ(result.status, state::move_status::done) << result.reason;
+    }
+}
+
+// Guards against memory that grows with made-up route names, and against counts that fall.
+TEST(evidence_counter, is_bounded)
+{
+    evidence_counter counter(node_id("n1"), 3);
+    counter.add(sample("v1", false));
+    EXPECT_TRUE(counter.counts().empty());
+    counter.track(*open_move());
+    for (int i = 0; i < 5; ++i) {
+        auto each = sample("v1", i == 0);
+        each.route = std::string("r") + std::to_string(i);
+        counter.add(each);
+        counter.add(each);
+    }
+    EXPECT_EQ(counter.counts().size(), 3U);
+    EXPECT_EQ(counter.dropped(), 4U);
+    EXPECT_EQ(counter.counts().front().requests, 2U);
+    EXPECT_EQ(counter.counts().front().errors, 2U);
+    counter.track(state::cluster_state{});
+    EXPECT_TRUE(counter.counts().empty());
+    counter.track(*open_move());
+    EXPECT_EQ(counter.counts().size(), 3U);
+}
+
+// Guards against a controller that does not pass samples, states and commands on.
+TEST(move_controller, announces_and_appends_through_its_rings)
+{
+    const system_clock time;
+    bounded_ring<attempt_sample> inbox(4096);
+    move_feed feed(inbox);
+    const shared_cell<held_leases> held(std::make_shared<const held_leases>());
+    fakes::fake_record_sink records;
+    fakes::fake_gossip_port gossip;
+    move_controller controller({.time = time,
+                                .self = node_id("n1"),
+                                .inbox = inbox,
+                                .feed = feed,
+                                .held = held,
+                                .records = records,
+                                .gossip = gossip,
+                                .policy = std::make_shared<move_policy>()});
+    feed.on_state(open_move());
+    posix_thread thread("move_controller", [&] { controller.run(); });
+    // Samples before the first look are not counted, so they are repeated.
+    std::optional<membership::fact> fact;
+    for (int round = 0; round < 200 && !fact; ++round) {
+        for (int i = 0; i < 20; ++i) {
+            feed.add_sample(sample("v1", false));
+            feed.add_sample(sample("v2", true));
+        }
+        fact = gossip.m_facts.pop(absl::Milliseconds(50));
+    }
+    controller.request_stop();
+    ASSERT_TRUE(fact.has_value());
+    EXPECT_EQ(std::get<membership::version_bad>(*fact).version, move_trial::to());
+    const auto verdict = records.m_records.pop(absl::Seconds(10));
+    ASSERT_TRUE(verdict.has_value());
+    EXPECT_TRUE(std::holds_alternative<state::version_verdict>(verdict->body));
+    const auto outcome = records.m_records.pop(absl::Seconds(10));
+    ASSERT_TRUE(outcome.has_value());
+    EXPECT_FALSE(std::get<state::move_outcome>(outcome->body).done);
+    EXPECT_TRUE(gossip.m_outcomes.pop(absl::Seconds(10)).has_value());
+}
