Add the benchmarks of routing and limits

Cause: the effect of routing and limits was not measured against plain policies, and the decision's cost was not known.

--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -1,6 +1,8 @@
 #include "bench/benchmark.hpp"
 #include "bench/core_benchmark.hpp"
+#include "bench/limits_benchmark.hpp"
 #include "bench/report.hpp"
+#include "bench/routing_benchmark.hpp"
 
 #include <cstdio>
 #include <memory>
@@ -13,6 +15,8 @@
 {
     std::vector<std::unique_ptr<chivedeal::bench::benchmark>> all;
     all.push_back(std::make_unique<chivedeal::bench::core_benchmark>());
+    all.push_back(std::make_unique<chivedeal::bench::routing_benchmark>());
+    all.push_back(std::make_unique<chivedeal::bench::limits_benchmark>());
     return all;
 }
 
