Assume fewer slots of an endpoint without a load report

Cause: without reports a node sees only its own attempts, and with eight assumed slots it never expected a queue, so that equal requests piled up at the endpoint of their prefix.

Change: four slots are assumed without a report. The requests of the other nodes, which are not seen then, take the rest.

--- a/include/chivedeal/requests/endpoint_load.hpp
+++ b/include/chivedeal/requests/endpoint_load.hpp
@@ -22,8 +22,9 @@
         /// An older report is ignored and only the node's own attempts count. From half this age
         /// on a report counts less, since all nodes act on the same old news.
         absl::Duration stale_after = absl::Seconds(5);
-        /// Assumed without a report.
-        int default_slots = 8;
+        /// Assumed without a report. Lower than engines have, since the requests of other nodes are
+        /// not seen then.
+        int default_slots = 4;
         /// After this time a failed attempt counts half.
         absl::Duration failure_half_life = absl::Seconds(10);
     };
