--- a/fakes/stand_in/stand_in.hpp
+++ b/fakes/stand_in/stand_in.hpp
@@ -148,15 +148,19 @@
     server.new_task_queue = [] { return new httplib::ThreadPool(256); };
     server.set_tcp_nodelay(true);
     // The library's default, SO_REUSEPORT, would let two stand-ins share a port unseen.
-    server.set_socket_options([](socket_t socket) {
+    socket_t listener = -1;
+    server.set_socket_options([&listener](socket_t socket) {
         const int yes = 1;
         setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+        listener = socket;
     });
     server.set_keep_alive_max_count(1'000'000);
     if (!server.bind_to_port("127.0.0.1", self.port)) {
         std::fprintf(stderr, "cannot listen on port %d\n", self.port);
         return 1;
     }
+    // The library's backlog of 5 loses connections of a burst.
+    ::listen(listener, 512);
     if (!register_instance(self, kind)) {
         std::fprintf(stderr, "cannot register at %s\n", self.platform.c_str());
         return 1;
--- a/include/chivedeal/requests/caller_server.hpp
+++ b/include/chivedeal/requests/caller_server.hpp
@@ -54,6 +54,7 @@
 
     options m_options;
     std::unique_ptr<httplib::Server> m_server;
+    int m_socket = -1;
 };
 
 } // namespace chivedeal::requests
--- a/src/requests/caller_server.cpp
+++ b/src/requests/caller_server.cpp
@@ -34,6 +34,8 @@
 // How soon a caller that left a silent stream is noticed.
 constexpr absl::Duration liveness_interval = absl::Seconds(1);
 
+constexpr int listen_backlog = 512;
+
 constexpr int default_deadline_ms = 120'000;
 
 std::string random_id()
@@ -186,9 +188,10 @@
     m_server->set_payload_max_length(m_options.max_request_bytes);
     m_server->set_tcp_nodelay(true);
     // The library's default, SO_REUSEPORT, would let a second process take a part of the callers.
-    m_server->set_socket_options([](socket_t socket) {
+    m_server->set_socket_options([this](socket_t socket) {
         const int yes = 1;
         setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+        m_socket = socket;
     });
     install_routes();
     if (m_options.install)
@@ -199,8 +202,12 @@
 
 void caller_server::run()
 {
-    if (!m_server->listen(m_options.listen.host, m_options.listen.port))
+    if (!m_server->bind_to_port(m_options.listen.host, m_options.listen.port))
         throw std::runtime_error("cannot listen on " + to_string(m_options.listen));
+    // The library listens with a backlog of 5; callers beyond it would wait a second for the retry
+    // of their connection.
+    if (listen(m_socket, listen_backlog) != 0 || !m_server->listen_after_bind())
+        throw std::runtime_error("cannot accept on " + to_string(m_options.listen));
 }
 
 void caller_server::request_stop() { m_server->stop(); }
