--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -2,6 +2,7 @@
 #include "bench/core_benchmark.hpp"
 #include "bench/limits_benchmark.hpp"
 #include "bench/moves_benchmark.hpp"
+#include "bench/path_benchmark.hpp"
 #include "bench/report.hpp"
 #include "bench/routing_benchmark.hpp"
 
@@ -17,6 +18,7 @@
     std::vector<std::unique_ptr<chivedeal::bench::benchmark>> all;
     all.push_back(std::make_unique<chivedeal::bench::core_benchmark>());
     all.push_back(std::make_unique<chivedeal::bench::moves_benchmark>());
+    all.push_back(std::make_unique<chivedeal::bench::path_benchmark>());
     all.push_back(std::make_unique<chivedeal::bench::routing_benchmark>());
     all.push_back(std::make_unique<chivedeal::bench::limits_benchmark>());
     return all;
