Send orders under a lease and read them back

The order book only decides; something has to speak to the cloud and to engines, check the lease right before each order and read back. The thread order_sender keeps one book for each tenure, drops wishes that arrive without one, lists instances and loaded versions once a second and publishes the starts that no list shows yet. cloud_api and engine_api are abstract, with HTTP implementations of the protocol in the design and fakes. The book now takes the cloud's answer to a start, so that an instance which fails before it is listed is not ordered for ever; it stops counting after five minutes.

Taking the answer as the final proof was ruled out for loads, which are repeated until the engine itself lists the version.

The platform's list has to name the client token of each instance for a start to be found after all answers to it were lost; otherwise the repeat under the same token finds it.

--- a/fakes/fake_cloud.hpp
+++ b/fakes/fake_cloud.hpp
@@ -1,8 +1,10 @@
 #ifndef FAKES_FAKE_CLOUD_HPP
 #define FAKES_FAKE_CLOUD_HPP
 
+#include "chivedeal/control/cloud_api.hpp"
 #include "chivedeal/control/order_command.hpp"
 #include "chivedeal/control/order_event.hpp"
+#include "chivedeal/core/bounded_ring.hpp"
 
 #include <map>
 #include <string>
@@ -41,6 +43,23 @@
     std::map<instance_id, std::string> m_running;
 };
 
+/// Lets a test see the starts; the list stays empty.
+class fake_cloud_api : public control::cloud_api
+{
+public:
+    result<instance_id> start(const control::order_start& order) override
+    {
+        (void)m_starts.try_push(order);
+        return instance_id("i" + to_string(order.token));
+    }
+
+    status stop(const control::order_stop& /*order*/) override { return ok_status(); }
+
+    result<control::instances_listed> list() override { return control::instances_listed{}; }
+
+    bounded_ring<control::order_start> m_starts{16};
+};
+
 } // namespace chivedeal::fakes
 
 #endif
--- a/include/chivedeal/control/order_book.hpp
+++ b/include/chivedeal/control/order_book.hpp
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -29,6 +30,8 @@
         bool endpoints_check_fencing = true;
         absl::Duration order_flight = absl::Seconds(5);
         absl::Duration repeat_after = absl::Seconds(3);
+        /// A started instance that is not listed by then has failed and no longer counts.
+        absl::Duration boot_limit = absl::Minutes(5);
     };
 
     explicit order_book(options settings) : m_options(std::move(settings)) {}
@@ -38,6 +41,9 @@
     /// Starts that no list has shown yet; placement counts them as starting.
     std::vector<order_start> open_starts() const;
 
+    /// Engines that have orders; what they have loaded is to be read.
+    std::set<endpoint_id> ordered_endpoints() const;
+
     bool gave_up() const { return m_gave_up; }
 
 private:
@@ -47,6 +53,9 @@
     {
         order_start order;
         absl::Time repeat_at = absl::InfinitePast();
+        /// From the cloud's answer; empty before.
+        instance_id instance;
+        absl::Time forget_at = absl::InfiniteFuture();
     };
 
     struct stop_entry
@@ -57,6 +66,8 @@
 
     struct load_entry
     {
+        std::string model;
+        std::string adapter;
         bool loaded = true;
         absl::Time repeat_at = absl::InfinitePast();
     };
--- a/include/chivedeal/control/order_command.hpp
+++ b/include/chivedeal/control/order_command.hpp
@@ -6,6 +6,7 @@
 #include "chivedeal/core/id.hpp"
 
 #include <cstdint>
+#include <string>
 #include <variant>
 
 namespace chivedeal::control {
@@ -34,6 +35,8 @@
 {
     endpoint_id endpoint;
     version_id version;
+    std::string model;
+    std::string adapter;
     bool loaded = true;
     std::uint64_t fence = 0;
 
--- a/include/chivedeal/control/order_event.hpp
+++ b/include/chivedeal/control/order_event.hpp
@@ -35,6 +35,8 @@
 {
     endpoint_id endpoint;
     version_id version;
+    std::string model;
+    std::string adapter;
     bool loaded = true;
     bool drain_confirmed = false;
 
@@ -49,6 +51,15 @@
     friend bool operator==(const start_was_refused&, const start_was_refused&) = default;
 };
 
+/// The cloud named the instance that it started.
+struct start_was_answered
+{
+    client_token token;
+    instance_id instance;
+
+    friend bool operator==(const start_was_answered&, const start_was_answered&) = default;
+};
+
 /// A list of all instances, with the tokens that started them.
 struct instances_listed
 {
@@ -86,8 +97,9 @@
     friend bool operator==(const order_tick&, const order_tick&) = default;
 };
 
-using order_event = std::variant<want_start, want_stop, want_loaded, start_was_refused,
-                                 instances_listed, loaded_read, fence_was_stale, order_tick>;
+using order_event =
+    std::variant<want_start, want_stop, want_loaded, start_was_refused, start_was_answered,
+                 instances_listed, loaded_read, fence_was_stale, order_tick>;
 
 } // namespace chivedeal::control
 
--- /dev/null
+++ b/include/chivedeal/control/order_sender.hpp
@@ -0,0 +1,75 @@
+#ifndef CHIVEDEAL_CONTROL_ORDER_SENDER_HPP
+#define CHIVEDEAL_CONTROL_ORDER_SENDER_HPP
+
+#include "chivedeal/control/held_leases.hpp"
+#include "chivedeal/control/order_book.hpp"
+#include "chivedeal/core/bounded_ring.hpp"
+#include "chivedeal/core/duty.hpp"
+#include "chivedeal/core/shared_cell.hpp"
+
+#include "absl/time/time.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chivedeal {
+class clock;
+}
+
+namespace chivedeal::control {
+
+class cloud_api;
+class engine_api;
+class move_feed;
+
+/// Thread that sends the orders of this node's tenure and reads back what came of them.
+///
+/// A wish that arrives without a tenure is dropped: whoever holds the lease decides anew.
+class order_sender : public duty
+{
+public:
+    struct options
+    {
+        const clock& time;
+        /// For example `placement_scope(region)`.
+        std::string scope;
+        bounded_ring<order_event>& inbox;
+        const shared_cell<held_leases>& held;
+        cloud_api& cloud;
+        engine_api& engines;
+        /// Where endpoints are.
+        const move_feed& feed;
+        /// Starts that no list shows yet.
+        shared_cell<std::vector<order_start>>& open_starts;
+        /// Whether all endpoints of the scope refuse old fencing numbers.
+        bool endpoints_check_fencing = false;
+        absl::Duration order_flight = absl::Seconds(5);
+    };
+
+    explicit order_sender(options wiring);
+
+    std::string name() const override { return "order_sender"; }
+    void run() override;
+    void request_stop() override;
+
+private:
+    void tick();
+    void handle(const order_event& event);
+    void refresh_tenure();
+    void read_back();
+    void execute(const order_command& command);
+    void execute(const order_start& order);
+    void execute(const order_stop& order);
+    void execute(const order_load& order);
+
+    options m_options;
+    std::optional<order_book> m_book;
+    std::uint64_t m_grant = 0;
+    absl::Time m_next_read_back = absl::InfinitePast();
+};
+
+} // namespace chivedeal::control
+
+#endif
--- /dev/null
+++ b/src/control/http_cloud_api.cpp
@@ -0,0 +1,92 @@
+#include "chivedeal/control/http_cloud_api.hpp"
+
+#include "chivedeal/control/order_command.hpp"
+
+#include "absl/strings/str_cat.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace chivedeal::control {
+
+namespace {
+
+using nlohmann::json;
+
+// Below the time after which an order is repeated, so that repeats do not pile up.
+constexpr auto timeout = std::chrono::milliseconds(2000);
+constexpr int conflict = 409;
+
+httplib::Client make_client(const address& platform)
+{
+    httplib::Client client(platform.host, platform.port);
+    client.set_connection_timeout(timeout);
+    client.set_read_timeout(timeout);
+    return client;
+}
+
+error unknown_outcome(const std::string& call, const httplib::Result& answer)
+{
+    return {.code = answer ? result_code::malformed_message : result_code::io_error,
+            .message = absl::StrCat(call, ": ",
+                                    answer ? absl::StrCat("status ", answer->status)
+                                           : httplib::to_string(answer.error()))};
+}
+
+std::string text_field(const json& object, const char* name)
+{
+    const auto found = object.find(name);
+    return found != object.end() && found->is_string() ? found->get<std::string>() : "";
+}
+
+} // namespace
+
+result<instance_id> http_cloud_api::start(const order_start& order)
+{
+    const json body{{"token", to_string(order.token)},   {"zone", order.pool.zone.str()},
+                    {"class", order.pool.machine_class}, {"reclaimable", order.pool.reclaimable},
+                    {"service", order.service.str()},    {"version", order.version.str()}};
+    httplib::Client client = make_client(m_platform);
+    const httplib::Result answer = client.Post("/cloud/start", body.dump(), "application/json");
+    if (answer && answer->status == conflict)
+        return error{.code = result_code::start_refused, .message = "the pool has no room"};
+    if (!answer || answer->status != 200)
+        return unknown_outcome("start", answer);
+    const json parsed = json::parse(answer->body, nullptr, false);
+    const std::string id = parsed.is_object() ? text_field(parsed, "id") : "";
+    if (id.empty())
+        return unknown_outcome("start", answer);
+    return instance_id(id);
+}
+
+status http_cloud_api::stop(const order_stop& order)
+{
+    const json body{{"token", to_string(order.token)}, {"instance", order.instance.str()}};
+    httplib::Client client = make_client(m_platform);
+    const httplib::Result answer = client.Post("/cloud/stop", body.dump(), "application/json");
+    if (!answer || answer->status != 200)
+        return unknown_outcome("stop", answer);
+    return ok_status();
+}
+
+result<instances_listed> http_cloud_api::list()
+{
+    httplib::Client client = make_client(m_platform);
+    const httplib::Result answer = client.Get("/instances");
+    if (!answer || answer->status != 200)
+        return unknown_outcome("list", answer);
+    const json parsed = json::parse(answer->body, nullptr, false);
+    if (!parsed.is_object() || !parsed.contains("instances") || !parsed["instances"].is_array())
+        return unknown_outcome("list", answer);
+    instances_listed out;
+    for (const json& entry : parsed["instances"])
+        if (entry.is_object())
+            out.entries.push_back({.instance = instance_id(text_field(entry, "id")),
+                                   .token = text_field(entry, "token")});
+    return out;
+}
+
+} // namespace chivedeal::control
--- /dev/null
+++ b/src/control/http_engine_api.cpp
@@ -0,0 +1,63 @@
+#include "chivedeal/control/http_engine_api.hpp"
+
+#include "chivedeal/control/order_command.hpp"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+
+namespace chivedeal::control {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr auto timeout = std::chrono::milliseconds(2000);
+constexpr int conflict = 409;
+
+httplib::Client make_client(const address& engine)
+{
+    httplib::Client client(engine.host, engine.port);
+    client.set_connection_timeout(timeout);
+    client.set_read_timeout(timeout);
+    return client;
+}
+
+} // namespace
+
+status http_engine_api::order(const address& engine, const order_load& order)
+{
+    const json body{{"order", order.loaded ? "load" : "unload"},
+                    {"version", order.version.str()},
+                    {"model", order.model},
+                    {"adapter", order.adapter},
+                    {"fence", order.fence}};
+    httplib::Client client = make_client(engine);
+    const httplib::Result answer = client.Post("/v1/orders", body.dump(), "application/json");
+    if (answer && answer->status == conflict)
+        return error{.code = result_code::stale_fence,
+                     .message = "the engine has taken an order of a newer holder"};
+    if (!answer || answer->status != 200)
+        return error{.code = result_code::io_error, .message = "the engine took no order"};
+    return ok_status();
+}
+
+result<std::vector<version_id>> http_engine_api::loaded(const address& engine)
+{
+    httplib::Client client = make_client(engine);
+    const httplib::Result answer = client.Get("/v1/orders");
+    if (!answer || answer->status != 200)
+        return error{.code = result_code::io_error, .message = "the engine does not answer"};
+    const json parsed = json::parse(answer->body, nullptr, false);
+    if (!parsed.is_object() || !parsed.contains("loaded") || !parsed["loaded"].is_array())
+        return error{.code = result_code::malformed_message,
+                     .message = "the list of loaded versions is missing"};
+    std::vector<version_id> out;
+    for (const json& entry : parsed["loaded"])
+        if (entry.is_string())
+            out.emplace_back(entry.get<std::string>());
+    return out;
+}
+
+} // namespace chivedeal::control
--- a/src/control/order_book.cpp
+++ b/src/control/order_book.cpp
@@ -3,6 +3,8 @@
 #include "chivedeal/core/mechanism.hpp"
 
 #include <algorithm>
+#include <set>
+#include <string>
 
 namespace chivedeal::control {
 
@@ -16,6 +18,7 @@
     void operator()(const want_stop& event);
     void operator()(const want_loaded& event);
     void operator()(const start_was_refused& event) { m_book.m_starts.erase(event.token); }
+    void operator()(const start_was_answered& event);
     void operator()(const instances_listed& event);
     void operator()(const loaded_read& event);
     void operator()(const fence_was_stale& event);
@@ -54,6 +57,18 @@
     if (entry.loaded != event.loaded)
         entry.repeat_at = absl::InfinitePast();
     entry.loaded = event.loaded;
+    entry.model = event.model;
+    entry.adapter = event.adapter;
+}
+
+void order_book::handler::operator()(const start_was_answered& event)
+{
+    const auto found = m_book.m_starts.find(event.token);
+    if (found == m_book.m_starts.end())
+        return;
+    found->second.instance = event.instance;
+    found->second.repeat_at = absl::InfiniteFuture();
+    found->second.forget_at = m_now + m_book.m_options.boot_limit;
 }
 
 void order_book::handler::operator()(const instances_listed& event)
@@ -95,6 +110,8 @@
 void order_book::handler::operator()(const order_tick& /*event*/)
 {
     const options& settings = m_book.m_options;
+    std::erase_if(m_book.m_starts,
+                  [&](const auto& entry) { return m_now >= entry.second.forget_at; });
     if (m_book.m_gave_up ||
         (!settings.endpoints_check_fencing && m_now < settings.lease.since + settings.order_flight))
         return;
@@ -108,6 +125,8 @@
         if (is_due(entry.repeat_at))
             m_commands.emplace_back(order_load{.endpoint = key.first,
                                                .version = key.second,
+                                               .model = entry.model,
+                                               .adapter = entry.adapter,
                                                .loaded = entry.loaded,
                                                .fence = settings.lease.fence});
 }
@@ -142,4 +161,12 @@
     return out;
 }
 
+std::set<endpoint_id> order_book::ordered_endpoints() const
+{
+    std::set<endpoint_id> out;
+    for (const auto& [key, entry] : m_loads)
+        out.insert(key.first);
+    return out;
+}
+
 } // namespace chivedeal::control
--- a/test/control_order_book_test.cpp
+++ b/test/control_order_book_test.cpp
@@ -1,8 +1,19 @@
 #include "chivedeal/control/order_book.hpp"
 
+#include "chivedeal/control/cloud_api.hpp"
+#include "chivedeal/control/engine_api.hpp"
+#include "chivedeal/control/http_cloud_api.hpp"
+#include "chivedeal/control/http_engine_api.hpp"
+#include "chivedeal/control/move_feed.hpp"
+#include "chivedeal/control/order_sender.hpp"
+#include "chivedeal/core/posix_thread.hpp"
+#include "chivedeal/core/system_clock.hpp"
+
 #include "fakes/fake_cloud.hpp"
+#include "fakes/fake_engine.hpp"
 
 #include <gtest/gtest.h>
+#include <httplib.h>
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
@@ -76,6 +87,21 @@
     RC_ASSERT(book.open_starts().empty());
 }
 
+// Guards against a start that counts for ever when its instance fails before it is listed.
+TEST(order_book, an_answered_start_is_not_repeated_and_not_kept_for_ever)
+{
+    order_book book(tenure(42));
+    book.handle(want_start{.service = service_id("s")}, epoch);
+    ASSERT_EQ(book.handle(order_tick{}, epoch).size(), 1U);
+    book.handle(
+        start_was_answered{.token = book.open_starts()[0].token, .instance = instance_id("i1")},
+        epoch);
+    EXPECT_TRUE(book.handle(order_tick{}, epoch + absl::Minutes(1)).empty());
+    EXPECT_EQ(book.open_starts().size(), 1U);
+    EXPECT_TRUE(book.handle(order_tick{}, epoch + absl::Minutes(5)).empty());
+    EXPECT_TRUE(book.open_starts().empty());
+}
+
 // Guards against two tenures that use one token, where the second start would have no effect.
 TEST(order_book, tokens_differ_between_tenures)
 {
@@ -133,3 +159,69 @@
     EXPECT_TRUE(book.gave_up());
     EXPECT_TRUE(book.handle(order_tick{}, epoch).empty());
 }
+
+// Guards against a sender that orders without a lease, or that does not read back.
+TEST(order_sender, sends_only_under_a_lease)
+{
+    const system_clock time;
+    bounded_ring<order_event> inbox(64);
+    bounded_ring<attempt_sample> samples(1);
+    move_feed feed(samples);
+    shared_cell<held_leases> held(std::make_shared<const held_leases>());
+    shared_cell<std::vector<order_start>> open(std::make_shared<const std::vector<order_start>>());
+    fakes::fake_cloud_api cloud;
+    fakes::fake_engine_api engines;
+    order_sender sender({.time = time,
+                         .scope = "placement/r1",
+                         .inbox = inbox,
+                         .held = held,
+                         .cloud = cloud,
+                         .engines = engines,
+                         .feed = feed,
+                         .open_starts = open,
+                         .endpoints_check_fencing = true});
+    posix_thread thread("order_sender", [&] { sender.run(); });
+    ASSERT_TRUE(inbox.push(want_start{.service = service_id("dropped")}));
+    EXPECT_FALSE(cloud.m_starts.pop(absl::Milliseconds(300)).has_value());
+    held.store(std::make_shared<const held_leases>(
+        held_leases{.leases = {{.scope = "placement/r1",
+                                .fence = 3,
+                                .grant = 3,
+                                .since = time.now(),
+                                .expires = time.now() + absl::Hours(1)}}}));
+    ASSERT_TRUE(inbox.push(want_start{.service = service_id("wanted")}));
+    const auto start = cloud.m_starts.pop(absl::Seconds(10));
+    sender.request_stop();
+    ASSERT_TRUE(start.has_value());
+    EXPECT_EQ(start->service, service_id("wanted"));
+}
+
+// Guards against answers of the platform and of engines that are taken for another outcome.
+TEST(http_apis, map_answers_to_results)
+{
+    httplib::Server server;
+    server.Post("/cloud/start", [](const httplib::Request& request, httplib::Response& response) {
+        response.status = request.body.find("full") == std::string::npos ? 200 : 409;
+        response.set_content(R"({"id": "i7"})", "application/json");
+    });
+    server.Get("/instances", [](const httplib::Request&, httplib::Response& response) {
+        response.set_content(R"({"instances": [{"id": "i7", "token": "t"}, {"id": "i8"}]})",
+                             "application/json");
+    });
+    server.Post("/v1/orders", [](const httplib::Request&, httplib::Response& response) {
+        response.status = 409;
+    });
+    const address where{.host = "127.0.0.1",
+                        .port = static_cast<std::uint16_t>(server.bind_to_any_port("127.0.0.1"))};
+    posix_thread thread("server", [&] { server.listen_after_bind(); });
+    http_cloud_api cloud(where);
+    http_engine_api engines;
+    EXPECT_EQ(get_value(cloud.start({.service = service_id("s")})), instance_id("i7"));
+    EXPECT_EQ(get_error(cloud.start({.service = service_id("full")})).code,
+              result_code::start_refused);
+    const auto listed = cloud.list();
+    ASSERT_TRUE(is_ok(listed));
+    EXPECT_EQ(get_value(listed).entries.size(), 2U);
+    EXPECT_EQ(get_error(engines.order(where, {})).code, result_code::stale_fence);
+    server.stop();
+}
