Replace on-demand instances by reclaimable ones, and measure placement

The new benchmark group placement showed that on-demand instances which had filled in during refusals stayed, since the policy counted them as lasting capacity. They no longer count while two zones have reclaimable offers, and may go as soon as no start would follow.

A better rebalancing after a wave is still open.

--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -1,6 +1,7 @@
 #include "bench/benchmark.hpp"
 #include "bench/core_benchmark.hpp"
 #include "bench/moves_benchmark.hpp"
+#include "bench/placement_benchmark.hpp"
 #include "bench/report.hpp"
 
 #include <cstdio>
@@ -15,6 +16,7 @@
     std::vector<std::unique_ptr<chivedeal::bench::benchmark>> all;
     all.push_back(std::make_unique<chivedeal::bench::core_benchmark>());
     all.push_back(std::make_unique<chivedeal::bench::moves_benchmark>());
+    all.push_back(std::make_unique<chivedeal::bench::placement_benchmark>());
     return all;
 }
 
--- a/src/control/placement_policy.cpp
+++ b/src/control/placement_policy.cpp
@@ -109,8 +109,6 @@
                                                           absl::Time now) const
 {
     const double wanted = demand.requests * m_options.start_headroom;
-    if (covers(have.after_worst_loss(), wanted))
-        return {};
     // Cheapest offer of each zone, cheapest zone first.
     std::vector<pool_offer> zones;
     for (const pool_offer& offer : usable_offers(look, demand, true, now))
@@ -118,13 +116,19 @@
                 return other.pool.zone == offer.pool.zone;
             }))
             zones.push_back(offer);
+    // What runs on demand does not count where reclaimable instances can replace it.
+    capacity lasting = have;
+    if (zones.size() >= 2)
+        lasting.on_demand = 0;
+    if (covers(lasting.after_worst_loss(), wanted))
+        return {};
 
     std::vector<pool_offer> best;
     double lowest = std::numeric_limits<double>::infinity();
     for (std::size_t k = 2; k <= zones.size(); ++k) {
-        const double each = (wanted - have.on_demand) / static_cast<double>(k - 1);
+        const double each = (wanted - lasting.on_demand) / static_cast<double>(k - 1);
         std::vector<pool_offer> added;
-        capacity total = have;
+        capacity total = lasting;
         double cost = 0;
         for (std::size_t i = 0; i < k; ++i) {
             double& amount = total.reclaimable[zones[i].pool.zone];
@@ -171,7 +175,6 @@
                                                            const version_demand& demand,
                                                            const capacity& have, absl::Time now)
 {
-    const double kept = demand.requests * m_options.stop_headroom;
     const placed_instance* dearest = nullptr;
     double highest = 0;
     for (const placed_instance& instance : look.instances) {
@@ -181,6 +184,10 @@
         capacity without = have;
         (instance.pool.reclaimable ? without.reclaimable[instance.pool.zone] : without.on_demand) -=
             offer->capacity;
+        // An on-demand instance may go as soon as no start would follow.
+        const double kept =
+            demand.requests *
+            (instance.pool.reclaimable ? m_options.stop_headroom : m_options.start_headroom);
         if (!covers(without.after_worst_loss(), kept) || unit_cost(*offer, demand) <= highest)
             continue;
         dearest = &instance;
@@ -194,9 +201,9 @@
     const absl::Time since = m_surplus_since.try_emplace(key, now).first->second;
     if (now - since < m_options.stop_delay)
         return std::nullopt;
-    return drain_instance{
-        .instance = dearest->id,
-        .reason = absl::StrFormat("kept=%.3g have=%.3g", kept, have.after_worst_loss())};
+    return drain_instance{.instance = dearest->id,
+                          .reason = absl::StrFormat("demand=%.3g have=%.3g", demand.requests,
+                                                    have.after_worst_loss())};
 }
 
 std::vector<pool_offer> placement_policy::usable_offers(const placement_look& look,
--- a/test/control_placement_policy_test.cpp
+++ b/test/control_placement_policy_test.cpp
@@ -113,6 +113,26 @@
     EXPECT_TRUE(std::get<start_instance>(commands.front()).pool.reclaimable);
 }
 
+// Guards against on-demand instances that stay once reclaimable ones are to be had again.
+TEST(placement_policy, on_demand_is_replaced_by_reclaimable)
+{
+    placement_policy policy({});
+    placement_look look = three_zones(50);
+    for (const auto& refused : look.offers)
+        if (refused.pool.reclaimable)
+            policy.on_start_refused(refused.pool, epoch);
+    apply_commands(look, policy.handle(look, epoch));
+    ASSERT_GT(count(look, false), 0);
+    for (int minute = 1; minute < 30; ++minute) {
+        apply_commands(look, policy.handle(look, epoch + absl::Minutes(minute)));
+        for (auto& instance : look.instances)
+            if (instance.phase == instance_phase::draining)
+                instance.phase = instance_phase::drained;
+    }
+    EXPECT_EQ(count(look, false), 0);
+    EXPECT_GE(left_after_loss(look), 50);
+}
+
 // Guards against starts and stops in turn when the demand swings by a tenth.
 TEST(placement_policy, small_swings_change_nothing)
 {
