--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -3,6 +3,7 @@
 #include "bench/limits_benchmark.hpp"
 #include "bench/moves_benchmark.hpp"
 #include "bench/path_benchmark.hpp"
+#include "bench/placement_benchmark.hpp"
 #include "bench/report.hpp"
 #include "bench/routing_benchmark.hpp"
 
@@ -21,6 +22,7 @@
     all.push_back(std::make_unique<chivedeal::bench::path_benchmark>());
     all.push_back(std::make_unique<chivedeal::bench::routing_benchmark>());
     all.push_back(std::make_unique<chivedeal::bench::limits_benchmark>());
+    all.push_back(std::make_unique<chivedeal::bench::placement_benchmark>());
     return all;
 }
 
