--- a/include/chivedeal/membership/gossip_event.hpp
+++ b/include/chivedeal/membership/gossip_event.hpp
@@ -7,10 +7,10 @@
 #include "chivedeal/membership/fact.hpp"
 #include "chivedeal/membership/gossip_message.hpp"
 #include "chivedeal/membership/outcome_count.hpp"
-#include "chivedeal/membership/reclaim_notice.hpp"
 
 #include <cstdint>
 #include <map>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -47,6 +47,8 @@
 struct local_fact
 {
     fact value;
+    /// For the log, such as `notice`.
+    std::string source = "local";
 };
 
 struct local_demand
@@ -79,15 +81,14 @@
     std::vector<endpoint> endpoints;
 };
 
-struct notices_received
-{
-    std::vector<reclaim_notice> notices;
-};
+/// Wakes the gossip thread, which then looks at the local values; decides nothing.
+struct local_change
+{};
 
 using gossip_event =
     std::variant<gossip_tick, exchange_received, exchange_answered, exchange_failed, probe_finished,
                  local_fact, local_demand, local_outcomes, local_leaving, local_ready, local_offset,
-                 instances_listed, notices_received>;
+                 instances_listed, local_change>;
 
 } // namespace chivedeal::membership
 
--- a/include/chivedeal/membership/gossip_state.hpp
+++ b/include/chivedeal/membership/gossip_state.hpp
@@ -99,7 +99,7 @@
     void on(const local_ready& event);
     void on(const local_offset& event);
     void on(const instances_listed& event);
-    void on(const notices_received& event);
+    void on(const local_change& /*event*/) {}
 
     void merge(const gossip_message& message);
     void merge_sender(const node_record& sender);
--- /dev/null
+++ b/include/chivedeal/membership/http_instance_source.hpp
@@ -0,0 +1,49 @@
+#ifndef CHIVEDEAL_MEMBERSHIP_HTTP_INSTANCE_SOURCE_HPP
+#define CHIVEDEAL_MEMBERSHIP_HTTP_INSTANCE_SOURCE_HPP
+
+#include "chivedeal/core/address.hpp"
+#include "chivedeal/membership/instance_source.hpp"
+
+#include "absl/time/time.h"
+
+#include <string>
+
+namespace chivedeal {
+class clock;
+}
+
+namespace chivedeal::membership {
+
+/// Parses `{"instances": [...]}`. Entries with a fault are left out, so that one bad entry does not
+/// hide the others; `malformed_message` when there is no list.
+result<std::vector<endpoint>> parse_instances(const std::string& body);
+
+/// Parses `{"notices": [{seq, instance, deadline_ms}]}`; deadlines are calendar times in
+/// milliseconds, `wall_now` turns them into time left.
+result<std::vector<reclaim_notice>> parse_notices(const std::string& body, absl::Time wall_now);
+
+/// Reads `GET /instances` and `GET /notices?after=` of the platform.
+class http_instance_source : public instance_source
+{
+public:
+    struct options
+    {
+        address platform;
+        const clock& time;
+        absl::Duration timeout = absl::Seconds(2);
+    };
+
+    explicit http_instance_source(options wiring);
+
+    result<std::vector<endpoint>> instances() override;
+    result<std::vector<reclaim_notice>> notices(std::uint64_t after) override;
+
+private:
+    result<std::string> get(const std::string& path) const;
+
+    options m_options;
+};
+
+} // namespace chivedeal::membership
+
+#endif
--- a/src/membership/gossip_state.cpp
+++ b/src/membership/gossip_state.cpp
@@ -169,7 +169,7 @@
         suspect(found->second);
 }
 
-void gossip_state::on(const local_fact& event) { add_fact(event.value, "local"); }
+void gossip_state::on(const local_fact& event) { add_fact(event.value, event.source); }
 
 void gossip_state::on(const local_demand& event)
 {
@@ -251,13 +251,6 @@
     m_publish_now = true;
 }
 
-void gossip_state::on(const notices_received& event)
-{
-    for (const reclaim_notice& notice : event.notices)
-        add_fact(endpoint_leaving{.endpoint = notice.endpoint, .remaining = notice.remaining},
-                 "notice");
-}
-
 void gossip_state::merge(const gossip_message& message)
 {
     merge_sender(message.sender);
--- a/src/membership/peer_loop.cpp
+++ b/src/membership/peer_loop.cpp
@@ -70,6 +70,12 @@
         m_connections.pop_back();
 }
 
+void peer_loop::close()
+{
+    m_closed = true;
+    m_calls.cancel("the RPC thread stops");
+}
+
 void peer_loop::start_exchange(const send_exchange& command)
 {
     const address peer = command.peer;
@@ -132,17 +138,17 @@
     if (!m_inbox.try_push(exchange_received{std::move(message), reply}))
         return make_fault(kj::Exception::Type::OVERLOADED, "the gossip inbox is full");
     auto waiting = kj::newPromiseAndFulfiller<std::string>();
-    m_replies[reply] = kj::mv(waiting.fulfiller);
+    (*m_replies)[reply] = kj::mv(waiting.fulfiller);
     // The caller may hang up or gossip may be stopped; either way the entry goes.
     return m_io.provider->getTimer()
         .timeoutAfter(m_timeout, kj::mv(waiting.promise))
-        .attach(kj::defer([this, reply] { m_replies.erase(reply); }));
+        .attach(kj::defer([replies = m_replies, reply] { replies->erase(reply); }));
 }
 
 void peer_loop::answer(std::uint64_t reply, std::string bytes)
 {
-    const auto found = m_replies.find(reply);
-    if (found != m_replies.end())
+    const auto found = m_replies->find(reply);
+    if (found != m_replies->end())
         found->second->fulfill(std::move(bytes));
 }
 
--- a/src/membership/peer_loop.hpp
+++ b/src/membership/peer_loop.hpp
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <list>
 #include <map>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -37,14 +38,19 @@
                 auto answer = method(open->peer);
                 return answer.attach(kj::mv(open));
             });
-        return m_io.provider->getTimer()
-            .timeoutAfter(m_timeout, kj::mv(work))
+        if (m_closed)
+            return kj::Exception(kj::Exception::Type::DISCONNECTED, __FILE__, __LINE__,
+                                 kj::str("the RPC thread stops"));
+        return m_calls.wrap(m_io.provider->getTimer().timeoutAfter(m_timeout, kj::mv(work)))
             .catch_([this, peer](kj::Exception&& fault) -> kj::Promise<T> {
                 m_connections.remove_if([&](const auto& item) { return item.first == peer; });
                 return kj::mv(fault);
             });
     }
 
+    /// Fails all calls, so that none of them outlives the event loop that it uses.
+    void close();
+
     void start_exchange(const send_exchange& command);
     void start_probe(const send_probe& command);
     kj::Promise<bool> probe(const address& peer, const address& target);
@@ -54,6 +60,8 @@
     void answer(std::uint64_t reply, std::string bytes);
 
 private:
+    using reply_map = std::map<std::uint64_t, kj::Own<kj::PromiseFulfiller<std::string>>>;
+
     struct connection : public kj::Refcounted
     {
         explicit connection(kj::Own<kj::AsyncIoStream>&& opened)
@@ -76,9 +84,13 @@
     std::size_t m_max_connections;
     // Most recently used first.
     std::list<std::pair<address, kj::Own<connection>>> m_connections;
-    std::map<std::uint64_t, kj::Own<kj::PromiseFulfiller<std::string>>> m_replies;
+    // Shared with the calls that wait: Cap'n Proto keeps calls of closed connections until the
+    // event loop ends, which is after this object.
+    std::shared_ptr<reply_map> m_replies = std::make_shared<reply_map>();
     std::uint64_t m_next_reply = 1;
     std::size_t m_open_calls = 0;
+    bool m_closed = false;
+    kj::Canceler m_calls;
     kj::TaskSet m_tasks;
 };
 
--- a/src/membership/peer_server.cpp
+++ b/src/membership/peer_server.cpp
@@ -125,8 +125,16 @@
         capnp::TwoPartyServer server(kj::heap<peer_service>(loop, m_options.handler));
         if (!link.attach(loop, *stop.fulfiller))
             return;
-        const auto detach = kj::defer([&] { link.detach(); });
-        server.listen(*listener).exclusiveJoin(kj::mv(stop.promise)).wait(io.waitScope);
+        const auto fault = kj::runCatchingExceptions([&] {
+            server.listen(*listener).exclusiveJoin(kj::mv(stop.promise)).wait(io.waitScope);
+        });
+        link.detach();
+        loop.close();
+        // Threads that wait for a call see its end before the loop goes.
+        while (link.is_in_use())
+            io.provider->getTimer().afterDelay(1 * kj::MILLISECONDS).wait(io.waitScope);
+        KJ_IF_MAYBE (reason, fault)
+            throw std::runtime_error(reason->getDescription().cStr());
     }
     catch (const kj::Exception& fault) {
         throw std::runtime_error(fault.getDescription().cStr());
--- a/test/membership_gossip_state_test.cpp
+++ b/test/membership_gossip_state_test.cpp
@@ -144,7 +144,8 @@
     gossip_state state({.self = {.id = node_id("self")}});
     state.handle(instances_listed{{{.id = endpoint_id("i1")}}}, now);
     state.handle(
-        notices_received{{{.endpoint = endpoint_id("i1"), .remaining = absl::Seconds(30)}}}, now);
+        local_fact{endpoint_leaving{.endpoint = endpoint_id("i1"), .remaining = absl::Seconds(30)}},
+        now);
     EXPECT_EQ(state.view()->endpoints[0].reclaim_at, now + absl::Seconds(30));
     const auto commands =
         state.handle(exchange_received{.message = {.sender = {.id = node_id("peer")}}, .reply = 3},
