--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -1,6 +1,7 @@
 #include "bench/benchmark.hpp"
 #include "bench/core_benchmark.hpp"
 #include "bench/limits_benchmark.hpp"
+#include "bench/membership_benchmark.hpp"
 #include "bench/moves_benchmark.hpp"
 #include "bench/path_benchmark.hpp"
 #include "bench/placement_benchmark.hpp"
@@ -23,6 +24,7 @@
     all.push_back(std::make_unique<chivedeal::bench::routing_benchmark>());
     all.push_back(std::make_unique<chivedeal::bench::limits_benchmark>());
     all.push_back(std::make_unique<chivedeal::bench::placement_benchmark>());
+    all.push_back(std::make_unique<chivedeal::bench::membership_benchmark>());
     return all;
 }
 
