Read, append and apply the log in threads of their own

Cause: a node has to follow the log through outages, lost answers and limited retention, and tell the rest of the node what is in force.

Change: http_log_service speaks the platform protocol. log_reader feeds batches to state_keeper, which applies them through state_replica (the decisions) and shows the result in published_state, from which peers are answered and a restarted keeper goes on.

Ruled out: telling listeners again what a restarted keeper reads again, since a claim that shows up twice might run twice.

--- /dev/null
+++ b/include/chivedeal/state/change_tracker.hpp
@@ -0,0 +1,50 @@
+#ifndef CHIVEDEAL_STATE_CHANGE_TRACKER_HPP
+#define CHIVEDEAL_STATE_CHANGE_TRACKER_HPP
+
+#include "chivedeal/core/condition.hpp"
+#include "chivedeal/core/error.hpp"
+#include "chivedeal/core/id.hpp"
+#include "chivedeal/core/mutex.hpp"
+#include "chivedeal/state/append_listener.hpp"
+#include "chivedeal/state/state_listener.hpp"
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+
+namespace chivedeal::state {
+
+/// Lets an operator's handler thread wait for the effect of its change, and answers later queries
+/// for the newest changes of the control stream that this node applied.
+class change_tracker : public state_listener, public append_listener
+{
+public:
+    explicit change_tracker(std::size_t capacity = 16'384) : m_capacity(capacity) {}
+
+    /// Waits until the change's record was read back. Returns its effect: `ok`, `conflict`, or
+    /// another code when it was refused; `outcome_unknown` after the timeout.
+    error wait(const change_id& change, absl::Duration timeout);
+
+    /// Returns the effect, or nothing when the change was not applied here or was long ago.
+    std::optional<error> find(const change_id& change) const;
+
+    void on_applied(const applied_record& applied) override;
+    void on_state(std::shared_ptr<const cluster_state> state) override;
+    void on_appended(const change_id& change) override;
+
+private:
+    void remember(const change_id& change, const error& effect);
+
+    std::size_t m_capacity;
+    mutable mutex m_mutex;
+    condition m_changed;
+    absl::flat_hash_map<change_id, error> m_effects;
+    std::deque<change_id> m_order;
+};
+
+} // namespace chivedeal::state
+
+#endif
--- /dev/null
+++ b/include/chivedeal/state/http_log_service.hpp
@@ -0,0 +1,54 @@
+#ifndef CHIVEDEAL_STATE_HTTP_LOG_SERVICE_HPP
+#define CHIVEDEAL_STATE_HTTP_LOG_SERVICE_HPP
+
+#include "chivedeal/core/address.hpp"
+#include "chivedeal/core/mutex.hpp"
+#include "chivedeal/state/log_service.hpp"
+
+#include <functional>
+#include <set>
+
+namespace httplib {
+class Client;
+class Result;
+} // namespace httplib
+
+namespace chivedeal::state {
+
+/// The platform's log over HTTP. Safe to call from several threads.
+class http_log_service : public log_service
+{
+public:
+    struct options
+    {
+        address platform;
+        /// Limit of a call, beyond the time that a read asks the log to wait.
+        absl::Duration timeout = absl::Seconds(3);
+    };
+
+    explicit http_log_service(options wiring);
+
+    /// `log_unavailable` on any failure of the call, `stopping` after `stop`.
+    result<std::uint64_t> append(const std::string& stream,
+                                 const std::vector<std::string>& records) override;
+
+    result<log_batch> read(const std::string& stream, std::uint64_t from, int max,
+                           absl::Duration wait) override;
+
+    /// Ends the calls in progress and refuses later ones, so that a node need not wait for its
+    /// long polls when it stops.
+    void stop();
+
+private:
+    result<std::string> call(absl::Duration limit,
+                             const std::function<httplib::Result(httplib::Client&)>& request);
+
+    options m_options;
+    mutex m_mutex;
+    std::set<httplib::Client*> m_active;
+    bool m_stopped = false;
+};
+
+} // namespace chivedeal::state
+
+#endif
--- /dev/null
+++ b/src/state/change_tracker.cpp
@@ -0,0 +1,76 @@
+#include "chivedeal/state/change_tracker.hpp"
+
+#include "chivedeal/core/mechanism.hpp"
+#include "chivedeal/state/applied_record.hpp"
+#include "chivedeal/state/stream_name.hpp"
+
+#include <ctime>
+#include <mutex>
+
+namespace chivedeal::state {
+
+namespace {
+
+absl::Duration monotonic_now()
+{
+    timespec now{};
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    return absl::DurationFromTimespec(now);
+}
+
+} // namespace
+
+error change_tracker::wait(const change_id& change, absl::Duration timeout)
+{
+    const absl::Duration until = monotonic_now() + timeout;
+    const std::lock_guard<mutex> lock(m_mutex);
+    while (true) {
+        if (const auto found = m_effects.find(change); found != m_effects.end())
+            return found->second;
+        const absl::Duration left = until - monotonic_now();
+        if (left <= absl::ZeroDuration())
+            return {.code = result_code::outcome_unknown,
+                    .message = "change " + change.str() +
+                               " was not read back in time; ask for it by its ID"};
+        m_changed.wait_for(m_mutex, left);
+    }
+}
+
+std::optional<error> change_tracker::find(const change_id& change) const
+{
+    const std::lock_guard<mutex> lock(m_mutex);
+    const auto found = m_effects.find(change);
+    if (found == m_effects.end())
+        return std::nullopt;
+    return found->second;
+}
+
+void change_tracker::on_applied(const applied_record& applied)
+{
+    if (applied.stream == control_stream)
+        remember(applied.entry.change, applied.effect);
+}
+
+void change_tracker::on_state(std::shared_ptr<const cluster_state> /*state*/) {}
+
+void change_tracker::on_appended(const change_id& change)
+{
+    // The log's answer says nothing about preconditions; only a proof run takes it for the effect.
+    if (!is_enabled(mechanism::read_back))
+        remember(change, {});
+}
+
+void change_tracker::remember(const change_id& change, const error& effect)
+{
+    const std::lock_guard<mutex> lock(m_mutex);
+    if (!m_effects.try_emplace(change, effect).second)
+        return;
+    m_order.push_back(change);
+    if (m_order.size() > m_capacity) {
+        m_effects.erase(m_order.front());
+        m_order.pop_front();
+    }
+    m_changed.notify_all();
+}
+
+} // namespace chivedeal::state
--- /dev/null
+++ b/src/state/state_replica.cpp
@@ -0,0 +1,191 @@
+#include "chivedeal/state/state_replica.hpp"
+
+#include "chivedeal/core/mechanism.hpp"
+#include "chivedeal/state/record_codec.hpp"
+#include "chivedeal/state/snapshot_codec.hpp"
+#include "chivedeal/state/stream_name.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace chivedeal::state {
+
+state_replica::state_replica(state_machine_options options, std::size_t max_waiting)
+    : m_machine(std::move(options)), m_max_waiting(max_waiting)
+{}
+
+replica_update state_replica::take_batch(const log_batch& batch)
+{
+    replica_update update;
+    if (batch.stream == claims_stream)
+        take_claims(batch, update);
+    else
+        take_control(batch, update);
+    return update;
+}
+
+replica_update state_replica::take_peer_records(const std::vector<log_entry>& entries)
+{
+    replica_update update;
+    for (const log_entry& entry : entries) {
+        if (entry.offset > m_machine.applied_offset(control_stream) + 1)
+            break;
+        apply_entry(control_stream, entry, update);
+    }
+    return update;
+}
+
+result<replica_update> state_replica::take_snapshot(const std::string& data)
+{
+    replica_update update;
+    if (!adopt(data, update))
+        return error{.code = result_code::snapshot_invalid,
+                     .message = "the snapshot is damaged or not above the applied offset"};
+    apply_waiting_control(update);
+    become_ready(update);
+    return update;
+}
+
+void state_replica::take_control(const log_batch& batch, replica_update& update)
+{
+    const std::uint64_t applied = m_machine.applied_offset(control_stream);
+    if (batch.first > applied + 1) {
+        m_needs_snapshot = true;
+        keep_waiting(m_waiting_control, batch);
+        for (const log_entry& entry : batch.entries)
+            if (const auto decoded = decode_record(entry.data); is_ok(decoded))
+                note_chunk(get_value(decoded), update);
+        if (m_needs_snapshot)
+            return;
+        apply_waiting_control(update);
+        if (m_machine.applied_offset(control_stream) + 1 >= batch.next)
+            become_ready(update);
+        return;
+    }
+    m_needs_snapshot = false;
+    // The keeper was restarted and the ring still had batches from further on.
+    if (!batch.entries.empty() && batch.entries.front().offset > applied + 1) {
+        update.read_control_from = applied + 1;
+        return;
+    }
+    for (const log_entry& entry : batch.entries)
+        apply_entry(control_stream, entry, update);
+    if (m_machine.applied_offset(control_stream) + 1 >= batch.next)
+        become_ready(update);
+}
+
+void state_replica::take_claims(const log_batch& batch, replica_update& update)
+{
+    // A snapshot that is still to come brings the claims before these.
+    if (!m_ready) {
+        keep_waiting(m_waiting_claims, batch);
+        return;
+    }
+    const std::uint64_t applied = m_machine.applied_offset(claims_stream);
+    const bool gap = !batch.entries.empty() && batch.entries.front().offset > applied + 1;
+    if (gap && batch.first <= applied + 1) {
+        update.read_claims_from = applied + 1;
+        return;
+    }
+    // Claims that the log no longer keeps are older than the keys' memory.
+    for (const log_entry& entry : batch.entries)
+        apply_entry(claims_stream, entry, update);
+}
+
+void state_replica::apply_entry(const std::string& stream, const log_entry& entry,
+                                replica_update& update)
+{
+    if (entry.offset <= m_machine.applied_offset(stream))
+        return;
+    if (stream == control_stream)
+        update.passed.push_back(entry);
+    auto decoded = decode_record(entry.data);
+    if (!is_ok(decoded)) {
+        m_machine.skip(stream, entry.offset);
+        update.ignored.push_back(entry.offset);
+        return;
+    }
+    record value = take_value(std::move(decoded));
+    auto effect = m_machine.apply(stream, value, entry.offset);
+    if (std::holds_alternative<snapshot_chunk>(value.body)) {
+        note_chunk(value, update);
+        return;
+    }
+    if (stream == control_stream)
+        m_progress.record_bytes += entry.data.size();
+    if (effect)
+        update.applied.push_back({.stream = stream,
+                                  .offset = entry.offset,
+                                  .entry = std::move(value),
+                                  .effect = std::move(*effect)});
+}
+
+void state_replica::note_chunk(const record& entry, replica_update& update)
+{
+    const auto* chunk = std::get_if<snapshot_chunk>(&entry.body);
+    if (chunk == nullptr || !is_enabled(mechanism::snapshots))
+        return;
+    const auto data = m_assembler.add(entry.change, *chunk);
+    if (!data)
+        return;
+    m_progress = {.snapshots_seen = m_progress.snapshots_seen + 1,
+                  .snapshot_bytes = data->size(),
+                  .record_bytes = 0};
+    if (m_needs_snapshot && chunk->covered_offset > m_machine.applied_offset(control_stream))
+        (void)adopt(*data, update);
+}
+
+bool state_replica::adopt(const std::string& data, replica_update& update)
+{
+    if (!is_enabled(mechanism::snapshots))
+        return false;
+    const auto decoded = decode_snapshot(data);
+    if (!is_ok(decoded) || !m_machine.adopt(get_value(decoded)))
+        return false;
+    m_needs_snapshot = false;
+    update.adopted_offset = m_machine.applied_offset(control_stream);
+    return true;
+}
+
+void state_replica::apply_waiting_control(replica_update& update)
+{
+    const waiting_records waiting = std::exchange(m_waiting_control, {});
+    const std::uint64_t next = m_machine.applied_offset(control_stream) + 1;
+    if (waiting.incomplete || (!waiting.entries.empty() && waiting.entries.front().offset > next)) {
+        update.read_control_from = next;
+        return;
+    }
+    for (const log_entry& entry : waiting.entries)
+        apply_entry(control_stream, entry, update);
+}
+
+void state_replica::become_ready(replica_update& update)
+{
+    m_ready = true;
+    const waiting_records waiting = std::exchange(m_waiting_claims, {});
+    if (waiting.incomplete) {
+        update.read_claims_from = m_machine.applied_offset(claims_stream) + 1;
+        return;
+    }
+    for (const log_entry& entry : waiting.entries)
+        apply_entry(claims_stream, entry, update);
+}
+
+void state_replica::keep_waiting(waiting_records& waiting, const log_batch& batch)
+{
+    if (batch.entries.empty() || waiting.incomplete)
+        return;
+    const std::uint64_t next =
+        waiting.entries.empty() ? std::max(m_machine.applied_offset(batch.stream) + 1, batch.first)
+                                : waiting.entries.back().offset + 1;
+    if (batch.entries.front().offset > next ||
+        waiting.entries.size() + batch.entries.size() > m_max_waiting) {
+        waiting = {.entries = {}, .incomplete = true};
+        return;
+    }
+    for (const log_entry& entry : batch.entries)
+        if (waiting.entries.empty() || entry.offset > waiting.entries.back().offset)
+            waiting.entries.push_back(entry);
+}
+
+} // namespace chivedeal::state
--- /dev/null
+++ b/test/state_replica_test.cpp
@@ -0,0 +1,131 @@
+#include "chivedeal/state/state_replica.hpp"
+
+#include "chivedeal/state/record_codec.hpp"
+#include "chivedeal/state/snapshot_chunks.hpp"
+#include "chivedeal/state/snapshot_codec.hpp"
+#include "test/state_random_log.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace chivedeal;        // NOLINT(google-build-using-namespace)
+using namespace chivedeal::state; // NOLINT(google-build-using-namespace)
+
+namespace {
+
+// Contiguous log entries as the platform keeps them.
+std::vector<log_entry> control_log(std::uint64_t seed, int count)
+{
+    std::vector<log_entry> entries;
+    for (const log_item& item : random_log(seed).make(count))
+        if (item.stream == control_stream)
+            entries.push_back({entries.size() + 1, encode_record(item.entry)});
+    return entries;
+}
+
+log_batch batch_of(const std::vector<log_entry>& log, std::size_t begin, std::size_t end,
+                   std::uint64_t first = 1)
+{
+    return {.stream = control_stream,
+            .first = first,
+            .next = log.size() + 1,
+            .entries = {log.begin() + static_cast<std::ptrdiff_t>(begin),
+                        log.begin() + static_cast<std::ptrdiff_t>(end)}};
+}
+
+std::string snapshot_of(state_replica& replica)
+{
+    return encode_snapshot(replica.machine().export_snapshot());
+}
+
+} // namespace
+
+// Guards against a new node that is stuck or differs when the log no longer keeps its first
+// records: it waits for a snapshot in the log and applies the tail after it.
+RC_GTEST_PROP(state_replica, starts_from_a_snapshot_in_the_log, (std::uint64_t seed))
+{
+    auto log = control_log(seed, 60);
+    RC_PRE(log.size() > 10U);
+    const auto covered = *rc::gen::inRange<std::size_t>(3, log.size());
+    state_replica old(small_windows());
+    (void)old.take_batch(batch_of(log, 0, covered));
+    for (const record& chunk : make_snapshot_chunks(snapshot_of(old), covered, 300))
+        log.push_back({log.size() + 1, encode_record(chunk)});
+    (void)old.take_batch(batch_of(log, covered, log.size()));
+    const auto first = *rc::gen::inRange<std::size_t>(1, covered + 1);
+    state_replica fresh(small_windows());
+    for (std::size_t at = first; at < log.size(); at += 7) {
+        RC_ASSERT(!fresh.ready());
+        (void)fresh.take_batch(batch_of(log, at, std::min(at + 7, log.size()), first + 1));
+    }
+    RC_ASSERT(fresh.ready());
+    RC_ASSERT(snapshot_of(fresh) == snapshot_of(old));
+}
+
+// Guards against records that are lost when too many wait, or that are applied over a gap.
+TEST(state_replica, reads_again_after_too_many_waiting_records)
+{
+    auto log = control_log(3, 60);
+    const std::uint64_t covered = 8;
+    state_replica old(small_windows());
+    (void)old.take_batch(batch_of(log, 0, covered));
+    for (const record& chunk : make_snapshot_chunks(snapshot_of(old), covered))
+        log.push_back({log.size() + 1, encode_record(chunk)});
+    (void)old.take_batch(batch_of(log, covered, log.size()));
+    state_replica fresh(small_windows(), 4);
+    const replica_update update = fresh.take_batch(batch_of(log, 5, log.size(), 6));
+    EXPECT_EQ(update.read_control_from, covered + 1);
+    EXPECT_FALSE(fresh.ready());
+    (void)fresh.take_batch(batch_of(log, covered, log.size(), 6));
+    EXPECT_TRUE(fresh.ready());
+    EXPECT_EQ(snapshot_of(fresh), snapshot_of(old));
+}
+
+// Guards against a gap that is passed over after the keeper was restarted.
+TEST(state_replica, asks_for_records_before_a_gap)
+{
+    const auto log = control_log(3, 40);
+    state_replica replica(small_windows());
+    (void)replica.take_batch(batch_of(log, 0, 3));
+    const replica_update update = replica.take_batch(batch_of(log, 5, 8));
+    EXPECT_EQ(update.read_control_from, 4U);
+    EXPECT_EQ(replica.machine().applied_offset(control_stream), 3U);
+    (void)replica.take_peer_records({log[4]});
+    EXPECT_EQ(replica.machine().applied_offset(control_stream), 3U);
+    (void)replica.take_peer_records({log[2], log[3], log[4]});
+    EXPECT_EQ(replica.machine().applied_offset(control_stream), 5U);
+}
+
+// Guards against an unreadable record that stops the replay or shifts the offsets.
+TEST(state_replica, passes_over_unreadable_records)
+{
+    state_replica replica(small_windows());
+    const replica_update update = replica.take_batch(
+        {.stream = control_stream, .first = 1, .next = 3, .entries = {{1, "{"}, {2, "\xff"}}});
+    EXPECT_EQ(update.ignored, (std::vector<std::uint64_t>{1, 2}));
+    EXPECT_TRUE(replica.ready());
+    EXPECT_EQ(replica.machine().applied_offset(control_stream), 2U);
+}
+
+// Guards against claims that are applied before the snapshot that holds the earlier ones.
+TEST(state_replica, claims_wait_for_the_snapshot)
+{
+    state_replica old(small_windows());
+    (void)old.take_batch({.stream = control_stream, .first = 1, .next = 2, .entries = {{1, "{"}}});
+    const auto claim_entry_of = [](const char* id, const char* node) {
+        return encode_record({change_id(id), claim{"k", node_id(node), 1}});
+    };
+    (void)old.take_batch({.stream = claims_stream,
+                          .first = 1,
+                          .next = 2,
+                          .entries = {{1, claim_entry_of("a", "n1")}}});
+    state_replica fresh(small_windows());
+    (void)fresh.take_batch({.stream = claims_stream,
+                            .first = 2,
+                            .next = 3,
+                            .entries = {{2, claim_entry_of("b", "n2")}}});
+    const auto update = fresh.take_snapshot(snapshot_of(old));
+    ASSERT_TRUE(is_ok(update));
+    ASSERT_EQ(get_value(update).applied.size(), 1U);
+    EXPECT_EQ(get_value(update).applied[0].effect.code, result_code::claim_lost);
+}
