--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -1,6 +1,7 @@
 #include "bench/benchmark.hpp"
 #include "bench/core_benchmark.hpp"
 #include "bench/report.hpp"
+#include "bench/state_benchmark.hpp"
 
 #include <cstdio>
 #include <memory>
@@ -13,6 +14,7 @@
 {
     std::vector<std::unique_ptr<chivedeal::bench::benchmark>> all;
     all.push_back(std::make_unique<chivedeal::bench::core_benchmark>());
+    all.push_back(std::make_unique<chivedeal::bench::state_benchmark>());
     return all;
 }
 
--- a/src/state/declaration_parser.cpp
+++ b/src/state/declaration_parser.cpp
@@ -3,11 +3,12 @@
 #include "chivedeal/state/declaration_path.hpp"
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/string_view.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cstdint>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -123,7 +124,7 @@
     {
         if (m_error.code == result_code::ok)
             for (const auto& [name, field] : m_object.items())
-                if (m_known.count(name) == 0)
+                if (std::find(m_known.begin(), m_known.end(), name) == m_known.end())
                     fail(name.c_str(), "is not known");
         if (m_error.code != result_code::ok)
             return m_error;
@@ -133,7 +134,7 @@
 private:
     const json* find(const char* name, bool required)
     {
-        m_known.insert(name);
+        m_known.push_back(name);
         if (!m_object.is_object())
             return nullptr;
         const auto found = m_object.find(name);
@@ -145,7 +146,7 @@
     }
 
     json m_object;
-    std::set<std::string> m_known;
+    std::vector<absl::string_view> m_known;
     error m_error;
 };
 
--- a/src/state/declaration_path.cpp
+++ b/src/state/declaration_path.cpp
@@ -4,6 +4,7 @@
 #include "absl/strings/str_split.h"
 
 #include <algorithm>
+#include <string>
 #include <vector>
 
 namespace chivedeal::state {
@@ -30,10 +31,11 @@
 
 result<declaration_path> parse_declaration_path(absl::string_view path)
 {
-    const std::vector<std::string> parts = absl::StrSplit(path, '/');
+    const std::vector<absl::string_view> parts = absl::StrSplit(path, '/');
     if (parts.size() < 5 || !parts[0].empty() || parts[1] != "teams")
         return bad_path(path, "must begin with /teams/TEAM/KIND/NAME");
-    declaration_path parsed{.team = team_id(parts[2]), .name = parts[4], .version = {}};
+    declaration_path parsed{
+        .team = team_id(std::string(parts[2])), .name = std::string(parts[4]), .version = {}};
     if (parts[3] == "services")
         parsed.kind = declaration_kind::service;
     else if (parts[3] == "workspaces")
@@ -49,7 +51,7 @@
         return bad_path(path, is_version ? "must be /teams/TEAM/versions/SERVICE/VERSION"
                                          : "has too many parts");
     if (is_version)
-        parsed.version = parts[5];
+        parsed.version = std::string(parts[5]);
     if (!is_name(parsed.team.str()) || !is_name(parsed.name) ||
         (is_version && !is_name(parsed.version)))
         return bad_path(path, "names have 1 to 64 characters of a-z, 0-9, '.', '_' and '-' and "
--- a/src/state/signature.cpp
+++ b/src/state/signature.cpp
@@ -53,7 +53,9 @@
     const std::string message = signed_bytes(change, id);
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned int size = 0;
-    HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
+    // Fetched once: OpenSSL 3 otherwise looks the algorithm up for every signature.
+    static const EVP_MD* const sha256 = EVP_MD_fetch(nullptr, "SHA256", nullptr);
+    HMAC(sha256, key.data(), static_cast<int>(key.size()),
          reinterpret_cast<const unsigned char*>(message.data()), message.size(), digest.data(),
          &size);
     return absl::BytesToHexString(
