--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -7,6 +7,7 @@
 #include "bench/placement_benchmark.hpp"
 #include "bench/report.hpp"
 #include "bench/routing_benchmark.hpp"
+#include "bench/state_benchmark.hpp"
 
 #include <cstdio>
 #include <memory>
@@ -25,6 +26,7 @@
     all.push_back(std::make_unique<chivedeal::bench::limits_benchmark>());
     all.push_back(std::make_unique<chivedeal::bench::placement_benchmark>());
     all.push_back(std::make_unique<chivedeal::bench::membership_benchmark>());
+    all.push_back(std::make_unique<chivedeal::bench::state_benchmark>());
     return all;
 }
 
