Assemble the node: five subtrees, their rings and the operators' API

Cause: state, membership, control and requests exist as folders of their own; `chivedeal serve` has to join them into one process.

Change: node/ holds one class a subtree, which owns the rings and cells that outlive restarts and makes the supervisor with its threads; the root never restarts a subtree, since others hold its rings. The router stops first, so that its callers' rings close before the listener ends.

Ruled out: restarting a subtree alone, which would leave other subtrees with dead rings.

--- /dev/null
+++ b/src/node/requests_subtree.cpp
@@ -0,0 +1,129 @@
+#include "chivedeal/node/requests_subtree.hpp"
+
+#include "chivedeal/core/settings.hpp"
+#include "chivedeal/core/supervisor.hpp"
+#include "chivedeal/requests/affinity_policy.hpp"
+#include "chivedeal/requests/caller_server.hpp"
+#include "chivedeal/requests/endpoint_call_worker.hpp"
+#include "chivedeal/requests/endpoint_worker.hpp"
+#include "chivedeal/requests/hand_off_worker.hpp"
+#include "chivedeal/requests/router.hpp"
+
+#include <memory>
+#include <utility>
+
+namespace chivedeal {
+
+namespace {
+
+// Room for the tokens of all streams while the router logs one decision.
+constexpr std::size_t router_capacity = 8192;
+constexpr std::size_t order_capacity = 1024;
+constexpr std::size_t hand_off_capacity = 1024;
+
+} // namespace
+
+requests_subtree::requests_subtree(const settings& config, const clock& time, metrics& counters)
+    : m_config(config),
+      m_clock(time),
+      m_metrics(counters),
+      m_client(time),
+      m_inbox(router_capacity),
+      m_attempts(config.max_streams),
+      m_orders(order_capacity),
+      m_hand_offs(hand_off_capacity),
+      m_port(m_inbox)
+{}
+
+child_spec requests_subtree::make_spec(wires links)
+{
+    return {.name = "requests", .make = [this, links] {
+                return std::make_unique<supervisor>(supervisor_options{.name = "requests"},
+                                                    make_children(links));
+            }};
+}
+
+// The router comes last, so that it stops first: its callers' rings then close, and the listener
+// can end.
+std::vector<child_spec> requests_subtree::make_children(const wires& links)
+{
+    std::vector<child_spec> children;
+    children.push_back(
+        {.name = "load_watcher", .make = [this] {
+             return std::make_unique<requests::load_watcher>(
+                 requests::load_watcher::options{.time = m_clock,
+                                                 .views = m_load_views.ring(),
+                                                 .router_inbox = m_inbox,
+                                                 .pace = {.interval = m_config.load_poll}});
+         }});
+    children.push_back({.name = "endpoint_calls", .make = [this] {
+                            return std::make_unique<requests::endpoint_call_worker>(
+                                requests::endpoint_call_worker::options{.client = m_client,
+                                                                        .orders = m_orders,
+                                                                        .router_inbox = m_inbox});
+                        }});
+    children.push_back(
+        {.name = "hand_off_worker", .make = [this, links] {
+             return std::make_unique<requests::hand_off_worker>(requests::hand_off_worker::options{
+                 .peers = links.peers, .streams = m_hand_offs, .router_inbox = m_inbox});
+         }});
+    for (std::size_t i = 0; i < m_config.endpoint_workers; ++i)
+        children.push_back(worker_spec());
+    children.push_back(server_spec(links));
+    children.push_back(router_spec(links));
+    return children;
+}
+
+child_spec requests_subtree::worker_spec()
+{
+    return {.name = "endpoint_worker", .make = [this] {
+                return std::make_unique<requests::endpoint_worker>(
+                    requests::endpoint_worker::options{
+                        .client = m_client, .attempts = m_attempts, .router_inbox = m_inbox});
+            }};
+}
+
+child_spec requests_subtree::server_spec(const wires& links)
+{
+    return {.name = "caller_server", .make = [this, links] {
+                return std::make_unique<requests::caller_server>(requests::caller_server::options{
+                    .listen = m_config.http,
+                    .time = m_clock,
+                    .router_inbox = m_inbox,
+                    .max_connections = m_config.max_streams,
+                    .max_request_bytes = m_config.max_request_bytes,
+                    .install = links.install});
+            }};
+}
+
+child_spec requests_subtree::router_spec(const wires& links)
+{
+    return {.name = "router", .make = [this, links] {
+                auto policy =
+                    std::make_shared<requests::affinity_policy>(requests::affinity_policy::options{
+                        .own_region = m_config.region, .own_zone = m_config.zone});
+                requests::request_flow::options flow{
+                    .policy = *policy, .node = m_config.node, .series = {}};
+                flow.counters = &m_metrics;
+                flow.claim_timeout = m_config.claim_timeout;
+                flow.retries.share = m_config.retry_ratio;
+                flow.limits.gossip_round = m_config.gossip_interval;
+                flow.drain = {.address_ttl = m_config.address_ttl,
+                              .drain_grace = m_config.drain_grace};
+                flow.shedding.max_open = static_cast<int>(m_config.max_streams);
+                return std::make_unique<requests::router>(
+                    requests::router::options{.time = m_clock,
+                                              .policy = std::move(policy),
+                                              .flow = std::move(flow),
+                                              .inbox = m_inbox,
+                                              .attempts = m_attempts,
+                                              .orders = m_orders,
+                                              .hand_offs = &m_hand_offs,
+                                              .records = &links.records,
+                                              .samples = &links.samples,
+                                              .gossip = &links.gossip,
+                                              .on_drained = links.on_drained});
+            }};
+}
+
+} // namespace chivedeal
--- a/test/scenario_runner/stage.hpp
+++ b/test/scenario_runner/stage.hpp
@@ -5,6 +5,7 @@
 #include "chivedeal/core/system_clock.hpp"
 #include "test/scenario_runner/background_call.hpp"
 #include "test/scenario_runner/background_change.hpp"
+#include "test/scenario_runner/background_load.hpp"
 #include "test/scenario_runner/process.hpp"
 #include "test/scenario_runner/statement.hpp"
 #include "test/scenario_runner/tcp_relay.hpp"
@@ -67,6 +68,8 @@
     void change(const statement& one);
     void await_change(const statement& one);
     void send(const statement& one);
+    void start_load(const statement& one);
+    void stop_load(const statement& one);
     void await_answer(const statement& one);
     void await_tokens(const statement& one);
     void signal(const statement& one);
@@ -86,6 +89,8 @@
     bool holds(const statement& one, std::string& seen);
     void wait_until(const statement& one, const std::function<bool(std::string& seen)>& condition);
     background_change::options change_of(const statement& one, const std::string& path) const;
+    operators::caller_client::options client_of(const statement& one) const;
+    operators::caller_client::call call_of(const statement& one, const std::string& name) const;
     std::vector<address> node_addresses(const std::string& first) const;
 
     options m_options;
@@ -94,6 +99,7 @@
     std::vector<std::string> m_nodes;
     std::map<std::string, std::unique_ptr<background_call>> m_calls;
     std::map<std::string, std::unique_ptr<background_change>> m_changes;
+    std::map<std::string, std::unique_ptr<background_load>> m_loads;
 };
 
 } // namespace chivedeal::scenario
