Shorten the stand-in of the platform

Cause: the stand-in had a help text that repeated its flags and a second name for the removal of an instance.

Change: an unknown flag still ends the program with its reason, and /cloud/stop calls remove_instance directly, with the comment on repeats kept. Ruled out: a change of the protocol; all routes answer as before.

--- a/fakes/stand_in/platform.cpp
+++ b/fakes/stand_in/platform.cpp
@@ -211,7 +211,8 @@
             answer(response, started);
         });
         m_server.Post("/cloud/stop", [this](const Request& request, Response& response) {
-            m_cloud.stop(json::parse(request.body).at("instance"));
+            // Repeats and unknown instances are no errors: the wanted state holds.
+            m_cloud.remove_instance(json::parse(request.body).at("instance"));
             if (m_faults.is_on("cloud_lose_answers"))
                 return lose_answer(response);
             answer(response, json::object());
@@ -258,10 +259,10 @@
 {
     namespace po = boost::program_options;
     po::options_description flags("chivedeal_platform");
-    flags.add_options()("help", "print this text")                                             //
-        ("host", po::value<std::string>()->default_value("127.0.0.1"), "address to listen on") //
-        ("port", po::value<int>()->default_value(9100), "port to listen on")                   //
-        ("append-rate", po::value<double>()->default_value(500), "log appends a second")       //
+    flags.add_options()("host", po::value<std::string>()->default_value("127.0.0.1"),
+                        "address to listen on")                                          //
+        ("port", po::value<int>()->default_value(9100), "port to listen on")             //
+        ("append-rate", po::value<double>()->default_value(500), "log appends a second") //
         ("weight-rate", po::value<double>()->default_value(2), "weight reads a second");
     po::variables_map values;
     try {
@@ -272,10 +273,6 @@
         std::fprintf(stderr, "%s\n", fault.what());
         return 2;
     }
-    if (values.count("help") != 0) {
-        std::puts("Options: --host --port --append-rate --weight-rate");
-        return 0;
-    }
     platform stand_in(values["append-rate"].as<double>(), values["weight-rate"].as<double>());
     return stand_in.serve(values["host"].as<std::string>(), values["port"].as<int>());
 }
--- a/fakes/stand_in/platform_cloud.hpp
+++ b/fakes/stand_in/platform_cloud.hpp
@@ -108,9 +108,6 @@
         return nullptr;
     }
 
-    /// Repeats and unknown instances are no errors: the wanted state holds.
-    void stop(const std::string& id) { remove_instance(id); }
-
     nlohmann::json prices()
     {
         const std::lock_guard<mutex> lock(m_mutex);
