Hand unread answers to a peer before a drained node stops

A drained node without open requests stopped at once, and finished answers whose callers had left and could still come back were lost with it. The drain now always passes through one hand-off step and stops only when the peers have answered for these answers too. Each answer is offered once; waiting a fixed time instead was ruled out, since a slow call to a peer may take longer.

A new test takes an answer from the stopped node's peer; the old code handed nothing over there.

--- a/src/requests/drain_controller.cpp
+++ b/src/requests/drain_controller.cpp
@@ -53,9 +53,11 @@
     case phase::ending:
         if (open_requests != 0 && now < m_until)
             return false;
-        m_until = now;
+        // Also without open requests: finished answers whose callers left go to peers as well.
+        steps.push_back(step::hand_off);
+        m_until = now + m_options.hand_off_interval;
         m_phase = phase::handing_off;
-        return true;
+        return false;
     case phase::handing_off:
         if (open_requests == 0) {
             steps.push_back(step::stop);
--- a/src/requests/flow_core.cpp
+++ b/src/requests/flow_core.cpp
@@ -205,7 +205,8 @@
 
 void flow_core::advance_drain()
 {
-    for (const drain_controller::step step : m_drain.advance(m_now, m_requests.size())) {
+    for (const drain_controller::step step :
+         m_drain.advance(m_now, m_requests.size() + m_open_offers)) {
         switch (step) {
         case drain_controller::step::delist:
             log_event(event_id::drain_started, {{"open", absl::StrCat(m_requests.size())}});
--- a/src/requests/flow_core.hpp
+++ b/src/requests/flow_core.hpp
@@ -125,6 +125,9 @@
     absl::flat_hash_set<endpoint_id> m_leaving;
     reclaim_planner m_planner;
     drain_controller m_drain;
+    /// Finished answers that a peer was asked to keep, and whether it has yet to answer.
+    absl::flat_hash_map<request_id, bool> m_offered_answers;
+    std::size_t m_open_offers = 0;
     bool m_intake_closed = false;
 };
 
--- a/src/requests/flow_hand_off.cpp
+++ b/src/requests/flow_hand_off.cpp
@@ -65,8 +65,9 @@
 void flow_core::offer_answer(const finished_answer& answer)
 {
     const auto candidates = peers();
-    if (candidates.empty())
+    if (candidates.empty() || !m_offered_answers.try_emplace(answer.request.id, true).second)
         return;
+    ++m_open_offers;
     const auto* peer = candidates.front();
     m_commands.emplace_back(hand_off_stream{.peer = peer->rpc,
                                             .peer_http = peer->http,
@@ -85,6 +86,12 @@
 
 void flow_core::take(const hand_off_answered& event)
 {
+    if (const auto offered = m_offered_answers.find(event.request);
+        offered != m_offered_answers.end() && offered->second) {
+        offered->second = false;
+        --m_open_offers;
+        return;
+    }
     request_entry* entry = find(event.request);
     if (entry == nullptr || !entry->hand_off_pending)
         return;
--- a/test/requests_request_flow_test.cpp
+++ b/test/requests_request_flow_test.cpp
@@ -339,6 +339,30 @@
     EXPECT_TRUE(cluster.faults().empty());
 }
 
+// Guards against an answer that is lost with the node because its caller was away at the end.
+TEST(request_flow, hands_an_answer_that_nobody_read_to_a_peer_before_the_stop)
+{
+    fake_cluster cluster(2);
+    const auto caller = cluster.submit(0, "", minute);
+    cluster.leave(caller);
+    run_whole(cluster, *cluster.attempts()[0]);
+    cluster.give(0, drain_requested{});
+    cluster.advance(absl::Seconds(6));
+    cluster.tick(0);
+    cluster.tick(0);
+    ASSERT_EQ(cluster.hand_offs().size(), 1U);
+    EXPECT_FALSE(cluster.stopped);
+    const hand_off_stream order = cluster.hand_offs()[0];
+    cluster.give(1, stream_taken_over{.stream = order.stream, .prefix = {}});
+    cluster.give(0, hand_off_answered{
+                        .request = order.stream.request, .peer = order.peer_http, .taken = true});
+    cluster.tick(0);
+    EXPECT_TRUE(cluster.stopped);
+    const auto again = cluster.resume(caller, 1);
+    EXPECT_EQ(cluster.connections()[again - 1].tokens.size(), fake_cluster::answer_tokens);
+    EXPECT_EQ(cluster.connections()[again - 1].end->result, outcome::answered);
+}
+
 // Guards against a peer that refuses: the stream goes on where it is.
 TEST(request_flow, goes_on_when_no_peer_takes_the_stream)
 {
