--- a/include/chivedeal/requests/router_port.hpp
+++ b/include/chivedeal/requests/router_port.hpp
@@ -8,6 +8,7 @@
 #include "chivedeal/state/state_listener.hpp"
 
 #include <memory>
+#include <vector>
 
 namespace chivedeal::membership {
 struct stream_state;
@@ -25,6 +26,7 @@
     /// Passes on records of the claims stream alone.
     void on_applied(const state::applied_record& applied) override;
     void on_state(std::shared_ptr<const state::cluster_state> state) override;
+    void on_claims_restored(const std::vector<state::claim_entry>& claims) override;
     void on_view(std::shared_ptr<const membership::membership_view> view) override;
 
     /// Takes a stream from a peer; does not block. `ring_full` when the node is overloaded.
--- a/include/chivedeal/state/state_keeper.hpp
+++ b/include/chivedeal/state/state_keeper.hpp
@@ -55,6 +55,7 @@
     void take_from_peer();
     void take_snapshot_from(const membership::node_record& peer);
     void finish(const replica_update& update, const std::string& source);
+    void tell_claims();
 
     options m_options;
     state_replica m_replica;
--- a/include/chivedeal/state/state_listener.hpp
+++ b/include/chivedeal/state/state_listener.hpp
@@ -2,10 +2,12 @@
 #define CHIVEDEAL_STATE_STATE_LISTENER_HPP
 
 #include <memory>
+#include <vector>
 
 namespace chivedeal::state {
 
 struct applied_record;
+struct claim_entry;
 struct cluster_state;
 
 /// Receives what the state keeper applies. Runs in the keeper's thread: an implementation only
@@ -20,6 +22,9 @@
 
     /// Called after each batch with the new state.
     virtual void on_state(std::shared_ptr<const cluster_state> state) = 0;
+
+    /// Called with the claims of an adopted snapshot, whose records are not applied one by one.
+    virtual void on_claims_restored(const std::vector<claim_entry>& /*claims*/) {}
 };
 
 } // namespace chivedeal::state
--- a/include/chivedeal/state/state_machine.hpp
+++ b/include/chivedeal/state/state_machine.hpp
@@ -61,6 +61,7 @@
     error check_deletion(const declaration_path& path) const;
     void declare(parsed_declaration value, std::uint64_t offset);
     void erase(const declaration_path& path);
+    void withdraw_move(const service_id& service);
     error apply_grant(const lease_grant& grant, std::uint64_t offset);
     error apply_step(const move_step& step, std::uint64_t offset);
     error apply_outcome(const move_outcome& outcome, std::uint64_t offset);
--- a/src/requests/router_port.cpp
+++ b/src/requests/router_port.cpp
@@ -22,6 +22,11 @@
     (void)m_inbox.push({.event = state_changed{std::move(state)}, .reply = nullptr});
 }
 
+void router_port::on_claims_restored(const std::vector<state::claim_entry>& claims)
+{
+    (void)m_inbox.push({.event = claims_restored{claims}, .reply = nullptr});
+}
+
 void router_port::on_view(std::shared_ptr<const membership::membership_view> view)
 {
     (void)m_inbox.push({.event = view_changed{std::move(view)}, .reply = nullptr});
--- a/src/state/state_keeper.cpp
+++ b/src/state/state_keeper.cpp
@@ -194,6 +194,8 @@
     published.publish(state, m_replica.ready(), m_replica.progress());
     if (m_replica.ready() && published.snapshot_due() && state->applied_offset > 0)
         published.store_snapshot(encode_snapshot(machine.export_snapshot()));
+    if (update.adopted_offset)
+        tell_claims();
     for (const applied_record& applied : update.applied) {
         if (!published.begin_notification(applied.stream, applied.offset))
             continue;
@@ -208,4 +210,13 @@
         log_event(event_id::node_ready, {{"offset", absl::StrCat(state->applied_offset)}});
 }
 
+void state_keeper::tell_claims()
+{
+    std::vector<claim_entry> claims;
+    for (const stored_claim& one : m_replica.machine().claims().contents())
+        claims.push_back(one.entry);
+    for (state_listener* listener : m_options.listeners)
+        listener->on_claims_restored(claims);
+}
+
 } // namespace chivedeal::state
--- a/src/state/state_machine.cpp
+++ b/src/state/state_machine.cpp
@@ -223,8 +223,9 @@
     const auto first_version = m_state.versions.lower_bound({service, version_id()});
     const bool has_version =
         first_version != m_state.versions.end() && first_version->first.first == service;
-    if (path.kind == declaration_kind::service &&
-        (has_version || m_state.moves.count(service) != 0))
+    const bool has_move = m_state.declarations.count(
+                              absl::StrCat("/teams/", path.team.str(), "/moves/", path.name)) != 0;
+    if (path.kind == declaration_kind::service && (has_version || has_move))
         return refused(result_code::conflict, "delete the service's moves and versions first");
     if (path.kind != declaration_kind::version)
         return {};
@@ -273,6 +274,7 @@
     switch (path.kind) {
     case declaration_kind::service:
         m_state.services.erase(service_id(path.name));
+        m_state.moves.erase(service_id(path.name));
         return;
     case declaration_kind::workspace:
         m_state.workspaces.erase(workspace_id(path.name));
@@ -287,9 +289,24 @@
             m_state.current_versions.erase(current);
         return;
     case declaration_kind::move:
-        m_state.moves.erase(service_id(path.name));
+        withdraw_move(service_id(path.name));
+        return;
+    }
+}
+
+// An open move stays listed as rolled back, so that whoever waits for it learns its end.
+void state_machine::withdraw_move(const service_id& service)
+{
+    const auto move = find_or_null(m_state.moves, service);
+    if (!move || move->status != move_status::open) {
+        m_state.moves.erase(service);
         return;
     }
+    version_move ended = *move;
+    ended.status = move_status::rolled_back;
+    ended.share = 0;
+    ended.reason = "withdrawn by its team";
+    m_state.moves[service] = std::make_shared<const version_move>(std::move(ended));
 }
 
 error state_machine::apply_grant(const lease_grant& grant, std::uint64_t offset)
--- a/test/state_duties_test.cpp
+++ b/test/state_duties_test.cpp
@@ -5,6 +5,7 @@
 #include "chivedeal/state/log_reader.hpp"
 #include "chivedeal/state/published_state.hpp"
 #include "chivedeal/state/record_codec.hpp"
+#include "chivedeal/state/snapshot_codec.hpp"
 #include "chivedeal/state/snapshot_writer.hpp"
 #include "chivedeal/state/state_keeper.hpp"
 
@@ -119,8 +120,10 @@
 public:
     void on_applied(const applied_record& /*applied*/) override { ++applied; }
     void on_state(std::shared_ptr<const cluster_state> /*state*/) override {}
+    void on_claims_restored(const std::vector<claim_entry>& claims) override { restored = claims; }
 
     int applied = 0;
+    std::vector<claim_entry> restored;
 };
 
 std::shared_ptr<const membership::membership_view> view_with_peer(std::uint64_t applied)
@@ -241,6 +244,30 @@
     EXPECT_EQ(get_value(published.records_from(2)).size(), 1U);
 }
 
+// Guards against a node that forgets the results of keys when it starts from a snapshot.
+TEST(state_duties, a_keeper_tells_the_claims_of_a_snapshot)
+{
+    state_machine machine({.team_keys = {{team_id("t"), "key"}}});
+    machine.apply(control_stream, service_change("a", "s1"), 1);
+    machine.apply(claims_stream, {change_id("k"), claim{"k", node_id("n"), 1}}, 1);
+    machine.apply(claims_stream, {change_id("r"), claim_result{"k", node_id("n"), "answered", "7"}},
+                  2);
+    published_state published;
+    published.store_snapshot(encode_snapshot(machine.export_snapshot()));
+    const system_clock clock;
+    counting_listener listener;
+    bounded_ring<keeper_event> inbox(1);
+    inbox.close();
+    state_keeper({.time = clock,
+                  .machine = {.team_keys = {{team_id("t"), "key"}}},
+                  .inbox = inbox,
+                  .published = published,
+                  .listeners = {&listener}})
+        .run();
+    ASSERT_EQ(listener.restored.size(), 1U);
+    EXPECT_EQ(listener.restored[0].body, "7");
+}
+
 // Guards against peers that are told of a gap as if there were no newer records.
 TEST(published_state, refuses_records_that_it_no_longer_keeps)
 {
--- a/test/state_machine_test.cpp
+++ b/test/state_machine_test.cpp
@@ -170,6 +170,19 @@
     EXPECT_EQ(m.step(0.4), result_code::ok);
 }
 
+// Guards against a withdrawn move that goes on, or that vanishes from those who wait for it.
+TEST(state_machine, a_withdrawn_move_is_rolled_back)
+{
+    machine_under_test m;
+    m.open_move();
+    EXPECT_EQ(m.step(0.3), result_code::ok);
+    EXPECT_EQ(m.declare("/teams/t/moves/s", std::nullopt, m.move().declared_offset),
+              result_code::ok);
+    EXPECT_EQ(m.move().status, move_status::rolled_back);
+    EXPECT_EQ(m.move().share, 0);
+    EXPECT_EQ(m.step(0.4), result_code::move_not_open);
+}
+
 // Guards against a service without a version to serve from, during and after a move.
 TEST(state_machine, a_done_move_makes_its_version_current)
 {
