--- a/test/scenario_runner/stage.hpp
+++ b/test/scenario_runner/stage.hpp
@@ -6,6 +6,7 @@
 #include "test/scenario_runner/background_call.hpp"
 #include "test/scenario_runner/background_change.hpp"
 #include "test/scenario_runner/background_load.hpp"
+#include "test/scenario_runner/port_block.hpp"
 #include "test/scenario_runner/process.hpp"
 #include "test/scenario_runner/statement.hpp"
 #include "test/scenario_runner/tcp_relay.hpp"
@@ -94,6 +95,7 @@
     std::vector<address> node_addresses(const std::string& first) const;
 
     options m_options;
+    port_block m_ports;
     system_clock m_clock;
     std::map<std::string, member> m_members;
     std::vector<std::string> m_nodes;
