Agree on the cloud's formats and read prices

The platform stand-in and its clients were written apart, so the price list, the token in the instance list, the answer to a start and the engine's loaded versions were guessed on both sides. Prices now name their region, since placement works by region and a zone without nodes is in no other list. parse_prices refuses a damaged list as a whole; skipping wrong entries was ruled out, since a pool would vanish from the offers unnoticed. GET /v1/orders of the engine stand-in answers {"loaded": [...]} as the client expects; before, the client always saw malformed_message.

--- a/fakes/fake_cloud.hpp
+++ b/fakes/fake_cloud.hpp
@@ -4,10 +4,12 @@
 #include "chivedeal/control/cloud_api.hpp"
 #include "chivedeal/control/order_command.hpp"
 #include "chivedeal/control/order_event.hpp"
+#include "chivedeal/control/pool_price.hpp"
 #include "chivedeal/core/bounded_ring.hpp"
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace chivedeal::fakes {
 
@@ -57,6 +59,10 @@
 
     result<control::instances_listed> list() override { return control::instances_listed{}; }
 
+    result<std::vector<control::pool_price>> prices() override { return m_prices; }
+
+    std::vector<control::pool_price> m_prices;
+
     bounded_ring<control::order_start> m_starts{16};
 };
 
--- a/fakes/stand_in/engine.cpp
+++ b/fakes/stand_in/engine.cpp
@@ -116,7 +116,10 @@
         });
         server.Get("/v1/orders", [this](const auto&, auto& answer) {
             const std::lock_guard<mutex> lock(m_mutex);
-            answer.set_content(m_loaded.dump(), json_type);
+            json loaded = json::array();
+            if (m_loaded["version"] != "")
+                loaded.push_back(m_loaded["version"]);
+            answer.set_content(json{{"loaded", loaded}}.dump(), json_type);
         });
         server.Get("/runs", [this](const auto&, auto& answer) {
             answer.set_content(json{{"requests", m_runs.counts()}}.dump(), json_type);
--- a/fakes/stand_in/platform.cpp
+++ b/fakes/stand_in/platform.cpp
@@ -203,7 +203,10 @@
                 order.at("zone").get<std::string>() + "/" + order.at("class").get<std::string>();
             if (m_faults.refuses_pool(pool, order["reclaimable"]))
                 return refuse(response, 409, "start refused in " + pool);
-            const json started = m_cloud.start(order);
+            bool is_new = false;
+            const json started = m_cloud.start(order, is_new);
+            if (is_new)
+                load_version(started);
             if (m_faults.is_on("cloud_lose_answers"))
                 return lose_answer(response);
             if (started.is_null())
@@ -231,6 +234,17 @@
         });
     }
 
+    // Tells an engine that was started what to serve, as the boot image of a cloud would.
+    static void load_version(const json& instance)
+    {
+        if (instance.at("kind") != "engine")
+            return;
+        httplib::Client engine(instance.at("address").get<std::string>(), instance.at("port"));
+        engine.Post("/v1/orders",
+                    json{{"order", "load"}, {"version", instance.at("version")}}.dump(),
+                    "application/json");
+    }
+
     void install_faults()
     {
         m_server.Get("/faults", [this](const Request&, Response& response) {
--- a/fakes/stand_in/platform_cloud.hpp
+++ b/fakes/stand_in/platform_cloud.hpp
@@ -87,8 +87,10 @@
     }
 
     /// Returns the instance, the earlier one for a known token, or null without a spare one.
-    nlohmann::json start(const nlohmann::json& order)
+    /// `is_new` says whether this call started it.
+    nlohmann::json start(const nlohmann::json& order, bool& is_new)
     {
+        is_new = false;
         const std::lock_guard<mutex> lock(m_mutex);
         const std::string token = order["token"].get<std::string>();
         if (const auto known = m_started.find(token); known != m_started.end())
@@ -103,6 +105,7 @@
                              {"service", order["service"]},
                              {"version", order["version"]}});
             remember_list();
+            is_new = true;
             return m_started[token] = instance;
         }
         return nullptr;
@@ -114,7 +117,7 @@
         return {{"prices", m_prices}};
     }
 
-    /// Entries: {zone, class, reclaimable, price} in currency units an hour.
+    /// Entries: {region, zone, class, reclaimable, price} in currency units an hour.
     void set_prices(nlohmann::json prices)
     {
         const std::lock_guard<mutex> lock(m_mutex);
--- a/fakes/stand_in/stand_in.hpp
+++ b/fakes/stand_in/stand_in.hpp
@@ -102,6 +102,8 @@
     std::string version;
     std::string platform;
     bool on_demand = false;
+    /// Registered as spare: listed only once the cloud starts it.
+    bool spare = false;
 };
 
 inline void add_options(boost::program_options::options_description& flags, stand_in_options& to)
@@ -113,8 +115,8 @@
         "class", po::value(&to.machine_class)->default_value("a"))(
         "service", po::value(&to.service)->default_value("catalogue"))(
         "version", po::value(&to.version)->default_value("v1"))(
-        "platform", po::value(&to.platform)->default_value(""))("on-demand",
-                                                                po::bool_switch(&to.on_demand));
+        "platform", po::value(&to.platform)->default_value(""))(
+        "on-demand", po::bool_switch(&to.on_demand))("spare", po::value(&to.spare));
 }
 
 /// Adds the endpoint to the platform's instance list. Does nothing without a platform.
@@ -136,7 +138,7 @@
                     {"kind", kind},
                     {"service", self.service},
                     {"version", self.version},
-                    {"status", "live"}};
+                    {"status", self.spare ? "spare" : "live"}};
     const auto answer = client.Post("/instances", body.dump(), "application/json");
     return answer && answer->status == 200;
 }
--- a/include/chivedeal/control/cloud_api.hpp
+++ b/include/chivedeal/control/cloud_api.hpp
@@ -5,10 +5,13 @@
 #include "chivedeal/core/id.hpp"
 #include "chivedeal/core/result.hpp"
 
+#include <vector>
+
 namespace chivedeal::control {
 
 struct order_start;
 struct order_stop;
+struct pool_price;
 
 /// The platform's instances. Calls block for at most the client's timeout. An error other than
 /// `start_refused` does not say that the order had no effect.
@@ -24,6 +27,9 @@
     virtual status stop(const order_stop& order) = 0;
 
     virtual result<instances_listed> list() = 0;
+
+    /// Prices of all pools of all regions.
+    virtual result<std::vector<pool_price>> prices() = 0;
 };
 
 } // namespace chivedeal::control
--- a/include/chivedeal/control/http_cloud_api.hpp
+++ b/include/chivedeal/control/http_cloud_api.hpp
@@ -4,10 +4,16 @@
 #include "chivedeal/control/cloud_api.hpp"
 #include "chivedeal/core/address.hpp"
 
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace chivedeal::control {
 
+/// Reads the answer of `GET /cloud/prices`. One wrong entry makes it `malformed_message` as a
+/// whole, so that a pool does not vanish from the offers unnoticed.
+result<std::vector<pool_price>> parse_prices(const std::string& body);
+
 /// Speaks HTTP to the platform.
 class http_cloud_api : public cloud_api
 {
@@ -17,6 +23,7 @@
     result<instance_id> start(const order_start& order) override;
     status stop(const order_stop& order) override;
     result<instances_listed> list() override;
+    result<std::vector<pool_price>> prices() override;
 
 private:
     address m_platform;
--- a/src/control/http_cloud_api.cpp
+++ b/src/control/http_cloud_api.cpp
@@ -1,6 +1,7 @@
 #include "chivedeal/control/http_cloud_api.hpp"
 
 #include "chivedeal/control/order_command.hpp"
+#include "chivedeal/control/pool_price.hpp"
 
 #include "absl/strings/str_cat.h"
 
@@ -8,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <optional>
 #include <utility>
 
 namespace chivedeal::control {
@@ -42,8 +44,43 @@
     return found != object.end() && found->is_string() ? found->get<std::string>() : "";
 }
 
+std::optional<pool_price> price_from(const json& entry)
+{
+    if (!entry.is_object())
+        return std::nullopt;
+    const auto reclaimable = entry.find("reclaimable");
+    const auto price = entry.find("price");
+    if (reclaimable == entry.end() || !reclaimable->is_boolean() || price == entry.end() ||
+        !price->is_number() || price->get<double>() < 0)
+        return std::nullopt;
+    pool_price out{.region = region_id(text_field(entry, "region")),
+                   .pool = {.zone = zone_id(text_field(entry, "zone")),
+                            .machine_class = text_field(entry, "class"),
+                            .reclaimable = reclaimable->get<bool>()},
+                   .hourly_price = price->get<double>()};
+    if (out.region.str().empty() || out.pool.zone.str().empty() || out.pool.machine_class.empty())
+        return std::nullopt;
+    return out;
+}
+
 } // namespace
 
+result<std::vector<pool_price>> parse_prices(const std::string& body)
+{
+    const json parsed = json::parse(body, nullptr, false);
+    if (!parsed.is_object() || !parsed.contains("prices") || !parsed["prices"].is_array())
+        return error{.code = result_code::malformed_message, .message = "no list of prices"};
+    std::vector<pool_price> out;
+    for (const json& entry : parsed["prices"]) {
+        const auto price = price_from(entry);
+        if (!price)
+            return error{.code = result_code::malformed_message,
+                         .message = absl::StrCat("price ", out.size(), " is not readable")};
+        out.push_back(*price);
+    }
+    return out;
+}
+
 result<instance_id> http_cloud_api::start(const order_start& order)
 {
     const json body{{"token", to_string(order.token)},   {"zone", order.pool.zone.str()},
@@ -89,4 +126,13 @@
     return out;
 }
 
+result<std::vector<pool_price>> http_cloud_api::prices()
+{
+    httplib::Client client = make_client(m_platform);
+    const httplib::Result answer = client.Get("/cloud/prices");
+    if (!answer || answer->status != 200)
+        return unknown_outcome("prices", answer);
+    return parse_prices(answer->body);
+}
+
 } // namespace chivedeal::control
--- a/test/control_order_book_test.cpp
+++ b/test/control_order_book_test.cpp
@@ -6,6 +6,7 @@
 #include "chivedeal/control/http_engine_api.hpp"
 #include "chivedeal/control/move_feed.hpp"
 #include "chivedeal/control/order_sender.hpp"
+#include "chivedeal/control/pool_price.hpp"
 #include "chivedeal/core/posix_thread.hpp"
 #include "chivedeal/core/system_clock.hpp"
 
@@ -211,6 +212,9 @@
     server.Post("/v1/orders", [](const httplib::Request&, httplib::Response& response) {
         response.status = 409;
     });
+    server.Get("/v1/orders", [](const httplib::Request&, httplib::Response& response) {
+        response.set_content(R"({"loaded": ["v1", "v2"]})", "application/json");
+    });
     const address where{.host = "127.0.0.1",
                         .port = static_cast<std::uint16_t>(server.bind_to_any_port("127.0.0.1"))};
     posix_thread thread("server", [&] { server.listen_after_bind(); });
@@ -222,6 +226,31 @@
     const auto listed = cloud.list();
     ASSERT_TRUE(is_ok(listed));
     EXPECT_EQ(get_value(listed).entries.size(), 2U);
+    EXPECT_EQ(get_value(listed).entries[0].token, "t");
+    EXPECT_EQ(get_value(engines.loaded(where)),
+              (std::vector<version_id>{version_id("v1"), version_id("v2")}));
     EXPECT_EQ(get_error(engines.order(where, {})).code, result_code::stale_fence);
     server.stop();
 }
+
+// Guards against a pool that vanishes from the offers, or is taken for free, when the price list
+// is damaged.
+TEST(http_apis, prices_are_read_as_a_whole_or_not_at_all)
+{
+    const std::string good =
+        R"({"region": "r", "zone": "z", "class": "a", "reclaimable": true, "price": 1.5})";
+    EXPECT_EQ(get_value(parse_prices(R"({"prices": [)" + good + "]}")),
+              (std::vector<pool_price>{
+                  {.region = region_id("r"),
+                   .pool = {.zone = zone_id("z"), .machine_class = "a", .reclaimable = true},
+                   .hourly_price = 1.5}}));
+    for (const char* wrong :
+         {R"({"zone": "z", "class": "a", "reclaimable": true, "price": 1})",
+          R"({"region": "r", "zone": 1, "class": "a", "reclaimable": true, "price": 1})",
+          R"({"region": "r", "zone": "z", "class": "a", "reclaimable": 1, "price": 1})",
+          R"({"region": "r", "zone": "z", "class": "a", "reclaimable": true, "price": -1})",
+          R"({"region": "r", "zone": "z", "class": "a", "reclaimable": true})", "7"})
+        EXPECT_FALSE(is_ok(parse_prices(R"({"prices": [)" + good + "," + wrong + "]}"))) << wrong;
+    for (const char* body : {"", "[]", R"({"prices": {}})"})
+        EXPECT_FALSE(is_ok(parse_prices(body))) << body;
+}
