Declare placement for each service

Operators who start instances themselves must not find chivedeal doing so too. One flag without numbers was ruled out, since a service without load would then have no endpoint to begin with.

--- a/include/chivedeal/state/service.hpp
+++ b/include/chivedeal/state/service.hpp
@@ -29,6 +29,12 @@
     bool checks_fencing = false;
     /// Routes that callers may name; empty allows any.
     std::vector<std::string> routes;
+    /// Endpoints that placement keeps in each region after the loss of any one zone's reclaimable
+    /// instances.
+    int min_endpoints = 0;
+    /// Most endpoints that placement starts up to in each region; 0 leaves the service's instances
+    /// to the operators.
+    int max_endpoints = 0;
 
     friend bool operator==(const service&, const service&) = default;
 };
--- a/src/state/declaration_parser.cpp
+++ b/src/state/declaration_parser.cpp
@@ -21,6 +21,9 @@
 constexpr std::size_t max_body_bytes = 64 * 1024;
 constexpr std::size_t max_list_entries = 256;
 
+// Above the 1,800 servers that the design is sized for; a larger number is an input error.
+constexpr int max_endpoints = 10'000;
+
 // A day in milliseconds bounds every duration, so that sums of them can't overflow.
 constexpr double max_milliseconds = 86'400'000;
 
@@ -163,7 +166,11 @@
                        fields.milliseconds("latency_target_ms", defaults.latency_target),
                    .token_gap = fields.milliseconds("token_gap_ms", defaults.token_gap),
                    .checks_fencing = fields.flag("checks_fencing", defaults.checks_fencing),
-                   .routes = fields.names("routes")};
+                   .routes = fields.names("routes"),
+                   .min_endpoints = fields.whole_number("min_endpoints", 0, 0, max_endpoints),
+                   .max_endpoints = fields.whole_number("max_endpoints", 0, 0, max_endpoints)};
+    if (parsed.min_endpoints > parsed.max_endpoints)
+        fields.fail("min_endpoints", "must not be above max_endpoints");
     return fields.finish(std::move(parsed));
 }
 
