Run placement in the node

Nothing called placement_policy and order_sender. placement_controller now builds a look under the region's lease through placement_planner and passes its commands on as wishes; drains are leaving facts, and stops need a drain that a late idle report confirms. Demand is the load that endpoints report, which every node polls already; counting attempts was ruled out, since peers' counts are gossiped only under a move. The order sender tells refused starts, how many wishes it took and which starts the list has shown: before, a start left its open orders as soon as the list showed it, while the view of the endpoints lagged, and would have been decided again.

--- /dev/null
+++ b/include/chivedeal/control/load_sink.hpp
@@ -0,0 +1,20 @@
+#ifndef CHIVEDEAL_CONTROL_LOAD_SINK_HPP
+#define CHIVEDEAL_CONTROL_LOAD_SINK_HPP
+
+namespace chivedeal::control {
+
+struct load_sample;
+
+/// Takes the load that endpoints report. Does not block; a full ring drops the sample, the next
+/// report replaces it.
+class load_sink
+{
+public:
+    virtual ~load_sink() = default;
+
+    virtual void add_load(const load_sample& sample) = 0;
+};
+
+} // namespace chivedeal::control
+
+#endif
--- a/include/chivedeal/control/order_book.hpp
+++ b/include/chivedeal/control/order_book.hpp
@@ -2,6 +2,7 @@
 #define CHIVEDEAL_CONTROL_ORDER_BOOK_HPP
 
 #include "chivedeal/control/held_leases.hpp"
+#include "chivedeal/control/open_orders.hpp"
 #include "chivedeal/control/order_command.hpp"
 #include "chivedeal/control/order_event.hpp"
 
@@ -41,6 +42,9 @@
     /// Starts that no list has shown yet; placement counts them as starting.
     std::vector<order_start> open_starts() const;
 
+    /// Starts that a list has shown, for `boot_limit` after that.
+    std::vector<listed_start> listed_starts() const;
+
     /// Engines that have orders; what they have loaded is to be read.
     std::set<endpoint_id> ordered_endpoints() const;
 
@@ -58,6 +62,12 @@
         absl::Time forget_at = absl::InfiniteFuture();
     };
 
+    struct listed_entry
+    {
+        listed_start start;
+        absl::Time forget_at;
+    };
+
     struct stop_entry
     {
         order_stop order;
@@ -76,6 +86,7 @@
     int m_next_slot = 1;
     bool m_gave_up = false;
     std::map<client_token, start_entry> m_starts;
+    std::vector<listed_entry> m_listed;
     std::map<instance_id, stop_entry> m_stops;
     std::map<std::pair<endpoint_id, version_id>, load_entry> m_loads;
 };
--- a/include/chivedeal/control/order_sender.hpp
+++ b/include/chivedeal/control/order_sender.hpp
@@ -2,7 +2,9 @@
 #define CHIVEDEAL_CONTROL_ORDER_SENDER_HPP
 
 #include "chivedeal/control/held_leases.hpp"
+#include "chivedeal/control/open_orders.hpp"
 #include "chivedeal/control/order_book.hpp"
+#include "chivedeal/control/placement_event.hpp"
 #include "chivedeal/core/bounded_ring.hpp"
 #include "chivedeal/core/duty.hpp"
 #include "chivedeal/core/shared_cell.hpp"
@@ -12,7 +14,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace chivedeal {
 class clock;
@@ -41,8 +42,10 @@
         engine_api& engines;
         /// Where endpoints are.
         const move_feed& feed;
-        /// Starts that no list shows yet.
-        shared_cell<std::vector<order_start>>& open_starts;
+        /// What became of the starts; outlives restarts of the sender.
+        shared_cell<open_orders>& orders;
+        /// Takes refused and answered starts.
+        bounded_ring<placement_event>& placement;
         /// Whether all endpoints of the scope refuse old fencing numbers.
         bool endpoints_check_fencing = false;
         absl::Duration order_flight = absl::Seconds(5);
@@ -59,6 +62,7 @@
     void handle(const order_event& event);
     void refresh_tenure();
     void read_back();
+    void publish();
     void execute(const order_command& command);
     void execute(const order_start& order);
     void execute(const order_stop& order);
@@ -67,6 +71,8 @@
     options m_options;
     std::optional<order_book> m_book;
     std::uint64_t m_grant = 0;
+    std::uint64_t m_wants_taken = 0;
+    absl::Time m_listed_at = absl::InfinitePast();
     absl::Time m_next_read_back = absl::InfinitePast();
 };
 
--- /dev/null
+++ b/include/chivedeal/control/placement_controller.hpp
@@ -0,0 +1,83 @@
+#ifndef CHIVEDEAL_CONTROL_PLACEMENT_CONTROLLER_HPP
+#define CHIVEDEAL_CONTROL_PLACEMENT_CONTROLLER_HPP
+
+#include "chivedeal/control/held_leases.hpp"
+#include "chivedeal/control/open_orders.hpp"
+#include "chivedeal/control/order_event.hpp"
+#include "chivedeal/control/placement_event.hpp"
+#include "chivedeal/control/placement_planner.hpp"
+#include "chivedeal/control/pool_price.hpp"
+#include "chivedeal/core/bounded_ring.hpp"
+#include "chivedeal/core/duty.hpp"
+#include "chivedeal/core/id.hpp"
+#include "chivedeal/core/shared_cell.hpp"
+
+#include "absl/time/time.h"
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chivedeal {
+class clock;
+}
+namespace chivedeal::membership {
+class gossip_port;
+}
+
+namespace chivedeal::control {
+
+class cloud_api;
+class move_feed;
+
+/// Thread that passes looks to the placement planner while this node holds the region's placement
+/// lease, and turns its commands into wishes for the order sender.
+class placement_controller : public duty
+{
+public:
+    struct options
+    {
+        const clock& time;
+        /// For example `placement_scope(region)`.
+        std::string scope;
+        bounded_ring<placement_event>& inbox;
+        const move_feed& feed;
+        const shared_cell<held_leases>& held;
+        cloud_api& cloud;
+        membership::gossip_port& gossip;
+        const shared_cell<open_orders>& orders;
+        /// The order sender's ring.
+        bounded_ring<order_event>& wishes;
+        placement_planner::options planner;
+        /// Time from the begin of a tenure until the list shows every start of the holder before.
+        absl::Duration settle = absl::Seconds(7);
+    };
+
+    explicit placement_controller(options wiring);
+
+    std::string name() const override { return "placement_controller"; }
+    void run() override;
+    void request_stop() override;
+
+private:
+    void look();
+    bool is_settled(const held_lease& lease, const open_orders& orders);
+    void refresh_prices();
+    void execute(const placement_command& command, const placement_look& look);
+    void log_decision(const placement_command& command, const placement_look& look);
+    void push(const order_event& wish);
+
+    options m_options;
+    placement_planner m_planner;
+    std::vector<pool_price> m_prices;
+    absl::Time m_next_prices = absl::InfinitePast();
+    std::uint64_t m_wants_pushed;
+    absl::Time m_last_push = absl::InfinitePast();
+    /// Stops that were logged; they are repeated until the instance is gone.
+    std::set<instance_id> m_stops;
+};
+
+} // namespace chivedeal::control
+
+#endif
--- /dev/null
+++ b/include/chivedeal/control/placement_event.hpp
@@ -0,0 +1,46 @@
+#ifndef CHIVEDEAL_CONTROL_PLACEMENT_EVENT_HPP
+#define CHIVEDEAL_CONTROL_PLACEMENT_EVENT_HPP
+
+#include "chivedeal/control/instance_pool.hpp"
+#include "chivedeal/core/id.hpp"
+
+#include "absl/time/time.h"
+
+#include <variant>
+
+namespace chivedeal::control {
+
+/// Load that an endpoint reported.
+struct load_sample
+{
+    endpoint_id endpoint;
+    /// Running and queued attempts of all nodes.
+    int open = 0;
+    int slots = 1;
+    /// Age of the report on arrival.
+    absl::Duration age;
+
+    friend bool operator==(const load_sample&, const load_sample&) = default;
+};
+
+/// The cloud refused a start in the pool.
+struct pool_refused
+{
+    instance_pool pool;
+
+    friend bool operator==(const pool_refused&, const pool_refused&) = default;
+};
+
+/// The cloud started an instance in the pool.
+struct pool_started
+{
+    instance_pool pool;
+
+    friend bool operator==(const pool_started&, const pool_started&) = default;
+};
+
+using placement_event = std::variant<load_sample, pool_refused, pool_started>;
+
+} // namespace chivedeal::control
+
+#endif
--- a/include/chivedeal/node/requests_subtree.hpp
+++ b/include/chivedeal/node/requests_subtree.hpp
@@ -20,8 +20,9 @@
 }
 
 namespace chivedeal::control {
+class load_sink;
 class sample_sink;
-}
+} // namespace chivedeal::control
 
 namespace chivedeal::membership {
 class gossip_port;
@@ -45,6 +46,7 @@
     {
         state::record_sink& records;
         control::sample_sink& samples;
+        control::load_sink& loads;
         membership::gossip_port& gossip;
         membership::peer_client& peers;
         /// Adds routes to the callers' listener.
--- a/include/chivedeal/requests/load_watcher.hpp
+++ b/include/chivedeal/requests/load_watcher.hpp
@@ -14,6 +14,10 @@
 class clock;
 }
 
+namespace chivedeal::control {
+class load_sink;
+}
+
 namespace chivedeal::requests {
 
 /// Thread that polls the load and the cache events of its part of the endpoints.
@@ -29,6 +33,8 @@
         view_ring& views;
         bounded_ring<router_message>& router_inbox;
         poll_schedule::options pace = {};
+        /// Takes each report too, unless null.
+        control::load_sink* loads = nullptr;
     };
 
     explicit load_watcher(options wiring);
--- a/src/control/order_book.cpp
+++ b/src/control/order_book.cpp
@@ -74,13 +74,20 @@
 void order_book::handler::operator()(const instances_listed& event)
 {
     std::set<instance_id> listed;
-    std::set<std::string> tokens;
+    std::map<std::string, instance_id> by_token;
     for (const auto& entry : event.entries) {
         listed.insert(entry.instance);
-        tokens.insert(entry.token);
+        by_token[entry.token] = entry.instance;
     }
-    std::erase_if(m_book.m_starts,
-                  [&](const auto& entry) { return tokens.contains(to_string(entry.first)); });
+    std::erase_if(m_book.m_starts, [&](const auto& entry) {
+        const auto found = by_token.find(to_string(entry.first));
+        if (found == by_token.end())
+            return false;
+        m_book.m_listed.push_back(
+            {.start = {.order = entry.second.order, .instance = found->second},
+             .forget_at = m_now + m_book.m_options.boot_limit});
+        return true;
+    });
     std::erase_if(m_book.m_stops, [&](const auto& entry) { return !listed.contains(entry.first); });
 }
 
@@ -112,6 +119,7 @@
     const options& settings = m_book.m_options;
     std::erase_if(m_book.m_starts,
                   [&](const auto& entry) { return m_now >= entry.second.forget_at; });
+    std::erase_if(m_book.m_listed, [&](const auto& entry) { return m_now >= entry.forget_at; });
     if (m_book.m_gave_up ||
         (!settings.endpoints_check_fencing && m_now < settings.lease.since + settings.order_flight))
         return;
@@ -161,6 +169,14 @@
     return out;
 }
 
+std::vector<listed_start> order_book::listed_starts() const
+{
+    std::vector<listed_start> out;
+    for (const listed_entry& entry : m_listed)
+        out.push_back(entry.start);
+    return out;
+}
+
 std::set<endpoint_id> order_book::ordered_endpoints() const
 {
     std::set<endpoint_id> out;
--- a/src/control/order_sender.cpp
+++ b/src/control/order_sender.cpp
@@ -19,7 +19,9 @@
 
 } // namespace
 
-order_sender::order_sender(options wiring) : m_options(std::move(wiring)) {}
+order_sender::order_sender(options wiring)
+    : m_options(std::move(wiring)), m_wants_taken(m_options.orders.load()->wants_taken)
+{}
 
 void order_sender::run()
 {
@@ -31,6 +33,7 @@
         if (event) {
             refresh_tenure();
             handle(*event);
+            m_wants_taken += std::holds_alternative<want_start>(*event) ? 1 : 0;
         }
         if (m_options.time.now() < next_tick)
             continue;
@@ -49,8 +52,17 @@
         m_next_read_back = m_options.time.now() + read_back_interval;
     }
     handle(order_tick{});
-    m_options.open_starts.store(std::make_shared<const std::vector<order_start>>(
-        m_book ? m_book->open_starts() : std::vector<order_start>{}));
+    publish();
+}
+
+void order_sender::publish()
+{
+    open_orders seen{.grant = m_grant, .wants_taken = m_wants_taken, .listed_at = m_listed_at};
+    if (m_book) {
+        seen.starts = m_book->open_starts();
+        seen.listed = m_book->listed_starts();
+    }
+    m_options.orders.store(std::make_shared<const open_orders>(std::move(seen)));
 }
 
 void order_sender::handle(const order_event& event)
@@ -72,6 +84,7 @@
     if (lease->grant == m_grant)
         return;
     m_grant = lease->grant;
+    m_listed_at = absl::InfinitePast();
     m_book.emplace(order_book::options{.lease = *lease,
                                        .endpoints_check_fencing = m_options.endpoints_check_fencing,
                                        .order_flight = m_options.order_flight});
@@ -79,9 +92,12 @@
 
 void order_sender::read_back()
 {
+    const absl::Time asked_at = m_options.time.now();
     const auto listed = m_options.cloud.list();
-    if (is_ok(listed))
+    if (is_ok(listed)) {
+        m_listed_at = asked_at;
         handle(get_value(listed));
+    }
     const auto view = m_options.feed.view();
     for (const endpoint_id& id : m_book->ordered_endpoints())
         for (const membership::endpoint& endpoint : view->endpoints) {
@@ -118,10 +134,13 @@
                                                {"instance", get_value(started).str()},
                                                {"zone", order.pool.zone.str()}});
         handle(start_was_answered{.token = order.token, .instance = get_value(started)});
+        (void)m_options.placement.try_push(pool_started{.pool = order.pool});
     }
     else if (get_error(started).code == result_code::start_refused) {
         log_event(event_id::instance_start_refused,
                   {{"token", to_string(order.token)}, {"zone", order.pool.zone.str()}});
+        // Told before the start is gone from the open orders, or it would be decided again.
+        (void)m_options.placement.try_push(pool_refused{.pool = order.pool});
         handle(start_was_refused{.token = order.token});
     }
 }
--- /dev/null
+++ b/src/control/placement_controller.cpp
@@ -0,0 +1,159 @@
+#include "chivedeal/control/placement_controller.hpp"
+
+#include "chivedeal/control/cloud_api.hpp"
+#include "chivedeal/control/move_feed.hpp"
+#include "chivedeal/core/clock.hpp"
+#include "chivedeal/core/log_event.hpp"
+#include "chivedeal/membership/gossip_port.hpp"
+#include "chivedeal/membership/membership_view.hpp"
+#include "chivedeal/state/cluster_state.hpp"
+
+#include "absl/strings/str_cat.h"
+
+#include <memory>
+#include <utility>
+
+namespace chivedeal::control {
+
+namespace {
+
+// Instances take tens of seconds to start; a shorter interval would gain nothing.
+constexpr absl::Duration look_interval = absl::Milliseconds(500);
+constexpr absl::Duration price_interval = absl::Seconds(30);
+constexpr absl::Duration price_retry = absl::Seconds(1);
+// Longer than the calls that the sender may be blocked in. A sender that was restarted after this
+// has lost the wish.
+constexpr absl::Duration wish_limit = absl::Minutes(1);
+
+std::string to_text(const instance_pool& pool)
+{
+    return absl::StrCat(pool.zone.str(), "/", pool.machine_class, "/",
+                        pool.reclaimable ? "reclaimable" : "on_demand");
+}
+
+std::string weighed(const placement_look& look)
+{
+    std::string out;
+    for (const pool_offer& offer : look.offers)
+        absl::StrAppend(&out, out.empty() ? "" : ",", to_text(offer.pool), "=", offer.hourly_price);
+    return out;
+}
+
+} // namespace
+
+placement_controller::placement_controller(options wiring)
+    : m_options(std::move(wiring)),
+      m_planner(m_options.planner),
+      m_wants_pushed(m_options.orders.load()->wants_taken + m_options.wishes.size())
+{}
+
+void placement_controller::run()
+{
+    absl::Time next_look = m_options.time.now();
+    while (true) {
+        const auto event = m_options.inbox.pop(next_look - m_options.time.now());
+        if (!event && m_options.inbox.closed())
+            return;
+        if (event)
+            m_planner.handle(*event, m_options.time.now());
+        if (m_options.time.now() < next_look)
+            continue;
+        look();
+        next_look = m_options.time.now() + look_interval;
+    }
+}
+
+void placement_controller::request_stop() { m_options.inbox.close(); }
+
+void placement_controller::look()
+{
+    // Loaded before the events: a refusal is told before its start leaves the open orders.
+    const auto orders = m_options.orders.load();
+    for (std::size_t left = m_options.inbox.size(); left > 0; --left)
+        if (const auto event = m_options.inbox.pop(absl::ZeroDuration()))
+            m_planner.handle(*event, m_options.time.now());
+    placement_planner::input seen{.state = m_options.feed.state(),
+                                  .view = m_options.feed.view(),
+                                  .prices = {},
+                                  .orders = orders};
+    m_planner.observe(*seen.view, m_options.time.now());
+    const auto lease = m_options.held.load()->find(m_options.scope, m_options.time.now());
+    if (!lease || !has_placed_service(*seen.state) || !is_settled(*lease, *orders))
+        return;
+    refresh_prices();
+    seen.prices = m_prices;
+    const absl::Time now = m_options.time.now();
+    const placement_look look = m_planner.build_look(seen, now);
+    for (const placement_command& command : m_planner.decide(seen, look, now))
+        execute(command, look);
+}
+
+// Without the sender's account of this tenure a start could be decided twice.
+bool placement_controller::is_settled(const held_lease& lease, const open_orders& orders)
+{
+    const absl::Time now = m_options.time.now();
+    if (orders.wants_taken != m_wants_pushed && now >= m_last_push + wish_limit)
+        m_wants_pushed = orders.wants_taken;
+    return orders.grant == lease.grant && orders.wants_taken == m_wants_pushed &&
+           orders.listed_at >= lease.since + m_options.settle;
+}
+
+void placement_controller::refresh_prices()
+{
+    const absl::Time now = m_options.time.now();
+    if (now < m_next_prices)
+        return;
+    const auto prices = m_options.cloud.prices();
+    if (is_ok(prices))
+        m_prices = get_value(prices);
+    m_next_prices = now + (is_ok(prices) && !m_prices.empty() ? price_interval : price_retry);
+}
+
+void placement_controller::execute(const placement_command& command, const placement_look& look)
+{
+    // The thread may have been paused since the decision.
+    if (!m_options.held.load()->find(m_options.scope, m_options.time.now()))
+        return;
+    log_decision(command, look);
+    if (const auto* start = std::get_if<start_instance>(&command))
+        push(want_start{.pool = start->pool, .service = start->service, .version = start->version});
+    if (const auto* drain = std::get_if<drain_instance>(&command))
+        m_options.gossip.publish_fact(
+            membership::endpoint_leaving{.endpoint = endpoint_id(drain->instance.str())});
+    if (const auto* stop = std::get_if<stop_instance>(&command))
+        push(want_stop{.instance = stop->instance, .drain_confirmed = true});
+}
+
+void placement_controller::log_decision(const placement_command& command,
+                                        const placement_look& look)
+{
+    if (const auto* start = std::get_if<start_instance>(&command))
+        log_event(event_id::placement_decided, {{"decision", "start"},
+                                                {"service", start->service.str()},
+                                                {"version", start->version.str()},
+                                                {"pool", to_text(start->pool)},
+                                                {"reason", start->reason},
+                                                {"weighed", weighed(look)}});
+    if (const auto* drain = std::get_if<drain_instance>(&command))
+        log_event(event_id::placement_decided, {{"decision", "drain"},
+                                                {"instance", drain->instance.str()},
+                                                {"reason", drain->reason},
+                                                {"weighed", weighed(look)}});
+    const auto* stop = std::get_if<stop_instance>(&command);
+    if (stop != nullptr && m_stops.insert(stop->instance).second)
+        log_event(event_id::placement_decided, {{"decision", "stop"},
+                                                {"instance", stop->instance.str()},
+                                                {"reason", "drain confirmed"},
+                                                {"weighed", "none"}});
+}
+
+// A wish that finds no room is decided again at a later look.
+void placement_controller::push(const order_event& wish)
+{
+    if (!m_options.wishes.try_push(wish) || !std::holds_alternative<want_start>(wish))
+        return;
+    ++m_wants_pushed;
+    m_last_push = m_options.time.now();
+}
+
+} // namespace chivedeal::control
--- /dev/null
+++ b/src/control/placement_planner.cpp
@@ -0,0 +1,209 @@
+#include "chivedeal/control/placement_planner.hpp"
+
+#include "chivedeal/membership/membership_view.hpp"
+#include "chivedeal/state/cluster_state.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace chivedeal::control {
+
+namespace {
+
+// A wave of reclaims reaches the instances of a pool within seconds and counts once.
+constexpr absl::Duration wave_length = absl::Minutes(1);
+// A paused node has not watched the instances in the meantime.
+constexpr absl::Duration longest_exposure = absl::Minutes(1);
+
+instance_pool pool_of(const membership::endpoint& endpoint)
+{
+    return {.zone = endpoint.zone,
+            .machine_class = endpoint.machine_class,
+            .reclaimable = endpoint.reclaimable};
+}
+
+bool is_bad(const placement_planner::input& seen, const state::endpoint_version& version)
+{
+    const auto verdict = seen.state->bad_versions.find({version.service, version.name});
+    if (verdict != seen.state->bad_versions.end() && verdict->second == version.declared_offset)
+        return true;
+    return std::any_of(seen.view->bad_versions.begin(), seen.view->bad_versions.end(),
+                       [&](const membership::version_bad& fact) {
+                           return fact.service == version.service && fact.version == version.name &&
+                                  fact.declared_offset == version.declared_offset;
+                       });
+}
+
+// The version that carries the traffic and the one that is to carry it.
+bool is_wanted(const state::cluster_state& state, const service_id& service,
+               const version_id& version)
+{
+    const auto current = state.current_versions.find(service);
+    if (current != state.current_versions.end() && current->second == version)
+        return true;
+    const auto move = state.moves.find(service);
+    return move != state.moves.end() && move->second->status == state::move_status::open &&
+           move->second->to == version;
+}
+
+} // namespace
+
+bool has_placed_service(const state::cluster_state& state)
+{
+    return std::any_of(state.services.begin(), state.services.end(),
+                       [](const auto& entry) { return entry.second->max_endpoints > 0; });
+}
+
+placement_planner::placement_planner(options settings)
+    : m_options(std::move(settings)), m_policy(m_options.policy)
+{}
+
+void placement_planner::handle(const placement_event& event, absl::Time now)
+{
+    if (const auto* refused = std::get_if<pool_refused>(&event))
+        m_policy.on_start_refused(refused->pool, now);
+    if (const auto* started = std::get_if<pool_started>(&event))
+        m_policy.on_started(started->pool);
+    const auto* load = std::get_if<load_sample>(&event);
+    if (load == nullptr)
+        return;
+    load_entry& entry = m_loads[load->endpoint];
+    const absl::Time measured = now - load->age;
+    if (measured <= entry.measured)
+        return;
+    const double use = static_cast<double>(load->open) / std::max(1, load->slots);
+    const double weight =
+        1 - std::exp(-absl::FDivDuration(measured - entry.measured, m_options.load_window));
+    entry = {
+        .use = entry.use + weight * (use - entry.use), .open = load->open, .measured = measured};
+}
+
+void placement_planner::observe(const membership::membership_view& view, absl::Time now)
+{
+    const absl::Duration elapsed = std::min(now - m_observed_at, longest_exposure);
+    m_observed_at = now;
+    std::set<endpoint_id> listed;
+    for (const membership::endpoint& endpoint : view.endpoints) {
+        listed.insert(endpoint.id);
+        m_seen.insert(endpoint.id);
+        const instance_pool pool = pool_of(endpoint);
+        m_policy.hazards().on_exposure(pool, 1, elapsed);
+        if (endpoint.status != membership::endpoint_status::leaving ||
+            !m_leaving_since.try_emplace(endpoint.id, now).second ||
+            endpoint.reclaim_at == absl::InfiniteFuture())
+            continue;
+        const auto [last, is_first] = m_last_reclaim.try_emplace(pool, now);
+        if (is_first || now - last->second > wave_length)
+            m_policy.hazards().on_reclaim(pool);
+        last->second = now;
+    }
+    const auto is_gone = [&](const auto& entry) { return !listed.contains(entry.first); };
+    std::erase_if(m_loads, is_gone);
+    std::erase_if(m_leaving_since, is_gone);
+}
+
+placement_look placement_planner::build_look(const input& seen, absl::Time now) const
+{
+    placement_look look;
+    for (const pool_price& price : seen.prices)
+        if (price.region == m_options.region)
+            look.offers.push_back(
+                {.pool = price.pool, .hourly_price = price.hourly_price, .capacity = 1});
+    add_instances(seen, now, look);
+    for (const auto& [name, service] : seen.state->services)
+        if (service->max_endpoints > 0)
+            add_demands(seen, *service, look);
+    return look;
+}
+
+std::vector<placement_command> placement_planner::decide(const input& seen,
+                                                         const placement_look& look, absl::Time now)
+{
+    std::map<service_id, int> running;
+    for (const placed_instance& instance : look.instances)
+        if (instance.phase == instance_phase::starting || instance.phase == instance_phase::live)
+            ++running[instance.service];
+    std::vector<placement_command> out;
+    for (placement_command& command : m_policy.handle(look, now)) {
+        const auto* start = std::get_if<start_instance>(&command);
+        if (start != nullptr &&
+            ++running[start->service] > seen.state->services.at(start->service)->max_endpoints)
+            continue;
+        out.push_back(std::move(command));
+    }
+    return out;
+}
+
+// A notice has a deadline. Without one the endpoint leaves since it is to be stopped.
+instance_phase placement_planner::phase_of(const membership::endpoint& endpoint,
+                                           absl::Time now) const
+{
+    if (endpoint.status == membership::endpoint_status::live)
+        return instance_phase::live;
+    if (endpoint.reclaim_at != absl::InfiniteFuture())
+        return instance_phase::leaving;
+    const auto since = m_leaving_since.find(endpoint.id);
+    const auto load = m_loads.find(endpoint.id);
+    if (since == m_leaving_since.end() || load == m_loads.end() || load->second.open > 0 ||
+        load->second.measured < since->second + m_options.drain_settle ||
+        load->second.measured > now)
+        return instance_phase::draining;
+    return instance_phase::drained;
+}
+
+// A start counts until the view shows its instance; from then on the view alone counts.
+void placement_planner::add_instances(const input& seen, absl::Time now, placement_look& look) const
+{
+    const auto is_placed = [&](const service_id& name) {
+        const auto found = seen.state->services.find(name);
+        return found != seen.state->services.end() && found->second->max_endpoints > 0;
+    };
+    for (const membership::endpoint& endpoint : seen.view->endpoints)
+        if (endpoint.region == m_options.region && is_placed(endpoint.service))
+            look.instances.push_back({.id = instance_id(endpoint.id.str()),
+                                      .pool = pool_of(endpoint),
+                                      .service = endpoint.service,
+                                      .version = endpoint.version,
+                                      .phase = phase_of(endpoint, now)});
+    const auto add_starting = [&](const order_start& order, const instance_id& instance) {
+        if (is_placed(order.service))
+            look.instances.push_back({.id = instance,
+                                      .pool = order.pool,
+                                      .service = order.service,
+                                      .version = order.version,
+                                      .phase = instance_phase::starting});
+    };
+    for (const order_start& order : seen.orders->starts)
+        add_starting(order, instance_id(to_string(order.token)));
+    for (const listed_start& start : seen.orders->listed)
+        if (!m_seen.contains(endpoint_id(start.instance.str())))
+            add_starting(start.order, start.instance);
+}
+
+void placement_planner::add_demands(const input& seen, const state::service& service,
+                                    placement_look& look) const
+{
+    for (const auto& [key, version] : seen.state->versions) {
+        if (key.first != service.name)
+            continue;
+        double requests = 0;
+        for (const membership::endpoint& endpoint : seen.view->endpoints)
+            if (const auto load = m_loads.find(endpoint.id);
+                load != m_loads.end() && endpoint.region == m_options.region &&
+                endpoint.service == service.name && endpoint.version == version->name)
+                requests += load->second.use;
+        // The policy adds its headroom to load, which the declared number does not need.
+        if (is_wanted(*seen.state, service.name, version->name))
+            requests = std::max(requests, service.min_endpoints / m_options.policy.start_headroom);
+        if (is_bad(seen, *version))
+            requests = 0;
+        look.demands.push_back({.service = service.name,
+                                .version = version->name,
+                                .requests = requests,
+                                .weights_bytes = version->weights_bytes,
+                                .classes = version->classes});
+    }
+}
+
+} // namespace chivedeal::control
--- a/src/control/placement_policy.cpp
+++ b/src/control/placement_policy.cpp
@@ -95,6 +95,9 @@
 void placement_policy::on_start_refused(const instance_pool& pool, absl::Time now)
 {
     const auto found = m_backoffs.find(pool);
+    // Starts of one look are refused together and count once.
+    if (found != m_backoffs.end() && now < found->second.until)
+        return;
     const absl::Duration wait = found == m_backoffs.end()
                                     ? m_options.first_backoff
                                     : std::min(found->second.wait * 2, m_options.longest_backoff);
--- a/src/node/control_subtree.cpp
+++ b/src/node/control_subtree.cpp
@@ -4,6 +4,8 @@
 #include "chivedeal/control/lease_scope.hpp"
 #include "chivedeal/control/move_controller.hpp"
 #include "chivedeal/control/move_policy.hpp"
+#include "chivedeal/control/order_sender.hpp"
+#include "chivedeal/control/placement_controller.hpp"
 #include "chivedeal/core/settings.hpp"
 #include "chivedeal/core/supervisor.hpp"
 
@@ -15,6 +17,11 @@
 
 constexpr std::size_t lease_capacity = 1024;
 constexpr std::size_t sample_capacity = 4096;
+// A report of each of 1,800 endpoints while the controller waits for the cloud.
+constexpr std::size_t placement_capacity = 4096;
+constexpr std::size_t wish_capacity = 1024;
+// Two polls of the instance list and a round of gossip's view behind the cloud's own list.
+constexpr absl::Duration list_lag = absl::Seconds(2);
 
 } // namespace
 
@@ -25,7 +32,12 @@
       m_samples(sample_capacity),
       m_held(std::make_shared<const control::held_leases>()),
       m_lease_feed(m_lease_inbox),
-      m_move_feed(m_samples)
+      m_move_feed(m_samples),
+      m_placement_inbox(placement_capacity),
+      m_placement_feed(m_placement_inbox),
+      m_wishes(wish_capacity),
+      m_orders(std::make_shared<const control::open_orders>()),
+      m_cloud(config.platform)
 {}
 
 child_spec control_subtree::make_spec(wires links)
@@ -53,18 +65,58 @@
                                     .term = m_config.lease_term,
                                     .scopes = control::lease_scopes(m_config.region)}});
                  }},
-            {.name = "move_controller", .make = [this, links] {
-                 return std::make_unique<control::move_controller>(
-                     control::move_controller::options{
-                         .time = m_clock,
-                         .self = m_config.node,
-                         .inbox = m_samples,
-                         .feed = m_move_feed,
-                         .held = m_held,
-                         .records = links.records,
-                         .gossip = links.gossip,
-                         .policy = std::make_shared<control::move_policy>()});
-             }}};
+            {.name = "move_controller",
+             .make =
+                 [this, links] {
+                     return std::make_unique<control::move_controller>(
+                         control::move_controller::options{
+                             .time = m_clock,
+                             .self = m_config.node,
+                             .inbox = m_samples,
+                             .feed = m_move_feed,
+                             .held = m_held,
+                             .records = links.records,
+                             .gossip = links.gossip,
+                             .policy = std::make_shared<control::move_policy>()});
+                 }},
+            placement_spec(links),
+            sender_spec()};
+}
+
+child_spec control_subtree::placement_spec(const wires& links)
+{
+    return {.name = "placement_controller", .make = [this, links] {
+                return std::make_unique<control::placement_controller>(
+                    control::placement_controller::options{
+                        .time = m_clock,
+                        .scope = control::placement_scope(m_config.region),
+                        .inbox = m_placement_inbox,
+                        .feed = m_move_feed,
+                        .held = m_held,
+                        .cloud = m_cloud,
+                        .gossip = links.gossip,
+                        .orders = m_orders,
+                        .wishes = m_wishes,
+                        .planner = {.region = m_config.region},
+                        .settle = m_config.order_flight + list_lag});
+            }};
+}
+
+child_spec control_subtree::sender_spec()
+{
+    return {.name = "order_sender", .make = [this] {
+                return std::make_unique<control::order_sender>(control::order_sender::options{
+                    .time = m_clock,
+                    .scope = control::placement_scope(m_config.region),
+                    .inbox = m_wishes,
+                    .held = m_held,
+                    .cloud = m_cloud,
+                    .engines = m_engines,
+                    .feed = m_move_feed,
+                    .orders = m_orders,
+                    .placement = m_placement_inbox,
+                    .order_flight = m_config.order_flight});
+            }};
 }
 
 } // namespace chivedeal
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -77,6 +77,7 @@
         m_control.make_spec({.records = m_state.records(), .gossip = m_membership.gossip()}),
         m_requests.make_spec({.records = m_state.records(),
                               .samples = m_control.moves(),
+                              .loads = m_control.loads(),
                               .gossip = m_membership.gossip(),
                               .peers = m_membership.peers(),
                               .install =
--- a/src/node/requests_subtree.cpp
+++ b/src/node/requests_subtree.cpp
@@ -49,12 +49,13 @@
 {
     std::vector<child_spec> children;
     children.push_back(
-        {.name = "load_watcher", .make = [this] {
+        {.name = "load_watcher", .make = [this, links] {
              return std::make_unique<requests::load_watcher>(
                  requests::load_watcher::options{.time = m_clock,
                                                  .views = m_load_views.ring(),
                                                  .router_inbox = m_inbox,
-                                                 .pace = {.interval = m_config.load_poll}});
+                                                 .pace = {.interval = m_config.load_poll},
+                                                 .loads = &links.loads});
          }});
     children.push_back({.name = "endpoint_calls", .make = [this] {
                             return std::make_unique<requests::endpoint_call_worker>(
--- a/src/requests/load_watcher.cpp
+++ b/src/requests/load_watcher.cpp
@@ -1,5 +1,7 @@
 #include "chivedeal/requests/load_watcher.hpp"
 
+#include "chivedeal/control/load_sink.hpp"
+#include "chivedeal/control/placement_event.hpp"
 #include "chivedeal/core/clock.hpp"
 #include "chivedeal/core/log_event.hpp"
 #include "chivedeal/membership/membership_view.hpp"
@@ -92,8 +94,13 @@
     try {
         if (const auto load = get(client, "/v1/load")) {
             answered = true;
-            (void)m_options.router_inbox.try_push(
-                {.event = parse_load(endpoint, *load), .reply = nullptr});
+            const load_report report = parse_load(endpoint, *load);
+            if (m_options.loads != nullptr)
+                m_options.loads->add_load({.endpoint = endpoint,
+                                           .open = report.running + report.queued,
+                                           .slots = report.slots,
+                                           .age = report.age});
+            (void)m_options.router_inbox.try_push({.event = report, .reply = nullptr});
         }
         const bool has_cache = one.target.kind == state::service_kind::engine;
         if (const auto events = has_cache && answered
--- a/test/control_order_book_test.cpp
+++ b/test/control_order_book_test.cpp
@@ -169,7 +169,8 @@
     bounded_ring<attempt_sample> samples(1);
     move_feed feed(samples);
     shared_cell<held_leases> held(std::make_shared<const held_leases>());
-    shared_cell<std::vector<order_start>> open(std::make_shared<const std::vector<order_start>>());
+    shared_cell<open_orders> orders(std::make_shared<const open_orders>());
+    bounded_ring<placement_event> placement(16);
     fakes::fake_cloud_api cloud;
     fakes::fake_engine_api engines;
     order_sender sender({.time = time,
@@ -179,7 +180,8 @@
                          .cloud = cloud,
                          .engines = engines,
                          .feed = feed,
-                         .open_starts = open,
+                         .orders = orders,
+                         .placement = placement,
                          .endpoints_check_fencing = true});
     posix_thread thread("order_sender", [&] { sender.run(); });
     ASSERT_TRUE(inbox.push(want_start{.service = service_id("dropped")}));
