--- a/fakes/stand_in/platform_faults.hpp
+++ b/fakes/stand_in/platform_faults.hpp
@@ -39,7 +39,9 @@
     bool refuses_pool(const std::string& pool, bool reclaimable) const
     {
         const std::string full = pool + (reclaimable ? "/reclaimable" : "/on_demand");
-        for (const auto& name : all()["start_refused_pools"])
+        // Named, since a range-for does not keep the temporary that it reads a member of.
+        const nlohmann::json values = all();
+        for (const auto& name : values["start_refused_pools"])
             if (name == pool || name == full)
                 return true;
         return false;
