--- a/test/control_order_book_test.cpp
+++ b/test/control_order_book_test.cpp
@@ -6,6 +6,7 @@
 #include "chivedeal/control/http_engine_api.hpp"
 #include "chivedeal/control/move_feed.hpp"
 #include "chivedeal/control/order_sender.hpp"
+#include "chivedeal/control/pool_price.hpp"
 #include "chivedeal/core/posix_thread.hpp"
 #include "chivedeal/core/system_clock.hpp"
 
@@ -168,7 +169,8 @@
     bounded_ring<attempt_sample> samples(1);
     move_feed feed(samples);
     shared_cell<held_leases> held(std::make_shared<const held_leases>());
-    shared_cell<std::vector<order_start>> open(std::make_shared<const std::vector<order_start>>());
+    shared_cell<open_orders> orders(std::make_shared<const open_orders>());
+    bounded_ring<placement_event> placement(16);
     fakes::fake_cloud_api cloud;
     fakes::fake_engine_api engines;
     order_sender sender({.time = time,
@@ -178,7 +180,8 @@
                          .cloud = cloud,
                          .engines = engines,
                          .feed = feed,
-                         .open_starts = open,
+                         .orders = orders,
+                         .placement = placement,
                          .endpoints_check_fencing = true});
     posix_thread thread("order_sender", [&] { sender.run(); });
     ASSERT_TRUE(inbox.push(want_start{.service = service_id("dropped")}));
@@ -211,6 +214,9 @@
     server.Post("/v1/orders", [](const httplib::Request&, httplib::Response& response) {
         response.status = 409;
     });
+    server.Get("/v1/orders", [](const httplib::Request&, httplib::Response& response) {
+        response.set_content(R"({"loaded": ["v1", "v2"]})", "application/json");
+    });
     const address where{.host = "127.0.0.1",
                         .port = static_cast<std::uint16_t>(server.bind_to_any_port("127.0.0.1"))};
     posix_thread thread("server", [&] { server.listen_after_bind(); });
@@ -222,6 +228,31 @@
     const auto listed = cloud.list();
     ASSERT_TRUE(is_ok(listed));
     EXPECT_EQ(get_value(listed).entries.size(), 2U);
+    EXPECT_EQ(get_value(listed).entries[0].token, "t");
+    EXPECT_EQ(get_value(engines.loaded(where)),
+              (std::vector<version_id>{version_id("v1"), version_id("v2")}));
     EXPECT_EQ(get_error(engines.order(where, {})).code, result_code::stale_fence);
     server.stop();
 }
+
+// Guards against a pool that vanishes from the offers, or is taken for free, when the price list
+// is damaged.
+TEST(http_apis, prices_are_read_as_a_whole_or_not_at_all)
+{
+    const std::string good =
+        R"({"region": "r", "zone": "z", "class": "a", "reclaimable": true, "price": 1.5})";
+    EXPECT_EQ(get_value(parse_prices(R"({"prices": [)" + good + "]}")),
+              (std::vector<pool_price>{
+                  {.region = region_id("r"),
+                   .pool = {.zone = zone_id("z"), .machine_class = "a", .reclaimable = true},
+                   .hourly_price = 1.5}}));
+    for (const char* wrong :
+         {R"({"zone": "z", "class": "a", "reclaimable": true, "price": 1})",
+          R"({"region": "r", "zone": 1, "class": "a", "reclaimable": true, "price": 1})",
+          R"({"region": "r", "zone": "z", "class": "a", "reclaimable": 1, "price": 1})",
+          R"({"region": "r", "zone": "z", "class": "a", "reclaimable": true, "price": -1})",
+          R"({"region": "r", "zone": "z", "class": "a", "reclaimable": true})", "7"})
+        EXPECT_FALSE(is_ok(parse_prices(R"({"prices": [)" + good + "," + wrong + "]}"))) << wrong;
+    for (const char* body : {"", "[]", R"({"prices": {}})"})
+        EXPECT_FALSE(is_ok(parse_prices(body))) << body;
+}
