Count control messages and measure the control budget

Cause: the budget of a node (4.8% of a core, 32 MB, 2 KB/s) could not be checked, since no counter told how many bytes each purpose takes, and no program ran more than a few real nodes without load.

Ruled out: counting encoded gossip alone, which leaves out the RPC framing; reading socket statistics, which does not tell purposes apart.

--- a/include/chivedeal/membership/http_instance_source.hpp
+++ b/include/chivedeal/membership/http_instance_source.hpp
@@ -10,7 +10,8 @@
 
 namespace chivedeal {
 class clock;
-}
+class control_traffic;
+} // namespace chivedeal
 
 namespace chivedeal::membership {
 
@@ -31,6 +32,8 @@
         address platform;
         const clock& time;
         absl::Duration timeout = absl::Seconds(2);
+        /// Counts the bytes of the calls; may be null.
+        control_traffic* traffic = nullptr;
     };
 
     explicit http_instance_source(options wiring);
--- a/include/chivedeal/membership/peer_server.hpp
+++ b/include/chivedeal/membership/peer_server.hpp
@@ -11,6 +11,10 @@
 #include <cstddef>
 #include <string>
 
+namespace chivedeal {
+class control_traffic;
+}
+
 namespace chivedeal::membership {
 
 class peer_handler;
@@ -32,6 +36,8 @@
         absl::Duration timeout = absl::Milliseconds(500);
         /// Idle connections beyond this are closed, oldest use first; each takes a few kilobytes.
         std::size_t max_connections = 64;
+        /// Counts the bytes of all connections; may be null.
+        control_traffic* traffic = nullptr;
     };
 
     explicit peer_server(options wiring);
--- a/include/chivedeal/node/membership_subtree.hpp
+++ b/include/chivedeal/node/membership_subtree.hpp
@@ -17,6 +17,7 @@
 namespace chivedeal {
 
 class clock;
+class control_traffic;
 struct settings;
 
 /// Rings and cells of the supervisor `membership`; they outlive restarts of its threads.
@@ -29,7 +30,7 @@
         membership::peer_handler& handler;
     };
 
-    membership_subtree(const settings& config, const clock& time);
+    membership_subtree(const settings& config, const clock& time, control_traffic& traffic);
 
     child_spec make_spec(wires links);
 
@@ -41,6 +42,7 @@
 
     const settings& m_config;
     const clock& m_clock;
+    control_traffic& m_traffic;
     membership::gossip_inbox m_inbox;
     membership::peer_link m_link;
     membership::rpc_peer_client m_peers;
--- a/include/chivedeal/node/requests_subtree.hpp
+++ b/include/chivedeal/node/requests_subtree.hpp
@@ -35,6 +35,7 @@
 namespace chivedeal {
 
 class clock;
+class control_traffic;
 struct settings;
 
 /// Rings and cells of the supervisor `requests`; they outlive restarts of its threads.
@@ -52,7 +53,8 @@
         std::function<void()> on_drained;
     };
 
-    requests_subtree(const settings& config, const clock& time, metrics& counters);
+    requests_subtree(const settings& config, const clock& time, metrics& counters,
+                     control_traffic& traffic);
 
     child_spec make_spec(wires links);
 
@@ -83,6 +85,7 @@
     const settings& m_config;
     const clock& m_clock;
     metrics& m_metrics;
+    control_traffic& m_traffic;
     requests::http_endpoint_client m_client;
     bounded_ring<requests::router_message> m_inbox;
     bounded_ring<requests::attempt_start> m_attempts;
--- a/include/chivedeal/node/state_subtree.hpp
+++ b/include/chivedeal/node/state_subtree.hpp
@@ -19,6 +19,7 @@
 namespace chivedeal {
 
 class clock;
+class control_traffic;
 struct settings;
 
 /// Rings and cells of the supervisor `state`; they outlive restarts of its threads.
@@ -31,7 +32,7 @@
         membership::peer_client* peers = nullptr;
     };
 
-    state_subtree(const settings& config, const clock& time);
+    state_subtree(const settings& config, const clock& time, control_traffic& traffic);
 
     child_spec make_spec(wires links);
 
--- a/include/chivedeal/requests/load_watcher.hpp
+++ b/include/chivedeal/requests/load_watcher.hpp
@@ -12,7 +12,8 @@
 
 namespace chivedeal {
 class clock;
-}
+class control_traffic;
+} // namespace chivedeal
 
 namespace chivedeal::requests {
 
@@ -29,6 +30,8 @@
         view_ring& views;
         bounded_ring<router_message>& router_inbox;
         poll_schedule::options pace = {};
+        /// Counts the bytes of the polls; may be null.
+        control_traffic* traffic = nullptr;
     };
 
     explicit load_watcher(options wiring);
--- a/include/chivedeal/state/http_log_service.hpp
+++ b/include/chivedeal/state/http_log_service.hpp
@@ -2,6 +2,7 @@
 #define CHIVEDEAL_STATE_HTTP_LOG_SERVICE_HPP
 
 #include "chivedeal/core/address.hpp"
+#include "chivedeal/core/control_traffic.hpp"
 #include "chivedeal/core/mutex.hpp"
 #include "chivedeal/state/log_service.hpp"
 
@@ -24,6 +25,8 @@
         address platform;
         /// Limit of a call, beyond the time that a read asks the log to wait.
         absl::Duration timeout = absl::Seconds(3);
+        /// Counts the bytes of the calls; may be null.
+        control_traffic* traffic = nullptr;
     };
 
     explicit http_log_service(options wiring);
@@ -40,7 +43,7 @@
     void stop();
 
 private:
-    result<std::string> call(absl::Duration limit,
+    result<std::string> call(control_purpose purpose, absl::Duration limit,
                              const std::function<httplib::Result(httplib::Client&)>& request);
 
     options m_options;
--- a/src/membership/http_instance_source.cpp
+++ b/src/membership/http_instance_source.cpp
@@ -1,6 +1,7 @@
 #include "chivedeal/membership/http_instance_source.hpp"
 
 #include "chivedeal/core/clock.hpp"
+#include "chivedeal/core/control_traffic.hpp"
 
 #include "absl/strings/str_cat.h"
 
@@ -120,6 +121,8 @@
     const auto limit = absl::ToChronoMilliseconds(m_options.timeout);
     client.set_connection_timeout(limit);
     client.set_read_timeout(limit);
+    if (m_options.traffic != nullptr)
+        m_options.traffic->watch(client, control_purpose::instance_list);
     const httplib::Result answer = client.Get(path);
     if (!answer)
         return error{.code = result_code::io_error,
--- a/src/membership/peer_loop.cpp
+++ b/src/membership/peer_loop.cpp
@@ -3,6 +3,8 @@
 #include "chivedeal/membership/gossip_command.hpp"
 #include "chivedeal/membership/peer_codec.hpp"
 
+#include "counting_stream.hpp"
+
 #include "absl/time/time.h"
 
 #include <algorithm>
@@ -33,6 +35,7 @@
       m_inbox(wiring.inbox),
       m_timeout(absl::ToInt64Nanoseconds(wiring.timeout) * kj::NANOSECONDS),
       m_max_connections(wiring.max_connections),
+      m_traffic(wiring.traffic),
       m_tasks(*this)
 {}
 
@@ -52,7 +55,7 @@
         })
         .then(
             [this, peer](kj::Own<kj::AsyncIoStream>&& stream) -> kj::Promise<kj::Own<connection>> {
-                auto open = kj::refcounted<connection>(kj::mv(stream));
+                auto open = kj::refcounted<connection>(count_stream(kj::mv(stream), m_traffic));
                 keep(peer, kj::addRef(*open));
                 return open;
             },
--- a/src/membership/peer_loop.hpp
+++ b/src/membership/peer_loop.hpp
@@ -82,6 +82,7 @@
     bounded_ring<gossip_event>& m_inbox;
     kj::Duration m_timeout;
     std::size_t m_max_connections;
+    control_traffic* m_traffic;
     // Most recently used first.
     std::list<std::pair<address, kj::Own<connection>>> m_connections;
     // Shared with the calls that wait: Cap'n Proto keeps calls of closed connections until the
--- a/src/membership/peer_server.cpp
+++ b/src/membership/peer_server.cpp
@@ -4,6 +4,7 @@
 #include "chivedeal/membership/peer_handler.hpp"
 #include "chivedeal/membership/stream_state.hpp"
 #include "chivedeal/state/log_entry.hpp"
+#include "counting_receiver.hpp"
 #include "peer_link_impl.hpp"
 #include "peer_loop.hpp"
 
@@ -122,12 +123,12 @@
                 .parseAddress(kj::StringPtr(m_options.listen.host.c_str()), m_options.listen.port)
                 .wait(io.waitScope);
         auto listener = bound->listen();
+        counting_receiver counted(*listener, m_options.traffic);
         capnp::TwoPartyServer server(kj::heap<peer_service>(loop, m_options.handler));
         if (!link.attach(loop, *stop.fulfiller))
             return;
-        const auto fault = kj::runCatchingExceptions([&] {
-            server.listen(*listener).exclusiveJoin(kj::mv(stop.promise)).wait(io.waitScope);
-        });
+        const auto fault = kj::runCatchingExceptions(
+            [&] { server.listen(counted).exclusiveJoin(kj::mv(stop.promise)).wait(io.waitScope); });
         link.detach();
         loop.close();
         // Threads that wait for a call see its end before the loop goes.
--- a/src/node/membership_subtree.cpp
+++ b/src/node/membership_subtree.cpp
@@ -31,12 +31,14 @@
 
 } // namespace
 
-membership_subtree::membership_subtree(const settings& config, const clock& time)
+membership_subtree::membership_subtree(const settings& config, const clock& time,
+                                       control_traffic& traffic)
     : m_config(config),
       m_clock(time),
+      m_traffic(traffic),
       m_inbox(time),
       m_peers(m_link),
-      m_instances({.platform = config.platform, .time = time})
+      m_instances({.platform = config.platform, .time = time, .traffic = &traffic})
 {}
 
 child_spec membership_subtree::make_spec(wires links)
@@ -56,7 +58,8 @@
                          membership::peer_server::options{.listen = m_config.rpc,
                                                           .link = m_link,
                                                           .handler = links.handler,
-                                                          .inbox = m_inbox.ring()});
+                                                          .inbox = m_inbox.ring(),
+                                                          .traffic = &m_traffic});
                  }},
             {.name = "gossip",
              .make =
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,5 +1,6 @@
 #include "chivedeal/node/node.hpp"
 
+#include "chivedeal/core/control_traffic.hpp"
 #include "chivedeal/core/log_event.hpp"
 #include "chivedeal/core/metrics.hpp"
 #include "chivedeal/core/supervisor.hpp"
@@ -33,6 +34,7 @@
     const settings m_config;
     const system_clock m_clock;
     metrics m_metrics;
+    control_traffic m_traffic;
     state_subtree m_state;
     membership_subtree m_membership;
     control_subtree m_control;
@@ -47,10 +49,11 @@
 
 node::impl::impl(settings config)
     : m_config(std::move(config)),
-      m_state(m_config, m_clock),
-      m_membership(m_config, m_clock),
+      m_traffic(m_metrics),
+      m_state(m_config, m_clock, m_traffic),
+      m_membership(m_config, m_clock, m_traffic),
       m_control(m_config, m_clock),
-      m_requests(m_config, m_clock, m_metrics),
+      m_requests(m_config, m_clock, m_metrics, m_traffic),
       m_peer_service(m_state.published(), m_requests.port()),
       m_announcer(m_state.published(), m_membership.gossip()),
       m_addresses({.view = m_view.cell(), .region = m_config.region, .ttl = m_config.address_ttl}),
--- a/src/node/requests_subtree.cpp
+++ b/src/node/requests_subtree.cpp
@@ -23,10 +23,12 @@
 
 } // namespace
 
-requests_subtree::requests_subtree(const settings& config, const clock& time, metrics& counters)
+requests_subtree::requests_subtree(const settings& config, const clock& time, metrics& counters,
+                                   control_traffic& traffic)
     : m_config(config),
       m_clock(time),
       m_metrics(counters),
+      m_traffic(traffic),
       m_client(time),
       m_inbox(router_capacity),
       m_attempts(config.max_streams),
@@ -54,7 +56,8 @@
                  requests::load_watcher::options{.time = m_clock,
                                                  .views = m_load_views.ring(),
                                                  .router_inbox = m_inbox,
-                                                 .pace = {.interval = m_config.load_poll}});
+                                                 .pace = {.interval = m_config.load_poll},
+                                                 .traffic = &m_traffic});
          }});
     children.push_back({.name = "endpoint_calls", .make = [this] {
                             return std::make_unique<requests::endpoint_call_worker>(
--- a/src/node/state_subtree.cpp
+++ b/src/node/state_subtree.cpp
@@ -20,10 +20,10 @@
 
 } // namespace
 
-state_subtree::state_subtree(const settings& config, const clock& time)
+state_subtree::state_subtree(const settings& config, const clock& time, control_traffic& traffic)
     : m_config(config),
       m_clock(time),
-      m_log({.platform = config.platform, .timeout = config.log_timeout}),
+      m_log({.platform = config.platform, .timeout = config.log_timeout, .traffic = &traffic}),
       m_inbox(inbox_capacity),
       m_view_listener(m_inbox)
 {}
--- a/src/requests/load_watcher.cpp
+++ b/src/requests/load_watcher.cpp
@@ -1,6 +1,7 @@
 #include "chivedeal/requests/load_watcher.hpp"
 
 #include "chivedeal/core/clock.hpp"
+#include "chivedeal/core/control_traffic.hpp"
 #include "chivedeal/core/log_event.hpp"
 #include "chivedeal/membership/membership_view.hpp"
 
@@ -87,6 +88,8 @@
     client.set_connection_timeout(poll_timeout);
     client.set_read_timeout(poll_timeout);
     client.set_keep_alive(true);
+    if (m_options.traffic != nullptr)
+        m_options.traffic->watch(client, control_purpose::load_poll);
     std::uint64_t after = one.after;
     bool answered = false;
     try {
--- a/src/state/http_log_service.cpp
+++ b/src/state/http_log_service.cpp
@@ -62,9 +62,10 @@
     for (const std::string& data : records)
         body["records"].push_back(
             {{"id", absl::StrCat(absl::Hex(XXH64(data.data(), data.size(), 0)))}, {"data", data}});
-    const auto answer = call(m_options.timeout, [&](httplib::Client& client) {
-        return client.Post("/log/" + stream, body.dump(), "application/json");
-    });
+    const auto answer =
+        call(control_purpose::log_append, m_options.timeout, [&](httplib::Client& client) {
+            return client.Post("/log/" + stream, body.dump(), "application/json");
+        });
     if (!is_ok(answer))
         return get_error(answer);
     const json parsed = json::parse(get_value(answer), nullptr, false);
@@ -80,8 +81,8 @@
 {
     const std::string path = absl::StrCat("/log/", stream, "?from=", from, "&max=", max,
                                           "&wait_ms=", absl::ToInt64Milliseconds(wait));
-    const auto answer =
-        call(m_options.timeout + wait, [&](httplib::Client& client) { return client.Get(path); });
+    const auto answer = call(control_purpose::log_read, m_options.timeout + wait,
+                             [&](httplib::Client& client) { return client.Get(path); });
     if (!is_ok(answer))
         return get_error(answer);
     return parse_batch(stream, get_value(answer));
@@ -96,7 +97,7 @@
 }
 
 result<std::string>
-http_log_service::call(absl::Duration limit,
+http_log_service::call(control_purpose purpose, absl::Duration limit,
                        const std::function<httplib::Result(httplib::Client&)>& request)
 {
     httplib::Client client(m_options.platform.host, m_options.platform.port);
@@ -104,6 +105,8 @@
     client.set_read_timeout(absl::ToChronoMilliseconds(limit));
     client.set_write_timeout(absl::ToChronoMilliseconds(m_options.timeout));
     client.set_tcp_nodelay(true);
+    if (m_options.traffic != nullptr)
+        m_options.traffic->watch(client, purpose);
     {
         const std::lock_guard<mutex> lock(m_mutex);
         if (m_stopped)
--- a/test/scenario_runner/process.hpp
+++ b/test/scenario_runner/process.hpp
@@ -27,6 +27,8 @@
 
     void signal(int number) const;
 
+    pid_t pid() const { return m_pid; }
+
     /// Whether the process has ended; then `exit_status` holds its status, -1 after a signal.
     bool ended();
     int exit_status() const { return m_exit_status; }
