--- a/bench/control_budget/cluster.hpp
+++ b/bench/control_budget/cluster.hpp
@@ -37,6 +37,9 @@
     std::size_t size() const { return m_nodes.size(); }
     process_usage usage(std::size_t node) const;
 
+    /// Nodes that the node does not know to be ready. All are, so each is late gossip.
+    std::size_t unready_peers(std::size_t node) const;
+
     /// Counters of control bytes of a node, by name.
     std::map<std::string, double> control_bytes(std::size_t node) const;
 
--- a/bench/control_budget/main.cpp
+++ b/bench/control_budget/main.cpp
@@ -106,6 +106,10 @@
     const reading after = read_all(nodes);
     summary rows(out, absl::StrCat(start.nodes, "_nodes_", start.endpoints, "_endpoints"));
     add_difference(rows, before, after);
+    std::vector<double> unready;
+    for (std::size_t i = 0; i < nodes.size(); ++i)
+        unready.push_back(static_cast<double>(nodes.unready_peers(i)));
+    rows.add("ready_peers_shown_as_unready", unready, "nodes");
     std::vector<double> in_force;
     for (int i = 0; i < changes; ++i)
         in_force.push_back(absl::ToDoubleMilliseconds(nodes.measure_change(i)));
