--- a/include/chivedeal/requests/load_watcher.hpp
+++ b/include/chivedeal/requests/load_watcher.hpp
@@ -12,7 +12,8 @@
 
 namespace chivedeal {
 class clock;
-}
+class control_traffic;
+} // namespace chivedeal
 
 namespace chivedeal::control {
 class load_sink;
@@ -35,6 +36,8 @@
         poll_schedule::options pace = {};
         /// Takes each report too, unless null.
         control::load_sink* loads = nullptr;
+        /// Counts the bytes of the polls; may be null.
+        control_traffic* traffic = nullptr;
     };
 
     explicit load_watcher(options wiring);
