Accept a lease with term zero as a release

A planned stop appends a renewal with term zero, so that a challenger need not wait, but the state machine refused every term that was not positive: the release had no effect and the lease ran out by itself. Zero is now taken and a negative term still refused; the codec carried zero already, and the test checks that too. A record type of its own for releases was ruled out, since the offset condition of a grant is what a release needs.

--- a/src/state/state_machine.cpp
+++ b/src/state/state_machine.cpp
@@ -294,9 +294,10 @@
 
 error state_machine::apply_grant(const lease_grant& grant, std::uint64_t offset)
 {
-    if (grant.scope.empty() || grant.holder.empty() || grant.term <= absl::ZeroDuration())
+    // A term of zero is a release: a challenger need not wait.
+    if (grant.scope.empty() || grant.holder.empty() || grant.term < absl::ZeroDuration())
         return refused(result_code::malformed_message,
-                       "a lease needs a scope, a holder and a positive term");
+                       "a lease needs a scope, a holder and a term of 0 or more");
     const auto present = find_or_null(m_state.leases, grant.scope);
     const std::uint64_t newest = present ? present->renewal : 0;
     if (newest != grant.previous_offset)
--- a/test/state_machine_test.cpp
+++ b/test/state_machine_test.cpp
@@ -1,5 +1,6 @@
 #include "chivedeal/state/state_machine.hpp"
 
+#include "chivedeal/state/record_codec.hpp"
 #include "chivedeal/state/stream_name.hpp"
 #include "test/state_random_log.hpp"
 
@@ -130,6 +131,22 @@
     EXPECT_EQ(m.machine.publish()->leases.at("moves")->fence, m.offset);
 }
 
+// Guards against a planned stop that leaves its leases to run out.
+TEST(state_machine, takes_a_term_of_zero_as_a_release)
+{
+    machine_under_test m;
+    EXPECT_EQ(m.apply(lease_grant{"moves", node_id("n1"), absl::Seconds(15), 0}), result_code::ok);
+    const record release{.change = change_id("release"),
+                         .body = lease_grant{"moves", node_id("n1"), absl::ZeroDuration(), 1}};
+    const auto decoded = decode_record(encode_record(release));
+    ASSERT_TRUE(is_ok(decoded));
+    EXPECT_EQ(get_value(decoded), release);
+    EXPECT_EQ(m.apply(std::get<lease_grant>(release.body)), result_code::ok);
+    EXPECT_EQ(m.machine.publish()->leases.at("moves")->term, absl::ZeroDuration());
+    EXPECT_EQ(m.apply(lease_grant{"moves", node_id("n2"), absl::Seconds(-1), 2}),
+              result_code::malformed_message);
+}
+
 // Guards against steps of a former lease holder and against shares outside 0 to 1.
 TEST(state_machine, takes_steps_only_under_the_lease_in_force)
 {
