Pass work to the RPC thread through our own ring

Cause: work and answers crossed threads through kj::Executor, and libkj is built without the thread sanitizer, so peer_server.* and gossip.* gave 157 reports. The caller listener was stopped by httplib's stop(), which closes the socket under accept() and does nothing before the accept loop runs.

The first use of libkj's address tables is under a lock, which orders it before later ones.

Ruled out: a lock around kj::Executor, which leaves libkj's own reports; wait_until_ready, which httplib 0.11.4 does not have.

--- a/include/chivedeal/requests/caller_server.hpp
+++ b/include/chivedeal/requests/caller_server.hpp
@@ -4,6 +4,7 @@
 #include "chivedeal/core/address.hpp"
 #include "chivedeal/core/bounded_ring.hpp"
 #include "chivedeal/core/duty.hpp"
+#include "chivedeal/core/mutex.hpp"
 #include "chivedeal/requests/router_message.hpp"
 
 #include <cstddef>
@@ -48,13 +49,21 @@
     void request_stop() override;
 
 private:
+    /// Returns false when a stop was requested before.
+    bool open_listener();
+    /// Returns whether a stop was requested.
+    bool close_listener();
     void install_routes();
     void serve(router_message message, const request_id& request, std::uint64_t connection,
                httplib::Response& response);
 
     options m_options;
     std::unique_ptr<httplib::Server> m_server;
+    // Set by the library while it binds, closed by the library.
     int m_socket = -1;
+    mutex m_mutex;
+    bool m_stopping = false;
+    int m_stop_socket = -1;
 };
 
 } // namespace chivedeal::requests
--- a/src/membership/peer_loop.cpp
+++ b/src/membership/peer_loop.cpp
@@ -70,10 +70,16 @@
         m_connections.pop_back();
 }
 
-void peer_loop::close()
+kj::Promise<void> peer_loop::serve(kj::AsyncInputStream& wake, peer_work_queue& queue)
 {
-    m_closed = true;
-    m_calls.cancel("the RPC thread stops");
+    return wake.tryRead(&m_wake_count, sizeof m_wake_count, sizeof m_wake_count)
+        .then([this, &wake, &queue](std::size_t) -> kj::Promise<void> {
+            while (const auto item = queue.next())
+                (*item)(*this);
+            if (queue.closed())
+                return kj::READY_NOW;
+            return serve(wake, queue);
+        });
 }
 
 void peer_loop::start_exchange(const send_exchange& command)
--- a/src/membership/peer_loop.hpp
+++ b/src/membership/peer_loop.hpp
@@ -3,6 +3,7 @@
 
 #include "chivedeal/core/address.hpp"
 #include "chivedeal/membership/peer_server.hpp"
+#include "peer_work_queue.hpp"
 
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
@@ -38,18 +39,25 @@
                 auto answer = method(open->peer);
                 return answer.attach(kj::mv(open));
             });
-        if (m_closed)
-            return kj::Exception(kj::Exception::Type::DISCONNECTED, __FILE__, __LINE__,
-                                 kj::str("the RPC thread stops"));
-        return m_calls.wrap(m_io.provider->getTimer().timeoutAfter(m_timeout, kj::mv(work)))
+        return m_io.provider->getTimer()
+            .timeoutAfter(m_timeout, kj::mv(work))
             .catch_([this, peer](kj::Exception&& fault) -> kj::Promise<T> {
                 m_connections.remove_if([&](const auto& item) { return item.first == peer; });
                 return kj::mv(fault);
             });
     }
 
-    /// Fails all calls, so that none of them outlives the event loop that it uses.
-    void close();
+    /// Calls a method of the peer and gives its result or fault to one of the functions, neither of
+    /// which is called when the loop ends first.
+    template<class T>
+    void start_call(const address& peer, kj::Function<kj::Promise<T>(wire::Peer::Client)> method,
+                    kj::Function<void(T&&)> succeed, kj::Function<void(kj::Exception&&)> fail)
+    {
+        m_tasks.add(call<T>(peer, kj::mv(method)).then(kj::mv(succeed), kj::mv(fail)));
+    }
+
+    /// Runs the queue's work until the queue is closed.
+    kj::Promise<void> serve(kj::AsyncInputStream& wake, peer_work_queue& queue);
 
     void start_exchange(const send_exchange& command);
     void start_probe(const send_probe& command);
@@ -89,8 +97,8 @@
     std::shared_ptr<reply_map> m_replies = std::make_shared<reply_map>();
     std::uint64_t m_next_reply = 1;
     std::size_t m_open_calls = 0;
-    bool m_closed = false;
-    kj::Canceler m_calls;
+    // Read from the wake descriptor and ignored.
+    std::uint64_t m_wake_count = 0;
     kj::TaskSet m_tasks;
 };
 
--- a/src/membership/peer_server.cpp
+++ b/src/membership/peer_server.cpp
@@ -1,5 +1,6 @@
 #include "chivedeal/membership/peer_server.hpp"
 
+#include "chivedeal/core/mutex.hpp"
 #include "chivedeal/membership/peer_codec.hpp"
 #include "chivedeal/membership/peer_handler.hpp"
 #include "chivedeal/membership/stream_state.hpp"
@@ -7,6 +8,8 @@
 #include "peer_link_impl.hpp"
 #include "peer_loop.hpp"
 
+#include <memory>
+#include <mutex>
 #include <stdexcept>
 #include <utility>
 
@@ -32,6 +35,15 @@
     return {kj::Exception::Type::FAILED, __FILE__, __LINE__, kj::str(why.c_str())};
 }
 
+// libkj fills its tables of address ranges at their first use, which the thread sanitizer can't see
+// as ordered, since libkj is built without it. The lock orders the first use before all others.
+kj::AsyncIoContext set_up_io()
+{
+    static mutex first_use;
+    const std::lock_guard<mutex> lock(first_use);
+    return kj::setupAsyncIo();
+}
+
 class peer_service final : public wire::Peer::Server
 {
 public:
@@ -113,28 +125,25 @@
 void peer_server::run()
 {
     peer_link::impl& link = m_options.link.get();
+    const auto detach = kj::defer([&link] { link.detach(); });
     try {
-        kj::AsyncIoContext io = kj::setupAsyncIo();
+        kj::AsyncIoContext io = set_up_io();
+        // Declared before the loop: work that is left when the loop ends is destroyed after it.
+        std::shared_ptr<peer_work_queue> queue;
         peer_loop loop(io, m_options);
-        auto stop = kj::newPromiseAndFulfiller<void>();
         auto bound =
             io.provider->getNetwork()
                 .parseAddress(kj::StringPtr(m_options.listen.host.c_str()), m_options.listen.port)
                 .wait(io.waitScope);
         auto listener = bound->listen();
         capnp::TwoPartyServer server(kj::heap<peer_service>(loop, m_options.handler));
-        if (!link.attach(loop, *stop.fulfiller))
+        queue = link.attach();
+        if (!queue)
             return;
-        const auto fault = kj::runCatchingExceptions([&] {
-            server.listen(*listener).exclusiveJoin(kj::mv(stop.promise)).wait(io.waitScope);
-        });
-        link.detach();
-        loop.close();
-        // Threads that wait for a call see its end before the loop goes.
-        while (link.is_in_use())
-            io.provider->getTimer().afterDelay(1 * kj::MILLISECONDS).wait(io.waitScope);
-        KJ_IF_MAYBE (reason, fault)
-            throw std::runtime_error(reason->getDescription().cStr());
+        auto wake = io.lowLevelProvider->wrapInputFd(
+            queue->wake_descriptor(), kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK |
+                                          kj::LowLevelAsyncIoProvider::ALREADY_CLOEXEC);
+        server.listen(*listener).exclusiveJoin(loop.serve(*wake, *queue)).wait(io.waitScope);
     }
     catch (const kj::Exception& fault) {
         throw std::runtime_error(fault.getDescription().cStr());
--- a/src/requests/caller_server.cpp
+++ b/src/requests/caller_server.cpp
@@ -10,9 +10,12 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 #include <openssl/rand.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <array>
 #include <atomic>
+#include <mutex>
 #include <optional>
 #include <stdexcept>
 #include <utility>
@@ -204,13 +207,43 @@
 {
     if (!m_server->bind_to_port(m_options.listen.host, m_options.listen.port))
         throw std::runtime_error("cannot listen on " + to_string(m_options.listen));
+    if (!open_listener())
+        return;
+    const bool ended_well = m_server->listen_after_bind();
+    if (!close_listener() && !ended_well)
+        throw std::runtime_error("cannot accept on " + to_string(m_options.listen));
+}
+
+bool caller_server::open_listener()
+{
+    const std::lock_guard<mutex> lock(m_mutex);
+    if (m_stopping)
+        return false;
     // The library listens with a backlog of 5; callers beyond it would wait a second for the retry
     // of their connection.
-    if (listen(m_socket, listen_backlog) != 0 || !m_server->listen_after_bind())
+    m_stop_socket = listen(m_socket, listen_backlog) == 0 ? dup(m_socket) : -1;
+    if (m_stop_socket < 0)
         throw std::runtime_error("cannot accept on " + to_string(m_options.listen));
+    return true;
 }
 
-void caller_server::request_stop() { m_server->stop(); }
+bool caller_server::close_listener()
+{
+    const std::lock_guard<mutex> lock(m_mutex);
+    close(m_stop_socket);
+    m_stop_socket = -1;
+    return m_stopping;
+}
+
+// The library's stop() closes the socket while another thread accepts on it, and does nothing
+// before the accept loop runs. Shutting down a duplicate makes that loop end and close its own.
+void caller_server::request_stop()
+{
+    const std::lock_guard<mutex> lock(m_mutex);
+    m_stopping = true;
+    if (m_stop_socket >= 0)
+        shutdown(m_stop_socket, SHUT_RDWR);
+}
 
 void caller_server::install_routes()
 {
--- a/test/membership_peer_server_test.cpp
+++ b/test/membership_peer_server_test.cpp
@@ -26,7 +26,7 @@
     rpc_node one(patient);
     rpc_node other(patient);
     const auto records = one.client.records_from(other.where, 1);
-    ASSERT_TRUE(is_ok(records));
+    ASSERT_TRUE(is_ok(records)) << to_string(get_error(records));
     EXPECT_EQ(get_value(records),
               (std::vector<state::log_entry>{{1, "{\"a\":1}"}, {2, "{\"b\":2}"}}));
     EXPECT_EQ(get_value(one.client.snapshot(other.where)), std::string("snap\0shot", 9));
