Give a taken port a numbered error

Cause: a port in use ended a node with an unnumbered text for HTTP and with libkj's description alone for RPC, so an operator could not look it up.

Change: both listeners report 101 invalid_setting with the address and the setting to change. SO_REUSEPORT was already off on the HTTP listener; one test for each listener guards that a taken port is refused by number.

Ruled out: a result code of its own, since the advice of 101, to correct the named setting, already fits.

--- a/src/membership/peer_server.cpp
+++ b/src/membership/peer_server.cpp
@@ -135,7 +135,13 @@
             io.provider->getNetwork()
                 .parseAddress(kj::StringPtr(m_options.listen.host.c_str()), m_options.listen.port)
                 .wait(io.waitScope);
-        auto listener = bound->listen();
+        kj::Own<kj::ConnectionReceiver> listener;
+        KJ_IF_MAYBE (fault, kj::runCatchingExceptions([&] { listener = bound->listen(); }))
+            throw std::runtime_error(to_string(
+                error{.code = result_code::invalid_setting,
+                      .message = "cannot listen on " + to_string(m_options.listen) +
+                                 "; stop the process that uses the address or change --rpc (" +
+                                 fault->getDescription().cStr() + ")"}));
         capnp::TwoPartyServer server(kj::heap<peer_service>(loop, m_options.handler));
         queue = link.attach();
         if (!queue)
--- a/src/requests/caller_server.cpp
+++ b/src/requests/caller_server.cpp
@@ -206,7 +206,10 @@
 void caller_server::run()
 {
     if (!m_server->bind_to_port(m_options.listen.host, m_options.listen.port))
-        throw std::runtime_error("cannot listen on " + to_string(m_options.listen));
+        throw std::runtime_error(to_string(
+            error{.code = result_code::invalid_setting,
+                  .message = "cannot listen on " + to_string(m_options.listen) +
+                             "; stop the process that uses the address or change --http"}));
     if (!open_listener())
         return;
     const bool ended_well = m_server->listen_after_bind();
--- a/test/membership_peer_server_test.cpp
+++ b/test/membership_peer_server_test.cpp
@@ -6,6 +6,8 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <stdexcept>
+#include <string>
 
 using namespace chivedeal;
 using namespace chivedeal::membership;
@@ -150,3 +152,21 @@
     server.request_stop();
     server.run();
 }
+
+// Guards against a port in use that is reported without a number.
+TEST(peer_server, refuses_a_port_in_use)
+{
+    const fakes::loopback_socket taken;
+    peer_link link;
+    fakes::fake_peer_handler handler;
+    bounded_ring<gossip_event> inbox(1);
+    peer_server server({.listen = taken.where(), .link = link, .handler = handler, .inbox = inbox});
+    try {
+        server.run();
+        FAIL() << "listens on a port in use";
+    }
+    catch (const std::runtime_error& fault) {
+        EXPECT_EQ(std::string(fault.what()).rfind("101 invalid_setting: cannot listen on", 0), 0U)
+            << fault.what();
+    }
+}
--- a/test/requests_caller_server_test.cpp
+++ b/test/requests_caller_server_test.cpp
@@ -3,9 +3,13 @@
 #include "chivedeal/core/posix_thread.hpp"
 #include "chivedeal/core/system_clock.hpp"
 #include "fakes/free_address.hpp"
+#include "fakes/loopback_socket.hpp"
 
 #include <gtest/gtest.h>
 
+#include <stdexcept>
+#include <string>
+
 using namespace chivedeal;           // NOLINT(google-build-using-namespace)
 using namespace chivedeal::requests; // NOLINT(google-build-using-namespace)
 
@@ -44,3 +48,20 @@
         server.join();
     }
 }
+
+// Guards against two processes that share a port unnoticed, and against a fault without a number.
+TEST(caller_server, refuses_a_port_in_use)
+{
+    const fakes::loopback_socket taken;
+    const system_clock clock;
+    bounded_ring<router_message> inbox(1);
+    caller_server server({.listen = taken.where(), .time = clock, .router_inbox = inbox});
+    try {
+        server.run();
+        FAIL() << "listens on a port in use";
+    }
+    catch (const std::runtime_error& fault) {
+        EXPECT_EQ(std::string(fault.what()).rfind("101 invalid_setting: cannot listen on", 0), 0U)
+            << fault.what();
+    }
+}
