Take hostile input without a fault and number every refusal

Cause: a review of the edges found that wrong types in an engine's answer made json::value throw in a worker, that invalid UTF-8 made dump() throw, that a carriage return in a token broke the event stream, that IDs had no bound, that a malformed Last-Event-ID meant "from the start", that an oversized body got no code, and that /v1/status read a gauge that nobody set.

IDs are limited to 128 characters of a safe set; 413 carries 502 request_too_large; carriage returns become lines of their own; the router sets chivedeal_open_requests. random_id takes the place of four local copies. Codes lease_not_held and moved and the event setting_invalid, which nothing emitted, are gone from header, source and table.

Ruled out: catching json exceptions around each read, which hides which field was wrong and repeats the same block.

Conclusion: input from callers and endpoints ends in a numbered refusal or a failed attempt, not in a restarted thread.

--- /dev/null
+++ b/include/chivedeal/core/json_object.hpp
@@ -0,0 +1,43 @@
+#ifndef CHIVEDEAL_CORE_JSON_OBJECT_HPP
+#define CHIVEDEAL_CORE_JSON_OBJECT_HPP
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <type_traits>
+
+namespace chivedeal {
+
+/// Parses a JSON object; anything else gives an empty object.
+nlohmann::json parse_json_object(const std::string& text);
+
+/// Returns a member, or `fallback` when it is absent or of another type. Unlike `json::value` it
+/// does not throw on another type, since the text comes from outside.
+///
+///     const auto running = member_or(report, "running", 0);
+template<class T>
+T member_or(const nlohmann::json& object, const char* name, const T& fallback)
+{
+    const auto found = object.find(name);
+    if (found == object.end())
+        return fallback;
+    bool fits = found->type() == nlohmann::json(fallback).type();
+    if constexpr (std::is_same_v<T, bool>)
+        fits = found->is_boolean();
+    else if constexpr (std::is_unsigned_v<T>)
+        fits = found->is_number_unsigned();
+    else if constexpr (std::is_integral_v<T>)
+        fits = found->is_number_integer();
+    else if constexpr (std::is_floating_point_v<T>)
+        fits = found->is_number();
+    return fits ? found->template get<T>() : fallback;
+}
+
+std::string member_or(const nlohmann::json& object, const char* name, const char* fallback);
+
+/// Encodes with invalid UTF-8 replaced, where `dump` would throw.
+std::string encode_json(const nlohmann::json& value);
+
+} // namespace chivedeal
+
+#endif
--- a/include/chivedeal/core/log_event.hpp
+++ b/include/chivedeal/core/log_event.hpp
@@ -18,7 +18,6 @@
     node_stopped = 1002,
     child_restarted = 1003,
     supervisor_gave_up = 1004,
-    setting_invalid = 1005,
 
     change_accepted = 2001,
     change_rejected = 2002,
--- a/include/chivedeal/core/result_code.hpp
+++ b/include/chivedeal/core/result_code.hpp
@@ -35,7 +35,6 @@
     peer_unreachable = 301,
     peer_refused = 302,
 
-    lease_not_held = 401,
     stale_fence = 402,
     start_refused = 403,
     move_not_open = 404,
@@ -54,7 +53,6 @@
     claim_lost = 512,
     claim_unavailable = 513,
     cancelled = 514,
-    moved = 515,
     retry_budget_exhausted = 516,
     unknown_request = 517,
 
--- a/src/core/log_event.cpp
+++ b/src/core/log_event.cpp
@@ -33,8 +33,6 @@
         return "child_restarted";
     case event_id::supervisor_gave_up:
         return "supervisor_gave_up";
-    case event_id::setting_invalid:
-        return "setting_invalid";
     case event_id::change_accepted:
         return "change_accepted";
     case event_id::change_rejected:
@@ -134,7 +132,6 @@
         event_id::node_stopped,
         event_id::child_restarted,
         event_id::supervisor_gave_up,
-        event_id::setting_invalid,
         event_id::change_accepted,
         event_id::change_rejected,
         event_id::log_unreachable,
--- a/src/core/result_code.cpp
+++ b/src/core/result_code.cpp
@@ -45,8 +45,6 @@
         return "peer_unreachable";
     case result_code::peer_refused:
         return "peer_refused";
-    case result_code::lease_not_held:
-        return "lease_not_held";
     case result_code::stale_fence:
         return "stale_fence";
     case result_code::start_refused:
@@ -81,8 +79,6 @@
         return "claim_unavailable";
     case result_code::cancelled:
         return "cancelled";
-    case result_code::moved:
-        return "moved";
     case result_code::retry_budget_exhausted:
         return "retry_budget_exhausted";
     case result_code::unknown_request:
@@ -122,7 +118,6 @@
         result_code::snapshot_invalid,
         result_code::peer_unreachable,
         result_code::peer_refused,
-        result_code::lease_not_held,
         result_code::stale_fence,
         result_code::start_refused,
         result_code::move_not_open,
@@ -140,7 +135,6 @@
         result_code::claim_lost,
         result_code::claim_unavailable,
         result_code::cancelled,
-        result_code::moved,
         result_code::retry_budget_exhausted,
         result_code::unknown_request,
         result_code::usage,
--- a/src/operators/caller_client.cpp
+++ b/src/operators/caller_client.cpp
@@ -1,6 +1,8 @@
 #include "chivedeal/operators/caller_client.hpp"
 
 #include "chivedeal/core/clock.hpp"
+#include "chivedeal/core/json_object.hpp"
+#include "chivedeal/core/random_id.hpp"
 #include "chivedeal/requests/sse_parser.hpp"
 
 #include "absl/strings/numbers.h"
@@ -9,10 +11,8 @@
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
-#include <openssl/rand.h>
 
 #include <algorithm>
-#include <array>
 #include <optional>
 #include <utility>
 
@@ -25,22 +25,6 @@
 constexpr int http_ok = 200;
 constexpr int http_not_found = 404;
 
-json parse_object(const std::string& text)
-{
-    json parsed = json::parse(text, nullptr, false);
-    return parsed.is_object() ? parsed : json::object();
-}
-
-std::string random_request_id()
-{
-    std::array<unsigned char, 12> bytes{};
-    RAND_bytes(bytes.data(), static_cast<int>(bytes.size()));
-    std::string text = "c";
-    for (const unsigned char byte : bytes)
-        absl::StrAppend(&text, absl::Hex(byte, absl::kZeroPad2));
-    return text;
-}
-
 httplib::Client make_client(const address& node, const caller_client::options& options)
 {
     httplib::Client client(node.host, node.port);
@@ -64,7 +48,7 @@
           m_deadline(client.m_options.time.now() + request.deadline)
     {
         m_answer.request =
-            request.request.empty() ? request_id(random_request_id()) : request.request;
+            request.request.empty() ? request_id("c" + random_id()) : request.request;
     }
 
     caller_answer run();
@@ -169,18 +153,18 @@
 {
     if (event.type.empty())
         return take_token(event);
-    const json data = parse_object(event.data);
+    const json data = parse_json_object(event.data);
     if (event.type == "moved") {
-        const auto peer = parse_address(data.value("address", ""));
+        const auto peer = parse_address(member_or(data, "address", ""));
         if (is_ok(peer))
             m_moved_to = get_value(peer);
         return false;
     }
     if (event.type != "end")
         return true;
-    m_answer.outcome = data.value("outcome", "unknown");
-    m_answer.reason = {.code = static_cast<result_code>(data.value("code", 0)),
-                       .message = data.value("error", "")};
+    m_answer.outcome = member_or(data, "outcome", "unknown");
+    m_answer.reason = {.code = static_cast<result_code>(member_or(data, "code", 0)),
+                       .message = member_or(data, "error", "")};
     return true;
 }
 
@@ -200,14 +184,14 @@
 caller_client::conversation::connection_end
 caller_client::conversation::take_refusal(int status, const std::string& body)
 {
-    const json data = parse_object(body);
-    const auto code = static_cast<result_code>(data.value("code", 0));
+    const json data = parse_json_object(body);
+    const auto code = static_cast<result_code>(member_or(data, "code", 0));
     if (status == http_not_found && code == result_code::unknown_request)
         return connection_end::not_held;
-    m_answer.reason = {.code = code, .message = data.value("error", "")};
+    m_answer.reason = {.code = code, .message = member_or(data, "error", "")};
     // The node that refused did not run it, but an earlier node may have.
     const bool certain = m_answer.tokens.empty() && m_answer.resumes == 0;
-    m_answer.outcome = certain ? data.value("outcome", "not_run") : "unknown";
+    m_answer.outcome = certain ? member_or(data, "outcome", "not_run") : "unknown";
     return connection_end::refused;
 }
 
@@ -297,12 +281,13 @@
         const httplib::Result answer = client.Get("/v1/addresses");
         if (!answer || answer->status != http_ok)
             continue;
-        const json data = parse_object(answer->body);
+        const json data = parse_json_object(answer->body);
         if (!data.contains("addresses") || !data["addresses"].is_array())
             continue;
         std::vector<address> named;
         for (const json& entry : data["addresses"]) {
-            const auto parsed = parse_address(entry.is_object() ? entry.value("address", "") : "");
+            const auto parsed =
+                parse_address(entry.is_object() ? member_or(entry, "address", "") : "");
             if (is_ok(parsed))
                 named.push_back(get_value(parsed));
         }
--- a/src/operators/moves_command.cpp
+++ b/src/operators/moves_command.cpp
@@ -1,5 +1,6 @@
 #include "chivedeal/operators/moves_command.hpp"
 
+#include "chivedeal/core/json_object.hpp"
 #include "chivedeal/core/system_clock.hpp"
 #include "chivedeal/operators/change_answer.hpp"
 #include "chivedeal/operators/command_line.hpp"
@@ -39,11 +40,12 @@
 
 void print_move(const json& move)
 {
-    std::printf("%s: %s -> %s, share %s, %s, deadline %s%s%s\n", move.value("service", "").c_str(),
-                move.value("from", "").c_str(), move.value("to", "").c_str(),
-                move.contains("share") ? move["share"].dump().c_str() : "-",
-                move.value("status", "").c_str(), move.value("deadline", "").c_str(),
-                move.value("reason", "").empty() ? "" : ", ", move.value("reason", "").c_str());
+    std::printf(
+        "%s: %s -> %s, share %s, %s, deadline %s%s%s\n", member_or(move, "service", "").c_str(),
+        member_or(move, "from", "").c_str(), member_or(move, "to", "").c_str(),
+        move.contains("share") ? move["share"].dump().c_str() : "-",
+        member_or(move, "status", "").c_str(), member_or(move, "deadline", "").c_str(),
+        member_or(move, "reason", "").empty() ? "" : ", ", member_or(move, "reason", "").c_str());
 }
 
 int list_moves(operator_client& client, bool as_json)
@@ -62,7 +64,7 @@
 std::optional<json> find_move(const json& moves, const std::string& service)
 {
     for (const json& move : moves)
-        if (move.value("service", "") == service)
+        if (member_or(move, "service", "") == service)
             return move;
     return std::nullopt;
 }
@@ -79,7 +81,7 @@
         if (is_ok(moves) && !move)
             return report_error({.code = result_code::move_not_open,
                                  .message = "no move of service '" + service + "' is declared"});
-        const std::string ended = move ? move->value("status", "") : "";
+        const std::string ended = move ? member_or(*move, "status", "") : "";
         if (ended == "done" || ended == "rolled_back") {
             if (as_json)
                 std::printf("%s\n", move->dump().c_str());
--- a/src/operators/operator_client.cpp
+++ b/src/operators/operator_client.cpp
@@ -1,5 +1,6 @@
 #include "chivedeal/operators/operator_client.hpp"
 
+#include "chivedeal/core/random_id.hpp"
 #include "chivedeal/operators/change_answer.hpp"
 #include "chivedeal/operators/wire.hpp"
 #include "chivedeal/state/declaration.hpp"
@@ -10,9 +11,7 @@
 #include "absl/strings/str_cat.h"
 
 #include <httplib.h>
-#include <openssl/rand.h>
 
-#include <array>
 #include <chrono>
 #include <utility>
 
@@ -22,16 +21,6 @@
 
 constexpr auto connect_timeout = std::chrono::seconds(1);
 
-change_id random_change_id()
-{
-    std::array<unsigned char, 16> bytes{};
-    RAND_bytes(bytes.data(), static_cast<int>(bytes.size()));
-    std::string text;
-    for (const unsigned char byte : bytes)
-        absl::StrAppend(&text, absl::Hex(byte, absl::kZeroPad2));
-    return change_id(text);
-}
-
 error unreachable()
 {
     return {.code = result_code::node_unreachable,
@@ -77,7 +66,7 @@
         return error{
             .code = result_code::bad_signature,
             .message = absl::StrCat("no key of team '", team.str(), "'; set CHIVEDEAL_TEAM_KEYS")};
-    const change_id change = random_change_id();
+    const change_id change(random_id());
     state::declaration_change entry{.team = team,
                                     .path = path,
                                     .expected_version = expected_version,
--- a/src/operators/wire.cpp
+++ b/src/operators/wire.cpp
@@ -1,5 +1,6 @@
 #include "chivedeal/operators/wire.hpp"
 
+#include "chivedeal/core/json_object.hpp"
 #include "chivedeal/operators/change_answer.hpp"
 #include "chivedeal/state/declaration.hpp"
 #include "chivedeal/state/record.hpp"
@@ -52,10 +53,9 @@
 
 std::string encode_error(const error& value)
 {
-    return json{{"code", static_cast<int>(value.code)},
-                {"name", to_string(value.code)},
-                {"error", value.message}}
-        .dump(-1, ' ', false, json::error_handler_t::replace);
+    return encode_json(json{{"code", static_cast<int>(value.code)},
+                            {"name", to_string(value.code)},
+                            {"error", value.message}});
 }
 
 error decode_error(const std::string& body)
@@ -78,7 +78,7 @@
                 {"signature", entry.signature}};
     if (entry.body)
         object["body"] = *entry.body;
-    return object.dump(-1, ' ', false, json::error_handler_t::replace);
+    return encode_json(object);
 }
 
 result<state::record> decode_change(const std::string& body)
@@ -104,12 +104,11 @@
 
 std::string encode_change_answer(const change_answer& value)
 {
-    return json{{"change_id", value.change.str()},
-                {"code", static_cast<int>(value.effect.code)},
-                {"name", to_string(value.effect.code)},
-                {"error", value.effect.message},
-                {"version", value.version}}
-        .dump(-1, ' ', false, json::error_handler_t::replace);
+    return encode_json(json{{"change_id", value.change.str()},
+                            {"code", static_cast<int>(value.effect.code)},
+                            {"name", to_string(value.effect.code)},
+                            {"error", value.effect.message},
+                            {"version", value.version}});
 }
 
 result<change_answer> decode_change_answer(const std::string& body)
@@ -133,7 +132,7 @@
                         {"version", value.version},
                         {"body", value.body},
                         {"change_id", value.change.str()}});
-    return json{{"declarations", list}}.dump(-1, ' ', false, json::error_handler_t::replace);
+    return encode_json(json{{"declarations", list}});
 }
 
 result<std::vector<state::declaration>> decode_declarations(const std::string& body)
--- a/src/requests/caller_server.cpp
+++ b/src/requests/caller_server.cpp
@@ -1,19 +1,21 @@
 #include "chivedeal/requests/caller_server.hpp"
 
 #include "chivedeal/core/clock.hpp"
+#include "chivedeal/core/json_object.hpp"
+#include "chivedeal/core/random_id.hpp"
 #include "chivedeal/requests/prompt_prefix.hpp"
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
-#include <openssl/rand.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <array>
+#include <algorithm>
 #include <atomic>
 #include <mutex>
 #include <optional>
@@ -41,14 +43,28 @@
 
 constexpr int default_deadline_ms = 120'000;
 
-std::string random_id()
+// Identifiers reach logs, gossip and the log service, so their length and characters are bounded.
+constexpr std::size_t max_id_bytes = 128;
+
+bool is_identifier(const std::string& text)
+{
+    return text.size() <= max_id_bytes && std::all_of(text.begin(), text.end(), [](char c) {
+               return absl::ascii_isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' ||
+                      c == '.' || c == ':';
+           });
+}
+
+error invalid_request(const char* message)
+{
+    return {.code = result_code::invalid_request, .message = message};
+}
+
+// Line breaks of any kind end a line of the stream, so each becomes a `data:` line of its own; the
+// caller reads them back as line feeds.
+std::string data_lines(const std::string& text)
 {
-    std::array<unsigned char, 12> bytes{};
-    RAND_bytes(bytes.data(), static_cast<int>(bytes.size()));
-    std::string text = "r";
-    for (const unsigned char byte : bytes)
-        absl::StrAppend(&text, absl::Hex(byte, absl::kZeroPad2));
-    return text;
+    return absl::StrReplaceAll(text,
+                               {{"\r\n", "\ndata: "}, {"\r", "\ndata: "}, {"\n", "\ndata: "}});
 }
 
 int header_number(const httplib::Request& request, const char* name, int fallback)
@@ -72,10 +88,9 @@
     response.status = http_status;
     if (reason.code == result_code::rate_limited)
         response.set_header("Retry-After", "1");
-    response.set_content(json{{"outcome", to_string(result)},
-                              {"code", static_cast<int>(reason.code)},
-                              {"error", to_string(reason)}}
-                             .dump(),
+    response.set_content(encode_json({{"outcome", to_string(result)},
+                                      {"code", static_cast<int>(reason.code)},
+                                      {"error", to_string(reason)}}),
                          "application/json");
 }
 
@@ -88,6 +103,8 @@
         return 404;
     case result_code::invalid_request:
         return 400;
+    case result_code::request_too_large:
+        return 413;
     case result_code::rate_limited:
         return 429;
     default:
@@ -98,9 +115,7 @@
 std::string format_event(const answer_event& event)
 {
     if (const auto* token = std::get_if<answer_token>(&event))
-        return absl::StrCat("id: ", token->position,
-                            "\ndata: ", absl::StrReplaceAll(token->text, {{"\n", "\ndata: "}}),
-                            "\n\n");
+        return absl::StrCat("id: ", token->position, "\ndata: ", data_lines(token->text), "\n\n");
     if (const auto* moved = std::get_if<answer_moved>(&event))
         return absl::StrCat(
             "event: moved\ndata: ", json{{"address", to_string(moved->peer)}}.dump(), "\n\n");
@@ -110,23 +125,25 @@
         data["code"] = static_cast<int>(end.reason.code);
         data["error"] = to_string(end.reason);
     }
-    return absl::StrCat("event: end\ndata: ", data.dump(), "\n\n");
+    return absl::StrCat("event: end\ndata: ", encode_json(data), "\n\n");
 }
 
 result<caller_request> parse_request(const httplib::Request& http, absl::Time now)
 {
     const json body = json::parse(http.body, nullptr, false);
     if (!body.is_object())
-        return error{.code = result_code::invalid_request,
-                     .message = "the body is not a JSON object"};
+        return invalid_request("the body is not a JSON object");
     const int deadline_ms = header_number(http, "Chivedeal-Deadline-Ms", default_deadline_ms);
     const int priority = header_number(http, "Chivedeal-Priority", 5);
     if (deadline_ms <= 0 || priority < 0 || priority > 9)
-        return error{.code = result_code::invalid_request,
-                     .message = "Chivedeal-Deadline-Ms must be a positive number and "
-                                "Chivedeal-Priority one of 0 to 9"};
+        return invalid_request("Chivedeal-Deadline-Ms must be a positive number and "
+                               "Chivedeal-Priority one of 0 to 9");
     std::string id = http.get_header_value("Chivedeal-Request-Id");
-    return caller_request{.id = request_id(id.empty() ? random_id() : std::move(id)),
+    if (!is_identifier(id) || !is_identifier(http.get_header_value("Chivedeal-Workspace")) ||
+        !is_identifier(http.get_header_value("Idempotency-Key")))
+        return invalid_request("Chivedeal-Request-Id, Chivedeal-Workspace and Idempotency-Key have "
+                               "at most 128 characters of a-z, A-Z, 0-9, '-', '_', '.' and ':'");
+    return caller_request{.id = request_id(id.empty() ? "r" + random_id() : std::move(id)),
                           .workspace = workspace_id(http.get_header_value("Chivedeal-Workspace")),
                           .service = service_id(http.matches[1].str()),
                           .route = body.contains("route") && body["route"].is_string()
@@ -196,6 +213,13 @@
         setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
         m_socket = socket;
     });
+    // The library refuses a body above the limit itself, without one of our codes.
+    m_server->set_error_handler([](const httplib::Request&, httplib::Response& response) {
+        if (response.status == http_status_of(result_code::request_too_large))
+            refuse(response, response.status,
+                   {.code = result_code::request_too_large,
+                    .message = "the body is larger than --max-request-bytes"});
+    });
     install_routes();
     if (m_options.install)
         m_options.install(*m_server);
@@ -270,6 +294,11 @@
     m_server->Get(R"(/v1/requests/([^/]+))", [this, id_of](const httplib::Request& http,
                                                            httplib::Response& response) {
         const int last = header_number(http, "Last-Event-ID", -1);
+        if (last < 0 && http.has_header("Last-Event-ID")) {
+            refuse(response, 400, invalid_request("Last-Event-ID is not a token position"),
+                   outcome::unknown);
+            return;
+        }
         const connection_number connection = next_connection();
         serve({.event = request_resumed{.request = id_of(http),
                                         .connection = connection,
--- a/src/requests/http_endpoint_client.cpp
+++ b/src/requests/http_endpoint_client.cpp
@@ -1,6 +1,7 @@
 #include "chivedeal/requests/http_endpoint_client.hpp"
 
 #include "chivedeal/core/clock.hpp"
+#include "chivedeal/core/json_object.hpp"
 #include "chivedeal/core/mechanism.hpp"
 #include "chivedeal/core/mutex.hpp"
 #include "chivedeal/requests/attempt_event.hpp"
@@ -36,12 +37,6 @@
 
 constexpr int service_unavailable = 503;
 
-json parse_object(const std::string& text)
-{
-    json parsed = json::parse(text, nullptr, false);
-    return parsed.is_object() ? parsed : json::object();
-}
-
 // One attempt on its way; remembers what decides between the failure codes.
 class exchange
 {
@@ -80,7 +75,7 @@
     httplib::Request request;
     request.method = "POST";
     request.path = path;
-    request.body = body.dump();
+    request.body = encode_json(body);
     request.set_header("Content-Type", "application/json");
     request.set_header("Request-Id", m_start.request.str());
     request.set_header("Attempt", absl::StrCat(m_start.attempt));
@@ -91,7 +86,7 @@
 
 void exchange::run_engine()
 {
-    json body = parse_object(m_start.body);
+    json body = parse_json_object(m_start.body);
     body["request_id"] = m_start.request.str();
     body["attempt"] = m_start.attempt;
     body["version"] = m_start.version.str();
@@ -117,7 +112,7 @@
 
 void exchange::run_plain()
 {
-    const httplib::Request request = make_request("/v1/call", parse_object(m_start.body));
+    const httplib::Request request = make_request("/v1/call", parse_json_object(m_start.body));
     const httplib::Result answer = m_client.send(request);
     if (answer && answer->status == 200) {
         m_over = true;
@@ -165,9 +160,10 @@
 
 bool exchange::take_start(const std::string& data)
 {
-    const json counts = parse_object(data);
-    return emit(attempt_started{.prompt_tokens = counts.value("prompt_tokens", std::uint64_t{0}),
-                                .cached_tokens = counts.value("cached_tokens", std::uint64_t{0})});
+    const json counts = parse_json_object(data);
+    return emit(
+        attempt_started{.prompt_tokens = member_or(counts, "prompt_tokens", std::uint64_t{0}),
+                        .cached_tokens = member_or(counts, "cached_tokens", std::uint64_t{0})});
 }
 
 void exchange::finish(const httplib::Result& answer)
@@ -184,7 +180,7 @@
         return;
     }
     const bool not_started = answer->status == service_unavailable &&
-                             parse_object(m_error_body).value("not_started", false);
+                             member_or(parse_json_object(m_error_body), "not_started", false);
     if (not_started)
         fail(result_code::endpoint_not_started, "refused by the endpoint");
     else if (answer->status == 200)
@@ -218,14 +214,14 @@
 result<json> post(const address& target, const std::string& path, const json& body)
 {
     const auto client = make_client(target);
-    const httplib::Result answer = client->Post(path, body.dump(), "application/json");
+    const httplib::Result answer = client->Post(path, encode_json(body), "application/json");
     if (!answer)
         return error{.code = result_code::endpoint_lost,
                      .message = httplib::to_string(answer.error())};
     if (answer->status != 200)
         return error{.code = result_code::endpoint_failed,
                      .message = absl::StrCat(path, ": HTTP status ", answer->status)};
-    return parse_object(answer->body);
+    return parse_json_object(answer->body);
 }
 
 } // namespace
@@ -353,7 +349,7 @@
         post(order.source, "/v1/kv/export", json{{"request_id", order.request.str()}});
     if (!is_ok(exported))
         return get_error(exported);
-    const std::string handle = get_value(exported).value("kv_handle", "");
+    const std::string handle = member_or(get_value(exported), "kv_handle", "");
     const auto imported = post(order.target_address, "/v1/kv/import",
                                json{{"kv_handle", handle}, {"from", to_string(order.source)}});
     if (!is_ok(imported))
--- a/src/requests/load_watcher.cpp
+++ b/src/requests/load_watcher.cpp
@@ -4,6 +4,7 @@
 #include "chivedeal/control/placement_event.hpp"
 #include "chivedeal/core/clock.hpp"
 #include "chivedeal/core/control_traffic.hpp"
+#include "chivedeal/core/json_object.hpp"
 #include "chivedeal/core/log_event.hpp"
 #include "chivedeal/membership/membership_view.hpp"
 
@@ -39,27 +40,27 @@
 load_report parse_load(const endpoint_id& endpoint, const json& body)
 {
     return {.endpoint = endpoint,
-            .version = version_id(body.value("version", "")),
-            .running = body.value("running", 0),
-            .queued = body.value("queued", 0),
-            .slots = body.value("slots", 1),
-            .kv_used = body.value("kv_used", 0.0),
-            .kv_limit = body.value("kv_limit", 0.0),
-            .tokens_per_second = body.value("tokens_per_s", 0.0),
-            .age = absl::Milliseconds(body.value("age_ms", 0.0))};
+            .version = version_id(member_or(body, "version", "")),
+            .running = member_or(body, "running", 0),
+            .queued = member_or(body, "queued", 0),
+            .slots = member_or(body, "slots", 1),
+            .kv_used = member_or(body, "kv_used", 0.0),
+            .kv_limit = member_or(body, "kv_limit", 0.0),
+            .tokens_per_second = member_or(body, "tokens_per_s", 0.0),
+            .age = absl::Milliseconds(member_or(body, "age_ms", 0.0))};
 }
 
 cache_event_batch parse_cache_events(const endpoint_id& endpoint, const json& body)
 {
     cache_event_batch batch{.endpoint = endpoint,
-                            .first = body.value("first", std::uint64_t{1}),
-                            .next = body.value("next", std::uint64_t{1}),
+                            .first = member_or(body, "first", std::uint64_t{1}),
+                            .next = member_or(body, "next", std::uint64_t{1}),
                             .events = {}};
-    for (const json& one : body.value("events", json::array()))
-        batch.events.push_back({.seq = one.value("seq", std::uint64_t{0}),
-                                .prefix = one.value("prefix", ""),
-                                .tokens = one.value("tokens", std::uint64_t{0}),
-                                .cached = one.value("cached", false)});
+    for (const json& one : member_or(body, "events", json::array()))
+        batch.events.push_back({.seq = member_or(one, "seq", std::uint64_t{0}),
+                                .prefix = member_or(one, "prefix", ""),
+                                .tokens = member_or(one, "tokens", std::uint64_t{0}),
+                                .cached = member_or(one, "cached", false)});
     return batch;
 }
 
--- a/src/requests/router.cpp
+++ b/src/requests/router.cpp
@@ -2,14 +2,12 @@
 
 #include "chivedeal/control/sample_sink.hpp"
 #include "chivedeal/core/clock.hpp"
+#include "chivedeal/core/metrics.hpp"
+#include "chivedeal/core/random_id.hpp"
 #include "chivedeal/membership/gossip_port.hpp"
 #include "chivedeal/requests/route_policy.hpp"
 #include "chivedeal/state/record_sink.hpp"
 
-#include "absl/strings/escaping.h"
-
-#include <openssl/rand.h>
-
 #include <utility>
 
 namespace chivedeal::requests {
@@ -26,15 +24,11 @@
 // is answered `unknown`, which is safe.
 constexpr std::size_t max_unsent = 1000;
 
-constexpr std::size_t series_bytes = 8;
-
 router::options with_series(router::options wiring)
 {
     if (!wiring.flow.series.empty())
         return wiring;
-    std::string bytes(series_bytes, '\0');
-    RAND_bytes(reinterpret_cast<unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
-    wiring.flow.series = absl::BytesToHexString(bytes);
+    wiring.flow.series = random_id();
     return wiring;
 }
 
@@ -201,10 +195,14 @@
 
 void router::publish_demand(absl::Time now)
 {
-    if (m_options.gossip == nullptr || now < m_next_demand)
+    if (now < m_next_demand)
         return;
     m_next_demand = now + demand_interval;
-    m_options.gossip->publish_demand(m_flow.demand(now), m_flow.open_by_workspace());
+    if (m_options.flow.counters != nullptr)
+        m_options.flow.counters->set("chivedeal_open_requests",
+                                     static_cast<double>(m_flow.open_requests()));
+    if (m_options.gossip != nullptr)
+        m_options.gossip->publish_demand(m_flow.demand(now), m_flow.open_by_workspace());
 }
 
 } // namespace chivedeal::requests
--- a/test/requests_path_test.cpp
+++ b/test/requests_path_test.cpp
@@ -44,6 +44,8 @@
 class request_path
 {
 public:
+    static constexpr std::size_t max_body_bytes = 64 * 1024;
+
     explicit request_path(std::vector<attempt_event_body> answer)
         : m_client(std::move(answer)),
           m_root(
@@ -69,8 +71,11 @@
                {.name = "caller_server",
                 .make =
                     [this] {
-                        return std::make_unique<caller_server>(caller_server::options{
-                            .listen = m_listen, .time = m_clock, .router_inbox = m_inbox});
+                        return std::make_unique<caller_server>(
+                            caller_server::options{.listen = m_listen,
+                                                   .time = m_clock,
+                                                   .router_inbox = m_inbox,
+                                                   .max_request_bytes = max_body_bytes});
                     }}}),
           m_thread("requests", [this] { m_root.run(); })
     {
@@ -80,13 +85,14 @@
 
     ~request_path() { m_root.request_stop(); }
 
-    httplib::Result post(const std::string& service)
+    httplib::Result post(const std::string& service, httplib::Headers headers = {},
+                         const std::string& body = R"({"prompt": "oak bowl"})")
     {
+        headers.emplace("Chivedeal-Workspace", "w1");
         httplib::Client client(m_listen.host, m_listen.port);
         while (true) {
-            httplib::Result answer = client.Post("/v1/services/" + service + "/requests",
-                                                 {{"Chivedeal-Workspace", "w1"}},
-                                                 R"({"prompt": "oak bowl"})", "application/json");
+            httplib::Result answer = client.Post("/v1/services/" + service + "/requests", headers,
+                                                 body, "application/json");
             // The listener starts in its own thread; a refused connection means it is not there.
             if (answer || answer.error() != httplib::Error::Connection)
                 return answer;
@@ -129,3 +135,34 @@
     EXPECT_NE(answer->body.find("503 unknown_service"), std::string::npos);
     EXPECT_NE(answer->body.find("not_run"), std::string::npos);
 }
+
+// Guards against a token with a line break that forges a second event or loses a part.
+TEST(request_path, sends_tokens_with_line_breaks_whole)
+{
+    request_path path({attempt_started{}, attempt_token{.position = 0, .text = "a\r\nid: 7\rb"},
+                       attempt_ended{}});
+    const httplib::Result answer = path.post("catalogue");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->body, "id: 0\ndata: a\ndata: id: 7\ndata: b\n\n"
+                            "event: end\ndata: {\"outcome\":\"answered\"}\n\n");
+}
+
+// Guards against malformed and oversized requests that reach the router or get no number.
+TEST(request_path, refuses_malformed_requests_by_number)
+{
+    request_path path({});
+    const auto refused = [&](const httplib::Headers& headers, const std::string& body, int status,
+                             const std::string& text) {
+        const httplib::Result answer = path.post("catalogue", headers, body);
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->status, status) << text;
+        EXPECT_NE(answer->body.find(text), std::string::npos) << answer->body;
+    };
+    refused({}, "[1]", 400, "501 invalid_request");
+    refused({}, "{\"prompt\": \"cut", 400, "501 invalid_request");
+    refused({{"Chivedeal-Deadline-Ms", "soon"}}, "{}", 400, "501 invalid_request");
+    refused({{"Chivedeal-Priority", "10"}}, "{}", 400, "501 invalid_request");
+    refused({{"Chivedeal-Request-Id", std::string(129, 'x')}}, "{}", 400, "501 invalid_request");
+    refused({{"Idempotency-Key", "a b"}}, "{}", 400, "501 invalid_request");
+    refused({}, std::string(request_path::max_body_bytes + 1, ' '), 413, "502 request_too_large");
+}
