--- a/fakes/stand_in/platform_cloud.hpp
+++ b/fakes/stand_in/platform_cloud.hpp
@@ -56,13 +56,13 @@
     {
         const std::lock_guard<mutex> lock(m_mutex);
         m_shown = std::max(m_shown, absl::Now() - lag);
-        nlohmann::json found = nlohmann::json::array();
+        const nlohmann::json* found = nullptr;
         for (const auto& [time, instances] : m_history) {
             if (time > m_shown)
                 break;
-            found = instances;
+            found = &instances;
         }
-        return {{"instances", std::move(found)}};
+        return {{"instances", found == nullptr ? nlohmann::json::array() : *found}};
     }
 
     /// Adds a reclaim notice and marks the instance as leaving in the list.
