Keep an engine's error text out of reasons and logs

Cause: the text of an engine's error event became the reason of the failed attempt, which is logged; an engine that repeats the prompt would put request content into the log.

Ruled out: cutting the text short, which still shows the begin of a prompt.

--- a/src/requests/http_endpoint_client.cpp
+++ b/src/requests/http_endpoint_client.cpp
@@ -134,7 +134,8 @@
         return emit(attempt_ended{});
     }
     if (event.type == "error") {
-        fail(result_code::endpoint_failed, event.data);
+        // The endpoint's own text may repeat the request, which must not reach the log.
+        fail(result_code::endpoint_failed, "the endpoint reported an error");
         return false;
     }
     return take_token(event);
--- a/test/requests_http_endpoint_client_test.cpp
+++ b/test/requests_http_endpoint_client_test.cpp
@@ -129,6 +129,18 @@
     EXPECT_EQ(failure_of(run(client, silent.start())), result_code::endpoint_lost);
 }
 
+// Guards against a request's content that an endpoint's error text carries into the log.
+TEST(http_endpoint_client, keeps_the_endpoints_error_text_out_of_the_reason)
+{
+    scripted_engine engine({token, "event: error\ndata: cannot continue 'oak bowl'\n\n"});
+    const system_clock clock;
+    http_endpoint_client client(clock);
+    const auto events = run(client, engine.start());
+    ASSERT_EQ(failure_of(events), result_code::endpoint_failed);
+    EXPECT_EQ(std::get<attempt_failed>(events.back().body).reason.message.find("oak"),
+              std::string::npos);
+}
+
 // Guards against a worker that stays with an attempt that was given up.
 TEST(http_endpoint_client, cancels_a_blocked_attempt)
 {
