Ask one function whether a version was found bad

Cause: the status page and the placement planner each had the same check of the log's verdict and the peers' facts, so a change of one could leave the other behind.

Change: membership::is_found_bad serves both. Routing keeps its own check in route_table: it also counts rolled-back moves and facts that run ahead of the declaration, which the other two must not.

Conclusion: one piece of code for the identical check.

--- a/src/control/placement_planner.cpp
+++ b/src/control/placement_planner.cpp
@@ -1,5 +1,6 @@
 #include "chivedeal/control/placement_planner.hpp"
 
+#include "chivedeal/membership/bad_version.hpp"
 #include "chivedeal/membership/membership_view.hpp"
 #include "chivedeal/state/cluster_state.hpp"
 
@@ -23,18 +24,6 @@
             .reclaimable = endpoint.reclaimable};
 }
 
-bool is_bad(const placement_planner::input& seen, const state::endpoint_version& version)
-{
-    const auto verdict = seen.state->bad_versions.find({version.service, version.name});
-    if (verdict != seen.state->bad_versions.end() && verdict->second == version.declared_offset)
-        return true;
-    return std::any_of(seen.view->bad_versions.begin(), seen.view->bad_versions.end(),
-                       [&](const membership::version_bad& fact) {
-                           return fact.service == version.service && fact.version == version.name &&
-                                  fact.declared_offset == version.declared_offset;
-                       });
-}
-
 // The version that carries the traffic and the one that is to carry it.
 bool is_wanted(const state::cluster_state& state, const service_id& service,
                const version_id& version)
@@ -196,7 +185,7 @@
         // The policy adds its headroom to load, which the declared number does not need.
         if (is_wanted(*seen.state, service.name, version->name))
             requests = std::max(requests, service.min_endpoints / m_options.policy.start_headroom);
-        if (is_bad(seen, *version))
+        if (membership::is_found_bad(*seen.state, *seen.view, *version))
             requests = 0;
         look.demands.push_back({.service = service.name,
                                 .version = version->name,
--- a/src/operators/operator_routes.cpp
+++ b/src/operators/operator_routes.cpp
@@ -4,6 +4,7 @@
 #include "chivedeal/core/mechanism.hpp"
 #include "chivedeal/core/metrics.hpp"
 #include "chivedeal/core/settings.hpp"
+#include "chivedeal/membership/bad_version.hpp"
 #include "chivedeal/membership/membership_view.hpp"
 #include "chivedeal/operators/change_answer.hpp"
 #include "chivedeal/operators/wire.hpp"
@@ -119,19 +120,6 @@
     return endpoints;
 }
 
-bool is_bad(const state::cluster_state& state, const membership::membership_view& view,
-            const state::endpoint_version& version)
-{
-    const auto found = state.bad_versions.find({version.service, version.name});
-    if (found != state.bad_versions.end() && found->second == version.declared_offset)
-        return true;
-    for (const membership::version_bad& fact : view.bad_versions)
-        if (fact.service == version.service && fact.version == version.name &&
-            fact.declared_offset == version.declared_offset)
-            return true;
-    return false;
-}
-
 json versions_of(const state::cluster_state& state, const membership::membership_view& view)
 {
     json versions = json::array();
@@ -141,7 +129,7 @@
                             {"version", version->name.str()},
                             {"current", current != state.current_versions.end() &&
                                             current->second == version->name},
-                            {"bad", is_bad(state, view, *version)}});
+                            {"bad", membership::is_found_bad(state, view, *version)}});
     }
     return versions;
 }
