--- a/src/control/change_prefix.cpp
+++ b/src/control/change_prefix.cpp
@@ -1,16 +1,9 @@
 #include "chivedeal/control/change_prefix.hpp"
 
-#include "absl/random/random.h"
-#include "absl/strings/str_cat.h"
-
-#include <cstdint>
+#include "chivedeal/core/random_id.hpp"
 
 namespace chivedeal::control {
 
-std::string make_change_prefix(const node_id& node)
-{
-    absl::BitGen random;
-    return absl::StrCat(node.str(), "-", absl::Hex(absl::Uniform<std::uint64_t>(random)));
-}
+std::string make_change_prefix(const node_id& node) { return node.str() + "-" + random_id(); }
 
 } // namespace chivedeal::control
--- a/src/control/http_cloud_api.cpp
+++ b/src/control/http_cloud_api.cpp
@@ -1,14 +1,15 @@
 #include "chivedeal/control/http_cloud_api.hpp"
 
+#include "http_client.hpp"
+
 #include "chivedeal/control/order_command.hpp"
 #include "chivedeal/control/pool_price.hpp"
+#include "chivedeal/core/json_object.hpp"
 
 #include "absl/strings/str_cat.h"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
-#include <chrono>
 #include <optional>
 #include <utility>
 
@@ -18,18 +19,6 @@
 
 using nlohmann::json;
 
-// Below the time after which an order is repeated, so that repeats do not pile up.
-constexpr auto timeout = std::chrono::milliseconds(2000);
-constexpr int conflict = 409;
-
-httplib::Client make_client(const address& platform)
-{
-    httplib::Client client(platform.host, platform.port);
-    client.set_connection_timeout(timeout);
-    client.set_read_timeout(timeout);
-    return client;
-}
-
 error unknown_outcome(const std::string& call, const httplib::Result& answer)
 {
     return {.code = answer ? result_code::malformed_message : result_code::io_error,
@@ -38,12 +27,6 @@
                                            : httplib::to_string(answer.error()))};
 }
 
-std::string text_field(const json& object, const char* name)
-{
-    const auto found = object.find(name);
-    return found != object.end() && found->is_string() ? found->get<std::string>() : "";
-}
-
 std::optional<pool_price> price_from(const json& entry)
 {
     if (!entry.is_object())
@@ -53,9 +36,9 @@
     if (reclaimable == entry.end() || !reclaimable->is_boolean() || price == entry.end() ||
         !price->is_number() || price->get<double>() < 0)
         return std::nullopt;
-    pool_price out{.region = region_id(text_field(entry, "region")),
-                   .pool = {.zone = zone_id(text_field(entry, "zone")),
-                            .machine_class = text_field(entry, "class"),
+    pool_price out{.region = region_id(member_or(entry, "region", "")),
+                   .pool = {.zone = zone_id(member_or(entry, "zone", "")),
+                            .machine_class = member_or(entry, "class", ""),
                             .reclaimable = reclaimable->get<bool>()},
                    .hourly_price = price->get<double>()};
     if (out.region.str().empty() || out.pool.zone.str().empty() || out.pool.machine_class.empty())
@@ -86,14 +69,14 @@
     const json body{{"token", to_string(order.token)},   {"zone", order.pool.zone.str()},
                     {"class", order.pool.machine_class}, {"reclaimable", order.pool.reclaimable},
                     {"service", order.service.str()},    {"version", order.version.str()}};
-    httplib::Client client = make_client(m_platform);
+    httplib::Client client = detail::make_order_client(m_platform);
     const httplib::Result answer = client.Post("/cloud/start", body.dump(), "application/json");
-    if (answer && answer->status == conflict)
+    if (answer && answer->status == detail::http_conflict)
         return error{.code = result_code::start_refused, .message = "the pool has no room"};
     if (!answer || answer->status != 200)
         return unknown_outcome("start", answer);
     const json parsed = json::parse(answer->body, nullptr, false);
-    const std::string id = parsed.is_object() ? text_field(parsed, "id") : "";
+    const std::string id = parsed.is_object() ? member_or(parsed, "id", "") : "";
     if (id.empty())
         return unknown_outcome("start", answer);
     return instance_id(id);
@@ -102,7 +85,7 @@
 status http_cloud_api::stop(const order_stop& order)
 {
     const json body{{"token", to_string(order.token)}, {"instance", order.instance.str()}};
-    httplib::Client client = make_client(m_platform);
+    httplib::Client client = detail::make_order_client(m_platform);
     const httplib::Result answer = client.Post("/cloud/stop", body.dump(), "application/json");
     if (!answer || answer->status != 200)
         return unknown_outcome("stop", answer);
@@ -111,7 +94,7 @@
 
 result<instances_listed> http_cloud_api::list()
 {
-    httplib::Client client = make_client(m_platform);
+    httplib::Client client = detail::make_order_client(m_platform);
     const httplib::Result answer = client.Get("/instances");
     if (!answer || answer->status != 200)
         return unknown_outcome("list", answer);
@@ -121,14 +104,14 @@
     instances_listed out;
     for (const json& entry : parsed["instances"])
         if (entry.is_object())
-            out.entries.push_back({.instance = instance_id(text_field(entry, "id")),
-                                   .token = text_field(entry, "token")});
+            out.entries.push_back({.instance = instance_id(member_or(entry, "id", "")),
+                                   .token = member_or(entry, "token", "")});
     return out;
 }
 
 result<std::vector<pool_price>> http_cloud_api::prices()
 {
-    httplib::Client client = make_client(m_platform);
+    httplib::Client client = detail::make_order_client(m_platform);
     const httplib::Result answer = client.Get("/cloud/prices");
     if (!answer || answer->status != 200)
         return unknown_outcome("prices", answer);
--- a/src/control/http_engine_api.cpp
+++ b/src/control/http_engine_api.cpp
@@ -1,31 +1,15 @@
 #include "chivedeal/control/http_engine_api.hpp"
 
+#include "http_client.hpp"
+
 #include "chivedeal/control/order_command.hpp"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
-#include <chrono>
-
 namespace chivedeal::control {
 
-namespace {
-
 using nlohmann::json;
 
-constexpr auto timeout = std::chrono::milliseconds(2000);
-constexpr int conflict = 409;
-
-httplib::Client make_client(const address& engine)
-{
-    httplib::Client client(engine.host, engine.port);
-    client.set_connection_timeout(timeout);
-    client.set_read_timeout(timeout);
-    return client;
-}
-
-} // namespace
-
 status http_engine_api::order(const address& engine, const order_load& order)
 {
     const json body{{"order", order.loaded ? "load" : "unload"},
@@ -33,9 +17,9 @@
                     {"model", order.model},
                     {"adapter", order.adapter},
                     {"fence", order.fence}};
-    httplib::Client client = make_client(engine);
+    httplib::Client client = detail::make_order_client(engine);
     const httplib::Result answer = client.Post("/v1/orders", body.dump(), "application/json");
-    if (answer && answer->status == conflict)
+    if (answer && answer->status == detail::http_conflict)
         return error{.code = result_code::stale_fence,
                      .message = "the engine has taken an order of a newer holder"};
     if (!answer || answer->status != 200)
@@ -45,7 +29,7 @@
 
 result<std::vector<version_id>> http_engine_api::loaded(const address& engine)
 {
-    httplib::Client client = make_client(engine);
+    httplib::Client client = detail::make_order_client(engine);
     const httplib::Result answer = client.Get("/v1/orders");
     if (!answer || answer->status != 200)
         return error{.code = result_code::io_error, .message = "the engine does not answer"};
