Run subcommands through one parse of the command line

Change: run_with_command_line does them and calls the subcommand's body; parse_command_line is private to it.

Conclusion: a new subcommand is its description and its body.

--- a/include/chivedeal/operators/command_line.hpp
+++ b/include/chivedeal/operators/command_line.hpp
@@ -3,8 +3,8 @@
 
 #include "chivedeal/core/address.hpp"
 #include "chivedeal/core/id.hpp"
-#include "chivedeal/core/result.hpp"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -16,8 +16,7 @@
 /// Every such subcommand takes `--nodes` (or CHIVEDEAL_NODES), `--team-keys-file`, `--json` and
 /// `--help` beside its own flags.
 ///
-///     const auto parsed = parse_command_line({.usage = "get PATH", .flags = {{"change", "..."}}},
-///                                            arguments);
+///     return run_with_command_line({.usage = "get PATH"}, arguments, print_found);
 struct command_line
 {
     struct description
@@ -45,9 +44,11 @@
     std::string value(const std::string& flag, const std::string& fallback) const;
 };
 
-/// `usage` names everything that is wrong; with `--help` the text is printed and `help` is set.
-result<command_line> parse_command_line(const command_line::description& described,
-                                        const std::vector<std::string>& arguments);
+/// Parses the arguments and calls `body` with them; returns the exit code. A fault, with code
+/// `usage` for wrong arguments, or `--help` ends the subcommand before `body` runs.
+int run_with_command_line(const command_line::description& described,
+                          const std::vector<std::string>& arguments,
+                          const std::function<int(const command_line&)>& body);
 
 } // namespace chivedeal::operators
 
--- a/src/operators/check_command.cpp
+++ b/src/operators/check_command.cpp
@@ -49,16 +49,13 @@
 {
     if (!arguments.empty() && arguments.front() == "settings")
         return check_settings({arguments.begin() + 1, arguments.end()});
-    const auto line =
-        parse_command_line({.usage = "check DIR | check settings SERVE-FLAGS",
-                            .summary = "Checks declarations or settings and reports every fault.",
-                            .min_words = 1,
-                            .max_words = 1,
-                            .needs_nodes = false},
-                           arguments);
-    if (!is_ok(line))
-        return report_error(get_error(line));
-    return get_value(line).help ? 0 : check_directory(get_value(line).words[0]);
+    return run_with_command_line(
+        {.usage = "check DIR | check settings SERVE-FLAGS",
+         .summary = "Checks declarations or settings and reports every fault.",
+         .min_words = 1,
+         .max_words = 1,
+         .needs_nodes = false},
+        arguments, [](const command_line& line) { return check_directory(line.words[0]); });
 }
 
 } // namespace chivedeal::operators
--- a/src/operators/command_line.cpp
+++ b/src/operators/command_line.cpp
@@ -1,6 +1,7 @@
 #include "chivedeal/operators/command_line.hpp"
 
 #include "chivedeal/core/team_keys.hpp"
+#include "chivedeal/operators/exit_code.hpp"
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -70,14 +71,6 @@
     return ok_status();
 }
 
-} // namespace
-
-std::string command_line::value(const std::string& flag, const std::string& fallback) const
-{
-    const auto found = values.find(flag);
-    return found == values.end() ? fallback : found->second;
-}
-
 result<command_line> parse_command_line(const command_line::description& described,
                                         const std::vector<std::string>& arguments)
 {
@@ -125,4 +118,22 @@
     return out;
 }
 
+} // namespace
+
+std::string command_line::value(const std::string& flag, const std::string& fallback) const
+{
+    const auto found = values.find(flag);
+    return found == values.end() ? fallback : found->second;
+}
+
+int run_with_command_line(const command_line::description& described,
+                          const std::vector<std::string>& arguments,
+                          const std::function<int(const command_line&)>& body)
+{
+    const auto line = parse_command_line(described, arguments);
+    if (!is_ok(line))
+        return report_error(get_error(line));
+    return get_value(line).help ? 0 : body(get_value(line));
+}
+
 } // namespace chivedeal::operators
--- a/src/operators/diff_command.cpp
+++ b/src/operators/diff_command.cpp
@@ -2,7 +2,6 @@
 
 #include "chivedeal/operators/change_session.hpp"
 #include "chivedeal/operators/command_line.hpp"
-#include "chivedeal/operators/exit_code.hpp"
 
 namespace chivedeal::operators {
 
@@ -13,16 +12,14 @@
 
 int diff_command::run(const std::vector<std::string>& arguments)
 {
-    const auto line = parse_command_line(
+    return run_with_command_line(
         {.usage = "diff DIR",
          .summary = "Prints what `apply DIR` would change; exit code 3 when there is a difference.",
          .switches = {{"prune", "also remove what the directory lacks"}},
          .min_words = 1,
          .max_words = 1},
-        arguments);
-    if (!is_ok(line))
-        return report_error(get_error(line));
-    return get_value(line).help ? 0 : change_session(get_value(line)).print_difference();
+        arguments,
+        [](const command_line& line) { return change_session(line).print_difference(); });
 }
 
 } // namespace chivedeal::operators
--- a/src/operators/drain_command.cpp
+++ b/src/operators/drain_command.cpp
@@ -8,20 +8,10 @@
 
 namespace chivedeal::operators {
 
-std::string drain_command::summary() const { return "make a node stop gracefully"; }
+namespace {
 
-int drain_command::run(const std::vector<std::string>& arguments)
+int start_drain(const command_line& parsed)
 {
-    const auto line = parse_command_line(
-        {.usage = "drain --nodes IP:PORT",
-         .summary = "Takes the node off the address list, lets its streams end or hands them to "
-                    "other nodes, and stops it."},
-        arguments);
-    if (!is_ok(line))
-        return report_error(get_error(line));
-    const command_line& parsed = get_value(line);
-    if (parsed.help)
-        return 0;
     if (parsed.nodes.size() != 1)
         return report_error({.code = result_code::usage, .message = "drain takes one node"});
     operator_client client({.nodes = parsed.nodes, .team_keys = {}});
@@ -33,4 +23,17 @@
     return 0;
 }
 
+} // namespace
+
+std::string drain_command::summary() const { return "make a node stop gracefully"; }
+
+int drain_command::run(const std::vector<std::string>& arguments)
+{
+    return run_with_command_line(
+        {.usage = "drain --nodes IP:PORT",
+         .summary = "Takes the node off the address list, lets its streams end or hands them to "
+                    "other nodes, and stops it."},
+        arguments, start_drain);
+}
+
 } // namespace chivedeal::operators
--- a/src/operators/get_command.cpp
+++ b/src/operators/get_command.cpp
@@ -44,6 +44,15 @@
     return 0;
 }
 
+int print_found(const command_line& parsed)
+{
+    operator_client client({.nodes = parsed.nodes, .team_keys = parsed.team_keys});
+    if (parsed.has("change"))
+        return print_change(client, parsed.value("change", ""), parsed.json);
+    return print_declarations(client, parsed.words.empty() ? "/teams/" : parsed.words[0],
+                              parsed.json);
+}
+
 } // namespace
 
 std::string get_command::summary() const
@@ -53,22 +62,12 @@
 
 int get_command::run(const std::vector<std::string>& arguments)
 {
-    const auto line =
-        parse_command_line({.usage = "get [PREFIX]",
-                            .summary = "Prints the declarations under a path.",
-                            .flags = {{"change", "print what became of the change with this ID"}},
-                            .max_words = 1},
-                           arguments);
-    if (!is_ok(line))
-        return report_error(get_error(line));
-    const command_line& parsed = get_value(line);
-    if (parsed.help)
-        return 0;
-    operator_client client({.nodes = parsed.nodes, .team_keys = parsed.team_keys});
-    if (parsed.has("change"))
-        return print_change(client, parsed.value("change", ""), parsed.json);
-    return print_declarations(client, parsed.words.empty() ? "/teams/" : parsed.words[0],
-                              parsed.json);
+    return run_with_command_line(
+        {.usage = "get [PREFIX]",
+         .summary = "Prints the declarations under a path.",
+         .flags = {{"change", "print what became of the change with this ID"}},
+         .max_words = 1},
+        arguments, print_found);
 }
 
 } // namespace chivedeal::operators
--- a/src/operators/moves_command.cpp
+++ b/src/operators/moves_command.cpp
@@ -115,6 +115,22 @@
                          .message = "no move of service '" + service + "' is declared"});
 }
 
+int run_verb(const command_line& parsed)
+{
+    operator_client client({.nodes = parsed.nodes, .team_keys = parsed.team_keys});
+    const std::string& verb = parsed.words[0];
+    int timeout_s = 0;
+    if (!absl::SimpleAtoi(parsed.value("timeout-s", std::to_string(default_wait_s)), &timeout_s))
+        return report_error({.code = result_code::usage, .message = "--timeout-s is not a number"});
+    if (verb == "list" && parsed.words.size() == 1)
+        return list_moves(client, parsed.json);
+    if (verb == "wait" && parsed.words.size() == 2)
+        return wait_for_move(client, parsed.words[1], absl::Seconds(timeout_s), parsed.json);
+    if (verb == "roll-back" && parsed.words.size() == 2)
+        return roll_back(client, parsed.words[1]);
+    return report_error({.code = result_code::usage, .message = "see chivedeal moves --help"});
+}
+
 } // namespace
 
 std::string moves_command::summary() const
@@ -124,31 +140,14 @@
 
 int moves_command::run(const std::vector<std::string>& arguments)
 {
-    const auto line = parse_command_line(
+    return run_with_command_line(
         {.usage = "moves list | moves wait SERVICE | moves roll-back SERVICE",
          .summary =
              "wait ends with exit code 0 when the move is done and 4 when it was rolled back.",
          .flags = {{"timeout-s", "longest wait, s (default 3600)"}},
          .min_words = 1,
          .max_words = 2},
-        arguments);
-    if (!is_ok(line))
-        return report_error(get_error(line));
-    const command_line& parsed = get_value(line);
-    if (parsed.help)
-        return 0;
-    operator_client client({.nodes = parsed.nodes, .team_keys = parsed.team_keys});
-    const std::string& verb = parsed.words[0];
-    int timeout_s = 0;
-    if (!absl::SimpleAtoi(parsed.value("timeout-s", std::to_string(default_wait_s)), &timeout_s))
-        return report_error({.code = result_code::usage, .message = "--timeout-s is not a number"});
-    if (verb == "list" && parsed.words.size() == 1)
-        return list_moves(client, parsed.json);
-    if (verb == "wait" && parsed.words.size() == 2)
-        return wait_for_move(client, parsed.words[1], absl::Seconds(timeout_s), parsed.json);
-    if (verb == "roll-back" && parsed.words.size() == 2)
-        return roll_back(client, parsed.words[1]);
-    return report_error({.code = result_code::usage, .message = "see chivedeal moves --help"});
+        arguments, run_verb);
 }
 
 } // namespace chivedeal::operators
--- a/src/operators/send_command.cpp
+++ b/src/operators/send_command.cpp
@@ -78,23 +78,14 @@
                             .c_str());
 }
 
-} // namespace
-
-std::string send_command::summary() const { return "send a request and print its streamed answer"; }
-
-int send_command::run(const std::vector<std::string>& arguments)
+int send_and_print(const command_line& parsed)
 {
-    const auto line = parse_command_line(described, arguments);
-    if (!is_ok(line))
-        return report_error(get_error(line));
-    if (get_value(line).help)
-        return 0;
-    const auto call = make_call(get_value(line));
+    const auto call = make_call(parsed);
     if (!is_ok(call))
         return report_error(get_error(call));
-    const bool json = get_value(line).json;
+    const bool json = parsed.json;
     const system_clock clock;
-    caller_client client({.time = clock, .addresses = get_value(line).nodes});
+    caller_client client({.time = clock, .addresses = parsed.nodes});
     client.refresh_addresses();
     const caller_answer answer =
         client.send(get_value(call), [json](std::uint64_t position, const std::string& text) {
@@ -113,4 +104,13 @@
     return answer.reason.code == result_code::ok ? 1 : exit_code_of(answer.reason.code);
 }
 
+} // namespace
+
+std::string send_command::summary() const { return "send a request and print its streamed answer"; }
+
+int send_command::run(const std::vector<std::string>& arguments)
+{
+    return run_with_command_line(described, arguments, send_and_print);
+}
+
 } // namespace chivedeal::operators
--- a/src/operators/status_command.cpp
+++ b/src/operators/status_command.cpp
@@ -55,22 +55,8 @@
                     text(version, "version").c_str(), text(version, "bad").c_str());
 }
 
-} // namespace
-
-std::string status_command::summary() const { return "print nodes, endpoints and versions"; }
-
-int status_command::run(const std::vector<std::string>& arguments)
+int print_status_of_node(const command_line& parsed)
 {
-    const auto line = parse_command_line(
-        {.usage = "status",
-         .summary = "Prints what one node knows. A change is in force on each node whose applied "
-                    "offset has reached the change's version."},
-        arguments);
-    if (!is_ok(line))
-        return report_error(get_error(line));
-    const command_line& parsed = get_value(line);
-    if (parsed.help)
-        return 0;
     operator_client client({.nodes = parsed.nodes, .team_keys = {}});
     const auto answer = client.get("/v1/status");
     if (!is_ok(answer))
@@ -85,4 +71,17 @@
     return 0;
 }
 
+} // namespace
+
+std::string status_command::summary() const { return "print nodes, endpoints and versions"; }
+
+int status_command::run(const std::vector<std::string>& arguments)
+{
+    return run_with_command_line(
+        {.usage = "status",
+         .summary = "Prints what one node knows. A change is in force on each node whose applied "
+                    "offset has reached the change's version."},
+        arguments, print_status_of_node);
+}
+
 } // namespace chivedeal::operators
