--- a/include/chivedeal/core/log_event.hpp
+++ b/include/chivedeal/core/log_event.hpp
@@ -18,6 +18,8 @@
     node_stopped = 1002,
     child_restarted = 1003,
     supervisor_gave_up = 1004,
+    settings_reloaded = 1005,
+    log_lines_dropped = 1006,
 
     change_accepted = 2001,
     change_rejected = 2002,
@@ -27,6 +29,10 @@
     snapshot_written = 2006,
     record_ignored = 2007,
     node_ready = 2008,
+    configuration_applied = 2009,
+    record_rejected = 2010,
+    store_unreachable = 2011,
+    store_recovered = 2012,
 
     peer_joined = 3001,
     peer_suspected = 3002,
@@ -51,6 +57,8 @@
     instance_stopped = 4010,
     order_sent = 4011,
     order_refused = 4012,
+    usage_reported = 4013,
+    usage_report_failed = 4014,
 
     route_chosen = 5001,
     request_refused = 5002,
--- a/include/chivedeal/core/result_code.hpp
+++ b/include/chivedeal/core/result_code.hpp
@@ -55,6 +55,7 @@
     cancelled = 514,
     retry_budget_exhausted = 516,
     unknown_request = 517,
+    unknown_route = 518,
 
     usage = 601,
     node_unreachable = 602,
--- /dev/null
+++ b/include/chivedeal/forward/control_duties.hpp
@@ -0,0 +1,115 @@
+#ifndef CHIVEDEAL_FORWARD_CONTROL_DUTIES_HPP
+#define CHIVEDEAL_FORWARD_CONTROL_DUTIES_HPP
+
+#include "chivedeal/core/duty.hpp"
+#include "chivedeal/forward/control_log.hpp"
+#include "chivedeal/forward/duty_fence.hpp"
+#include "chivedeal/forward/duty_lease.hpp"
+#include "chivedeal/forward/event_inbox.hpp"
+#include "chivedeal/forward/node_settings.hpp"
+#include "chivedeal/forward/rollout_judge.hpp"
+#include "chivedeal/forward/usage_ledger.hpp"
+
+#include "absl/time/time.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace chivedeal {
+class clock;
+}
+
+namespace chivedeal::forward {
+
+class duty_api;
+class peer_exchange;
+class record_store;
+class wire_format;
+
+/// Duty: what one node at a time does for all: usage reports and verdicts on roll-outs. Also writes
+/// this node's own counts.
+class control_duties : public duty
+{
+public:
+    struct options
+    {
+        const node_settings& settings;
+        const clock& time;
+        record_store& store;
+        duty_api& platform;
+        const wire_format& format;
+        event_inbox& inbox;
+        /// Gets the shares of versions under a roll-out.
+        node_event_listener& forwarder;
+        peer_exchange& peers;
+    };
+
+    explicit control_duties(options parts);
+
+    std::string name() const override { return "control"; }
+    void run() override;
+    void request_stop() override;
+
+private:
+    struct rollout
+    {
+        rollout_judge judge;
+        std::map<node_id, version_outcomes> outcomes;
+        double announced_share = -1;
+        rollout_state written = rollout_state::running;
+        bool written_any = false;
+        absl::Time done_at = absl::InfiniteFuture();
+        bool split_ended = false;
+    };
+
+    void take(const node_event& event, absl::Time now);
+    void take_outcomes(const node_id& node, const std::vector<version_outcomes>& outcomes,
+                       absl::Time now);
+    void tick(absl::Time now);
+    void advance_lease(absl::Time now);
+    bool read_control_log(absl::Time now);
+    void append_grant(absl::Time now);
+    void register_node(absl::Time now);
+    void write_counts(absl::Time now);
+    void read_counts();
+    void report_usage(absl::Time now);
+    bool report_window(std::int64_t window, absl::Time now);
+    bool plan_report(const usage_report& report, absl::Time now);
+    bool send_report(const usage_report& report, absl::Time now);
+    void advance_rollouts(absl::Time now);
+    void announce(const service_id& service, rollout& one);
+    void write_status(rollout& one);
+    std::optional<duty_fence> fence(absl::Time now) const;
+
+    const node_settings& m_settings;
+    const clock& m_time;
+    record_store& m_store;
+    duty_api& m_platform;
+    const wire_format& m_format;
+    event_inbox& m_inbox;
+    node_event_listener& m_forwarder;
+    peer_exchange& m_peers;
+
+    duty_lease m_lease;
+    control_log m_log;
+    usage_ledger m_windows;
+    absl::Duration m_true_time_offset;
+    std::vector<usage_report> m_unwritten;
+    std::map<std::int64_t, std::map<node_id, usage_report>> m_counts;
+    std::uint64_t m_counts_next = 0;
+    std::int64_t m_next_window = 0;
+    absl::Time m_next_report_try = absl::InfinitePast();
+    std::map<service_id, rollout> m_rollouts;
+    bool m_registered = false;
+    absl::Time m_next_registration = absl::InfinitePast();
+};
+
+} // namespace chivedeal::forward
+
+#endif
--- /dev/null
+++ b/include/chivedeal/forward/endpoint_load.hpp
@@ -0,0 +1,23 @@
+#ifndef CHIVEDEAL_FORWARD_ENDPOINT_LOAD_HPP
+#define CHIVEDEAL_FORWARD_ENDPOINT_LOAD_HPP
+
+#include "chivedeal/core/id.hpp"
+
+#include <cstdint>
+
+namespace chivedeal::forward {
+
+/// What one node has under way at an endpoint.
+struct endpoint_load
+{
+    endpoint_id endpoint;
+    int requests = 0;
+    /// Prompt tokens that the endpoint has yet to read.
+    std::int64_t unread_tokens = 0;
+
+    friend bool operator==(const endpoint_load&, const endpoint_load&) = default;
+};
+
+} // namespace chivedeal::forward
+
+#endif
--- /dev/null
+++ b/include/chivedeal/forward/endpoint_pool.hpp
@@ -0,0 +1,121 @@
+#ifndef CHIVEDEAL_FORWARD_ENDPOINT_POOL_HPP
+#define CHIVEDEAL_FORWARD_ENDPOINT_POOL_HPP
+
+#include "chivedeal/core/id.hpp"
+#include "chivedeal/core/result.hpp"
+#include "chivedeal/forward/endpoint_choice.hpp"
+#include "chivedeal/forward/endpoint_load.hpp"
+#include "chivedeal/forward/endpoint_query.hpp"
+#include "chivedeal/forward/endpoint_record.hpp"
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace chivedeal::forward {
+
+/// The endpoints that may get requests, their load and their health; chooses one for each attempt.
+///
+/// The score of an endpoint is the predicted time to its first byte: prompt tokens that it has yet
+/// to read, its part of the own prompt that it doesn't hold, requests beyond its slots, the link,
+/// and its recent failures. All nodes put a shared prompt part on the same endpoints by rendezvous
+/// hashing, without messages.
+class endpoint_pool
+{
+public:
+    struct options
+    {
+        region_id region;
+        std::map<zone_id, region_id> zones;
+    };
+
+    explicit endpoint_pool(options place) : m_options(std::move(place)) {}
+
+    /// Adds or changes an endpoint. Another start time under the same identifier is a new endpoint.
+    void update(const endpoint_record& record, absl::Time now);
+
+    void remove(const endpoint_id& id);
+
+    /// Endpoints of a version take part only while this allows it; 1 for all.
+    void set_version_share(const service_id& service, const version_id& version, double share);
+    void clear_version_shares(const service_id& service);
+
+    /// Errors: `unknown_service` without any endpoint, `no_endpoint` when all are out of use,
+    /// `shed` when all are full.
+    result<endpoint_choice> choose(const endpoint_query& query, double random, absl::Time now) const;
+
+    void on_sent(const endpoint_id& id, const endpoint_query& query, std::int64_t unread_tokens);
+    /// The answer began: its prompt has been read.
+    void on_first_byte(const endpoint_id& id, const endpoint_query& query,
+                       std::int64_t unread_tokens, absl::Time now);
+    /// `unread_tokens` is 0 when the answer had begun.
+    void on_ended(const endpoint_id& id, std::int64_t unread_tokens);
+
+    void on_success(const endpoint_id& id);
+    /// The endpoint failed a request it had taken.
+    void on_failure(const endpoint_id& id, absl::Time now);
+    /// The endpoint can't be reached, or another one has its address.
+    void on_unreachable(const endpoint_id& id, absl::Time now);
+    /// The endpoint refused a request because it is full.
+    void on_refused(const endpoint_id& id, absl::Time now);
+
+    /// Replaces what a peer has under way.
+    void set_peer_load(const node_id& peer, const std::vector<endpoint_load>& loads);
+    void forget_peer(const node_id& peer);
+
+    /// What this node has under way, for its peers.
+    std::vector<endpoint_load> own_load() const;
+
+    const endpoint_record* find(const endpoint_id& id) const;
+    std::vector<endpoint_record> records() const;
+
+private:
+    struct known_part
+    {
+        absl::Time used;
+    };
+
+    struct entry
+    {
+        endpoint_record record;
+        int own_requests = 0;
+        std::int64_t own_unread = 0;
+        int peer_requests = 0;
+        std::int64_t peer_unread = 0;
+        int failures_in_row = 0;
+        double failure_share = 0;
+        absl::Time unusable_until = absl::InfinitePast();
+        // Shared prompt parts that this node's requests left in the endpoint's memory.
+        absl::flat_hash_map<std::string, known_part> parts;
+    };
+
+    struct scored
+    {
+        const entry* candidate;
+        double milliseconds;
+        std::int64_t cached_tokens;
+    };
+
+    bool allows_version(const entry& one, double random) const;
+    std::int64_t cached_tokens(const entry& one, const endpoint_query& query, bool is_home,
+                               absl::Time now) const;
+    double predict_ms(const entry& one, const endpoint_query& query, std::int64_t cached) const;
+    std::vector<const entry*> usable(const endpoint_query& query, double random,
+                                     absl::Time now) const;
+    bool is_local(const entry& one) const;
+    void recount_peers();
+
+    options m_options;
+    absl::flat_hash_map<endpoint_id, entry> m_entries;
+    std::map<service_id, std::vector<endpoint_id>> m_by_service;
+    std::map<service_id, std::map<version_id, double>> m_version_shares;
+    std::map<node_id, std::vector<endpoint_load>> m_peer_loads;
+};
+
+} // namespace chivedeal::forward
+
+#endif
--- /dev/null
+++ b/include/chivedeal/forward/endpoint_query.hpp
@@ -0,0 +1,26 @@
+#ifndef CHIVEDEAL_FORWARD_ENDPOINT_QUERY_HPP
+#define CHIVEDEAL_FORWARD_ENDPOINT_QUERY_HPP
+
+#include "chivedeal/core/id.hpp"
+#include "chivedeal/forward/prompt_part.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace chivedeal::forward {
+
+/// What a choice of an endpoint depends on.
+struct endpoint_query
+{
+    service_id service;
+    std::int64_t prompt_tokens = 0;
+    std::vector<prompt_part> prefix;
+    /// Endpoints that were tried already.
+    std::vector<endpoint_id> excluded;
+
+    friend bool operator==(const endpoint_query&, const endpoint_query&) = default;
+};
+
+} // namespace chivedeal::forward
+
+#endif
--- /dev/null
+++ b/include/chivedeal/forward/fleet_order.hpp
@@ -0,0 +1,21 @@
+#ifndef CHIVEDEAL_FORWARD_FLEET_ORDER_HPP
+#define CHIVEDEAL_FORWARD_FLEET_ORDER_HPP
+
+#include "chivedeal/core/id.hpp"
+
+namespace chivedeal::forward {
+
+/// How many endpoints of one kind a service shall have in a zone.
+struct fleet_order
+{
+    service_id service;
+    zone_id zone;
+    int desired = 0;
+    bool reclaimable = false;
+
+    friend bool operator==(const fleet_order&, const fleet_order&) = default;
+};
+
+} // namespace chivedeal::forward
+
+#endif
--- /dev/null
+++ b/include/chivedeal/forward/http_response_head.hpp
@@ -0,0 +1,22 @@
+#ifndef CHIVEDEAL_FORWARD_HTTP_RESPONSE_HEAD_HPP
+#define CHIVEDEAL_FORWARD_HTTP_RESPONSE_HEAD_HPP
+
+#include "chivedeal/forward/http_field.hpp"
+
+#include <string>
+#include <vector>
+
+namespace chivedeal::forward {
+
+/// Status and header fields of an answer.
+struct http_response_head
+{
+    int status = 0;
+    std::vector<http_field> fields;
+
+    friend bool operator==(const http_response_head&, const http_response_head&) = default;
+};
+
+} // namespace chivedeal::forward
+
+#endif
--- /dev/null
+++ b/include/chivedeal/forward/local_state.hpp
@@ -0,0 +1,27 @@
+#ifndef CHIVEDEAL_FORWARD_LOCAL_STATE_HPP
+#define CHIVEDEAL_FORWARD_LOCAL_STATE_HPP
+
+#include "chivedeal/core/id.hpp"
+#include "chivedeal/forward/endpoint_load.hpp"
+#include "chivedeal/forward/version_outcomes.hpp"
+
+#include <map>
+#include <vector>
+
+namespace chivedeal::forward {
+
+/// What the forwarder has this node's beacon say.
+struct local_state
+{
+    bool ready = false;
+    bool leaving = false;
+    std::map<workspace_id, double> admitted;
+    std::vector<endpoint_load> loads;
+    std::vector<version_outcomes> outcomes;
+
+    friend bool operator==(const local_state&, const local_state&) = default;
+};
+
+} // namespace chivedeal::forward
+
+#endif
--- /dev/null
+++ b/include/chivedeal/forward/node_event.hpp
@@ -0,0 +1,98 @@
+#ifndef CHIVEDEAL_FORWARD_NODE_EVENT_HPP
+#define CHIVEDEAL_FORWARD_NODE_EVENT_HPP
+
+#include "chivedeal/forward/endpoint_record.hpp"
+#include "chivedeal/forward/node_beacon.hpp"
+#include "chivedeal/forward/rollout_order.hpp"
+#include "chivedeal/forward/usage_report.hpp"
+
+#include "absl/time/time.h"
+
+#include <memory>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace chivedeal::forward {
+
+class route_index;
+
+/// What the duties of a node tell each other.
+struct node_event
+{
+    /// A newer configuration is in force.
+    struct config_changed
+    {
+        std::shared_ptr<const route_index> index;
+    };
+
+    struct rollout_ordered
+    {
+        rollout_order order;
+    };
+
+    struct endpoint_changed
+    {
+        endpoint_record record;
+    };
+
+    struct endpoint_removed
+    {
+        endpoint_id id;
+    };
+
+    /// The list of endpoints has been read for the first time.
+    struct endpoints_loaded
+    {};
+
+    /// `before` is the last beacon of the same process.
+    struct peer_heard
+    {
+        node_beacon beacon;
+        std::optional<node_beacon> before;
+    };
+
+    struct peer_lost
+    {
+        node_id node;
+    };
+
+    /// Share of a service's requests that a version gets; absent to end the split.
+    struct version_decided
+    {
+        service_id service;
+        version_id version;
+        std::optional<double> share;
+    };
+
+    /// Requests that began on this node, by window.
+    struct usage_counted
+    {
+        std::vector<usage_report> reports;
+    };
+
+    /// True time minus the steady clock.
+    struct true_time_changed
+    {
+        absl::Duration offset;
+    };
+
+    /// This node's counts of a roll-out, for the verdict.
+    struct outcomes_counted
+    {
+        std::vector<version_outcomes> outcomes;
+    };
+
+    /// The node shall leave gracefully.
+    struct drain_requested
+    {};
+
+    std::variant<config_changed, rollout_ordered, endpoint_changed, endpoint_removed,
+                 endpoints_loaded, peer_heard, peer_lost, version_decided, usage_counted,
+                 true_time_changed, outcomes_counted, drain_requested>
+        value;
+};
+
+} // namespace chivedeal::forward
+
+#endif
--- /dev/null
+++ b/include/chivedeal/forward/operator_record.hpp
@@ -0,0 +1,16 @@
+#ifndef CHIVEDEAL_FORWARD_OPERATOR_RECORD_HPP
+#define CHIVEDEAL_FORWARD_OPERATOR_RECORD_HPP
+
+#include "chivedeal/forward/rollout_order.hpp"
+#include "chivedeal/forward/traffic_config.hpp"
+
+#include <variant>
+
+namespace chivedeal::forward {
+
+/// A record of the configuration topic; `std::monostate` for a kind that nodes don't use.
+using operator_record = std::variant<std::monostate, traffic_config, rollout_order>;
+
+} // namespace chivedeal::forward
+
+#endif
--- /dev/null
+++ b/include/chivedeal/forward/peer_exchange.hpp
@@ -0,0 +1,78 @@
+#ifndef CHIVEDEAL_FORWARD_PEER_EXCHANGE_HPP
+#define CHIVEDEAL_FORWARD_PEER_EXCHANGE_HPP
+
+#include "chivedeal/core/bounded_ring.hpp"
+#include "chivedeal/core/duty.hpp"
+#include "chivedeal/core/shared_cell.hpp"
+#include "chivedeal/forward/clock_consensus.hpp"
+#include "chivedeal/forward/local_state.hpp"
+#include "chivedeal/forward/node_settings.hpp"
+#include "chivedeal/forward/peer_table.hpp"
+#include "chivedeal/forward/wake_signal.hpp"
+
+#include "absl/time/time.h"
+
+#include <atomic>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chivedeal {
+class clock;
+}
+
+namespace chivedeal::forward {
+
+class node_event_listener;
+struct node_event;
+
+/// Duty: sends this node's beacon to its peers and hears theirs.
+class peer_exchange : public duty
+{
+public:
+    struct options
+    {
+        const node_settings& settings;
+        const clock& time;
+        std::vector<node_event_listener*> listeners;
+    };
+
+    explicit peer_exchange(options parts);
+
+    std::string name() const override { return "peers"; }
+    void run() override;
+    void request_stop() override;
+
+    /// Replaces what the next beacon says; a change of readiness is sent at once. Any thread.
+    void publish(local_state state);
+    void set_lease_token(std::optional<std::uint64_t> token);
+    /// Greets a node that may not be known yet. Any thread.
+    void greet(const address& node);
+
+private:
+    node_beacon make_beacon(absl::Time now);
+    void send_beacon(int socket, absl::Time now);
+    void receive_all(int socket, absl::Time now);
+    void expire(absl::Time now);
+    void tell(const node_event& event) const;
+    absl::Duration interval() const;
+
+    const node_settings& m_settings;
+    const clock& m_time;
+    std::vector<node_event_listener*> m_listeners;
+    wake_signal m_wake;
+    shared_cell<local_state> m_local;
+    shared_cell<std::optional<std::uint64_t>> m_lease;
+    std::atomic<bool> m_stopping = false;
+    peer_table m_table;
+    clock_consensus m_clocks;
+    std::int64_t m_started_us;
+    std::uint64_t m_sequence = 0;
+    absl::Duration m_offset = absl::InfiniteDuration();
+    bounded_ring<address> m_greetings;
+};
+
+} // namespace chivedeal::forward
+
+#endif
--- /dev/null
+++ b/include/chivedeal/forward/rollout_order.hpp
@@ -0,0 +1,26 @@
+#ifndef CHIVEDEAL_FORWARD_ROLLOUT_ORDER_HPP
+#define CHIVEDEAL_FORWARD_ROLLOUT_ORDER_HPP
+
+#include "chivedeal/core/id.hpp"
+
+#include "absl/time/time.h"
+
+#include <cstdint>
+
+namespace chivedeal::forward {
+
+/// An operator's order to move a service's traffic to a version.
+struct rollout_order
+{
+    service_id service;
+    version_id target;
+    absl::Duration duration;
+    /// Offset of the order's record; tells a repeated order from an earlier one.
+    std::uint64_t offset = 0;
+
+    friend bool operator==(const rollout_order&, const rollout_order&) = default;
+};
+
+} // namespace chivedeal::forward
+
+#endif
--- /dev/null
+++ b/include/chivedeal/forward/route_match.hpp
@@ -0,0 +1,19 @@
+#ifndef CHIVEDEAL_FORWARD_ROUTE_MATCH_HPP
+#define CHIVEDEAL_FORWARD_ROUTE_MATCH_HPP
+
+#include "chivedeal/forward/route.hpp"
+#include "chivedeal/forward/workspace_spec.hpp"
+
+namespace chivedeal::forward {
+
+/// The route and the workspace of a request; both live as long as the index that found them.
+struct route_match
+{
+    const route* matched = nullptr;
+    /// Null on public routes and without workspaces.
+    const workspace_spec* workspace = nullptr;
+};
+
+} // namespace chivedeal::forward
+
+#endif
--- /dev/null
+++ b/include/chivedeal/forward/sockets.hpp
@@ -0,0 +1,30 @@
+#ifndef CHIVEDEAL_FORWARD_SOCKETS_HPP
+#define CHIVEDEAL_FORWARD_SOCKETS_HPP
+
+#include "chivedeal/core/address.hpp"
+#include "chivedeal/core/result.hpp"
+
+#include <cstddef>
+
+namespace chivedeal::forward {
+
+/// Opens a non-blocking TCP listener. Errors: `io_error`.
+result<int> listen_tcp(const address& local);
+
+/// Accepts a connection, non-blocking; -1 when none waits.
+int accept_tcp(int listener);
+
+/// Begins a connection, non-blocking. Errors: `io_error`.
+result<int> begin_connect(const address& remote);
+
+/// Returns 0 or the errno with which a connection attempt ended.
+int connect_failure(int descriptor);
+
+/// Opens a non-blocking UDP socket. Errors: `io_error`.
+result<int> bind_udp(const address& local);
+
+bool send_datagram(int descriptor, const address& remote, const void* data, std::size_t size);
+
+} // namespace chivedeal::forward
+
+#endif
--- /dev/null
+++ b/include/chivedeal/forward/stored_record.hpp
@@ -0,0 +1,23 @@
+#ifndef CHIVEDEAL_FORWARD_STORED_RECORD_HPP
+#define CHIVEDEAL_FORWARD_STORED_RECORD_HPP
+
+#include <cstdint>
+#include <string>
+
+namespace chivedeal::forward {
+
+/// A record of a topic. Plain logs have no key.
+struct stored_record
+{
+    std::string key;
+    std::string value;
+    /// The key has no value any more.
+    bool removed = false;
+    std::uint64_t offset = 0;
+
+    friend bool operator==(const stored_record&, const stored_record&) = default;
+};
+
+} // namespace chivedeal::forward
+
+#endif
--- /dev/null
+++ b/include/chivedeal/forward/version_outcomes.hpp
@@ -0,0 +1,27 @@
+#ifndef CHIVEDEAL_FORWARD_VERSION_OUTCOMES_HPP
+#define CHIVEDEAL_FORWARD_VERSION_OUTCOMES_HPP
+
+#include "chivedeal/core/id.hpp"
+
+#include <cstdint>
+
+namespace chivedeal::forward {
+
+/// What one node saw of a service's versions during a roll-out, since the order.
+struct version_outcomes
+{
+    service_id service;
+    version_id target;
+    /// Offset of the order's record.
+    std::uint64_t order_offset = 0;
+    std::int64_t target_good = 0;
+    std::int64_t target_bad = 0;
+    std::int64_t other_good = 0;
+    std::int64_t other_bad = 0;
+
+    friend bool operator==(const version_outcomes&, const version_outcomes&) = default;
+};
+
+} // namespace chivedeal::forward
+
+#endif
--- a/src/core/log_event.cpp
+++ b/src/core/log_event.cpp
@@ -1,5 +1,7 @@
 #include "chivedeal/core/log_event.hpp"
 
+#include "chivedeal/core/log_writer.hpp"
+
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
 
@@ -33,6 +35,10 @@
         return "child_restarted";
     case event_id::supervisor_gave_up:
         return "supervisor_gave_up";
+    case event_id::settings_reloaded:
+        return "settings_reloaded";
+    case event_id::log_lines_dropped:
+        return "log_lines_dropped";
     case event_id::change_accepted:
         return "change_accepted";
     case event_id::change_rejected:
@@ -49,6 +55,14 @@
         return "record_ignored";
     case event_id::node_ready:
         return "node_ready";
+    case event_id::configuration_applied:
+        return "configuration_applied";
+    case event_id::record_rejected:
+        return "record_rejected";
+    case event_id::store_unreachable:
+        return "store_unreachable";
+    case event_id::store_recovered:
+        return "store_recovered";
     case event_id::peer_joined:
         return "peer_joined";
     case event_id::peer_suspected:
@@ -93,6 +107,10 @@
         return "order_sent";
     case event_id::order_refused:
         return "order_refused";
+    case event_id::usage_reported:
+        return "usage_reported";
+    case event_id::usage_report_failed:
+        return "usage_report_failed";
     case event_id::route_chosen:
         return "route_chosen";
     case event_id::request_refused:
@@ -132,6 +150,8 @@
         event_id::node_stopped,
         event_id::child_restarted,
         event_id::supervisor_gave_up,
+        event_id::settings_reloaded,
+        event_id::log_lines_dropped,
         event_id::change_accepted,
         event_id::change_rejected,
         event_id::log_unreachable,
@@ -140,6 +160,10 @@
         event_id::snapshot_written,
         event_id::record_ignored,
         event_id::node_ready,
+        event_id::configuration_applied,
+        event_id::record_rejected,
+        event_id::store_unreachable,
+        event_id::store_recovered,
         event_id::peer_joined,
         event_id::peer_suspected,
         event_id::peer_dead,
@@ -162,6 +186,8 @@
         event_id::instance_stopped,
         event_id::order_sent,
         event_id::order_refused,
+        event_id::usage_reported,
+        event_id::usage_report_failed,
         event_id::route_chosen,
         event_id::request_refused,
         event_id::request_finished,
@@ -190,7 +216,10 @@
 
 void log_event(event_id event, std::initializer_list<log_field> fields)
 {
-    LOG(INFO) << format_log_event(event, fields);
+    if (log_writer* writer = log_writer::installed())
+        writer->write(format_log_event(event, fields));
+    else
+        LOG(INFO) << format_log_event(event, fields);
 }
 
 } // namespace chivedeal
--- a/src/core/result_code.cpp
+++ b/src/core/result_code.cpp
@@ -83,6 +83,8 @@
         return "retry_budget_exhausted";
     case result_code::unknown_request:
         return "unknown_request";
+    case result_code::unknown_route:
+        return "unknown_route";
     case result_code::usage:
         return "usage";
     case result_code::node_unreachable:
@@ -137,6 +139,7 @@
         result_code::cancelled,
         result_code::retry_budget_exhausted,
         result_code::unknown_request,
+        result_code::unknown_route,
         result_code::usage,
         result_code::node_unreachable,
         result_code::declarations_differ,
--- /dev/null
+++ b/src/forward/clock_consensus.cpp
@@ -0,0 +1,25 @@
+#include "chivedeal/forward/clock_consensus.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace chivedeal::forward {
+
+void clock_consensus::observe(const node_id& node, absl::Time wall, absl::Time now)
+{
+    m_offsets[node] = wall - now;
+}
+
+void clock_consensus::forget(const node_id& node) { m_offsets.erase(node); }
+
+absl::Time clock_consensus::true_time(absl::Time own_wall, absl::Time now) const
+{
+    std::vector<absl::Duration> offsets{own_wall - now};
+    for (const auto& [node, offset] : m_offsets)
+        offsets.push_back(offset);
+    const auto middle = offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2);
+    std::nth_element(offsets.begin(), middle, offsets.end());
+    return now + *middle;
+}
+
+} // namespace chivedeal::forward
--- /dev/null
+++ b/src/forward/control_duties.cpp
@@ -0,0 +1,351 @@
+#include "chivedeal/forward/control_duties.hpp"
+
+#include "chivedeal/core/clock.hpp"
+#include "chivedeal/core/json_object.hpp"
+#include "chivedeal/core/log_event.hpp"
+#include "chivedeal/forward/duty_api.hpp"
+#include "chivedeal/forward/peer_exchange.hpp"
+#include "chivedeal/forward/record_store.hpp"
+#include "chivedeal/forward/wire_format.hpp"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chivedeal::forward {
+
+namespace {
+
+constexpr absl::Duration tick_interval = absl::Milliseconds(250);
+// After this all nodes have written their counts of a window.
+constexpr absl::Duration report_delay = absl::Milliseconds(1800);
+constexpr absl::Duration report_retry = absl::Milliseconds(500);
+constexpr absl::Duration registration_interval = absl::Seconds(10);
+constexpr absl::Duration registration_retry = absl::Seconds(1);
+// Old endpoints have stopped by then, and the version split has no use any more.
+constexpr absl::Duration forget_done_after = absl::Seconds(8);
+constexpr std::size_t kept_windows = 8;
+// Part of the platform's bound on a new version's share that the nodes use.
+constexpr double exposure_use = 0.5;
+
+} // namespace
+
+control_duties::control_duties(options parts)
+    : m_settings(parts.settings),
+      m_time(parts.time),
+      m_store(parts.store),
+      m_platform(parts.platform),
+      m_format(parts.format),
+      m_inbox(parts.inbox),
+      m_forwarder(parts.forwarder),
+      m_peers(parts.peers),
+      m_lease({.self = parts.settings.node, .term = parts.settings.lease_term}, parts.time.now()),
+      m_windows(parts.settings.usage_window),
+      m_true_time_offset(parts.time.wall_now() - parts.time.now())
+{}
+
+void control_duties::run()
+{
+    absl::Time next_tick = m_time.now();
+    while (!m_inbox.closed()) {
+        const absl::Time now = m_time.now();
+        if (now >= next_tick) {
+            tick(now);
+            next_tick = m_time.now() + tick_interval;
+        }
+        if (const auto event =
+                m_inbox.pop(std::max(absl::ZeroDuration(), next_tick - m_time.now())))
+            take(*event, m_time.now());
+    }
+}
+
+void control_duties::request_stop()
+{
+    m_inbox.close();
+    m_store.stop();
+    m_platform.stop();
+}
+
+void control_duties::take(const node_event& event, absl::Time now)
+{
+    if (const auto* heard = std::get_if<node_event::peer_heard>(&event.value)) {
+        if (heard->beacon.lease_token)
+            m_lease.on_peer_holds(*heard->beacon.lease_token, now);
+        take_outcomes(heard->beacon.node, heard->beacon.outcomes, now);
+    }
+    else if (const auto* own = std::get_if<node_event::outcomes_counted>(&event.value)) {
+        take_outcomes(m_settings.node, own->outcomes, now);
+    }
+    else if (const auto* usage = std::get_if<node_event::usage_counted>(&event.value)) {
+        m_unwritten.insert(m_unwritten.end(), usage->reports.begin(), usage->reports.end());
+    }
+    else if (const auto* offset = std::get_if<node_event::true_time_changed>(&event.value)) {
+        m_true_time_offset = offset->offset;
+    }
+    else if (const auto* order = std::get_if<node_event::rollout_ordered>(&event.value)) {
+        const rollout_judge::options limits{.unproven_share =
+                                                m_settings.unproven_share * exposure_use};
+        rollout one{.judge = rollout_judge(limits, order->order, now)};
+        const auto statuses = m_store.newest(topic::rollout_status);
+        if (is_ok(statuses))
+            for (const stored_record& record : get_value(statuses).records) {
+                const auto known = m_format.decode_rollout_status(record);
+                if (is_ok(known) && get_value(known).service == order->order.service &&
+                    get_value(known).target == order->order.target)
+                    one.judge.on_state(get_value(known).state);
+            }
+        m_rollouts.insert_or_assign(order->order.service, std::move(one));
+    }
+    else if (std::holds_alternative<node_event::drain_requested>(event.value)) {
+        m_lease.release();
+        m_peers.set_lease_token(std::nullopt);
+    }
+}
+
+void control_duties::take_outcomes(const node_id& node,
+                                   const std::vector<version_outcomes>& outcomes, absl::Time now)
+{
+    for (const version_outcomes& counted : outcomes) {
+        const auto found = m_rollouts.find(counted.service);
+        if (found == m_rollouts.end() ||
+            found->second.judge.order().offset != counted.order_offset)
+            continue;
+        found->second.outcomes[node] = counted;
+    }
+    advance_rollouts(now);
+}
+
+void control_duties::tick(absl::Time now)
+{
+    register_node(now);
+    advance_lease(now);
+    write_counts(now);
+    if (m_settings.reports_usage)
+        report_usage(now);
+    advance_rollouts(now);
+}
+
+void control_duties::register_node(absl::Time now)
+{
+    if (now < m_next_registration)
+        return;
+    m_next_registration = now + registration_retry;
+    if (!m_registered) {
+        const std::string value = encode_json({{"peers", to_string(m_settings.peers)}});
+        m_registered =
+            is_ok(m_store.append(topic::nodes, m_settings.node.str(), value, std::nullopt));
+    }
+    const auto nodes = m_store.newest(topic::nodes);
+    if (!is_ok(nodes))
+        return;
+    for (const stored_record& record : get_value(nodes).records) {
+        const auto parsed =
+            parse_address(member_or(parse_json_object(record.value), "peers", ""));
+        if (is_ok(parsed))
+            m_peers.greet(get_value(parsed));
+    }
+    if (m_registered)
+        m_next_registration = now + registration_interval;
+}
+
+void control_duties::advance_lease(absl::Time now)
+{
+    switch (m_lease.tick(now)) {
+    case duty_lease::step::none:
+        break;
+    case duty_lease::step::read:
+        read_control_log(now);
+        break;
+    case duty_lease::step::append:
+        append_grant(now);
+        break;
+    }
+    m_peers.set_lease_token(m_lease.held(m_time.now()));
+}
+
+bool control_duties::read_control_log(absl::Time now)
+{
+    auto batch = m_store.read(topic::lease, m_log.end(), absl::ZeroDuration());
+    if (!is_ok(batch))
+        return false;
+    m_log.apply(get_value(batch));
+    m_lease.on_read(m_log.holder(), m_log.token(), m_log.end(), now);
+    return true;
+}
+
+void control_duties::append_grant(absl::Time now)
+{
+    const auto appended = m_store.append(topic::lease, "", control_log::encode_grant(m_settings.node),
+                                         m_lease.expected_end());
+    if (!is_ok(appended)) {
+        if (get_error(appended).code == result_code::conflict)
+            m_lease.on_conflict(now);
+        return;
+    }
+    m_lease.on_granted(get_value(appended), m_time.now());
+    log_event(event_id::lease_acquired,
+              {{"scope", "control"}, {"token", absl::StrCat(get_value(appended))}});
+    read_control_log(m_time.now());
+}
+
+std::optional<duty_fence> control_duties::fence(absl::Time now) const
+{
+    const auto token = m_lease.held(now);
+    if (!token)
+        return std::nullopt;
+    return duty_fence{.holder = m_settings.node, .token = *token};
+}
+
+void control_duties::write_counts(absl::Time now)
+{
+    while (!m_unwritten.empty()) {
+        const usage_report& report = m_unwritten.front();
+        const bool too_late =
+            m_windows.end_of(report.window) + m_settings.usage_due < now + m_true_time_offset;
+        if (!too_late && !is_ok(m_store.append(topic::usage, "",
+                                               control_log::encode_counts(m_settings.node, report),
+                                               std::nullopt)))
+            return;
+        m_unwritten.erase(m_unwritten.begin());
+    }
+}
+
+void control_duties::read_counts()
+{
+    const auto batch = m_store.read(topic::usage, m_counts_next, absl::ZeroDuration());
+    if (!is_ok(batch))
+        return;
+    m_counts_next = get_value(batch).next;
+    for (const stored_record& record : get_value(batch).records) {
+        const auto decoded = control_log::decode_counts(record.value);
+        if (is_ok(decoded))
+            m_counts[get_value(decoded).second.window][get_value(decoded).first] =
+                get_value(decoded).second;
+    }
+    while (m_counts.size() > kept_windows)
+        m_counts.erase(m_counts.begin());
+}
+
+void control_duties::report_usage(absl::Time now)
+{
+    const absl::Time true_now = now + m_true_time_offset;
+    const std::int64_t oldest = m_windows.window_of(true_now - m_settings.usage_due);
+    m_next_window = std::max(m_next_window, oldest);
+    if (now < m_next_report_try || !fence(now))
+        return;
+    if (m_windows.end_of(m_next_window) + report_delay > true_now)
+        return;
+    read_counts();
+    while (m_windows.end_of(m_next_window) + report_delay <= true_now) {
+        if (!report_window(m_next_window, m_time.now())) {
+            m_next_report_try = m_time.now() + report_retry;
+            return;
+        }
+        ++m_next_window;
+    }
+}
+
+bool control_duties::report_window(std::int64_t window, absl::Time now)
+{
+    if (const usage_report* planned = m_log.planned_report(window))
+        return send_report(*planned, now);
+    usage_report total{.window = window};
+    for (const auto& [node, report] : m_counts[window])
+        for (const auto& [workspace, count] : report.counts)
+            total.counts[workspace] += count;
+    return plan_report(total, now) && send_report(total, m_time.now());
+}
+
+bool control_duties::plan_report(const usage_report& report, absl::Time now)
+{
+    if (!fence(now))
+        return false;
+    const auto appended =
+        m_store.append(topic::lease, "", control_log::encode_report(report), m_log.end());
+    // Also after an append without an answer the topic tells what happened.
+    const bool known = read_control_log(m_time.now());
+    const usage_report* planned = m_log.planned_report(report.window);
+    return is_ok(appended) && known && planned != nullptr && *planned == report;
+}
+
+bool control_duties::send_report(const usage_report& report, absl::Time now)
+{
+    const auto holder = fence(now);
+    if (!holder)
+        return false;
+    const status sent = m_platform.report_usage(report, *holder);
+    std::int64_t requests = 0;
+    for (const auto& [workspace, count] : report.counts)
+        requests += count;
+    log_event(is_ok(sent) ? event_id::usage_reported : event_id::usage_report_failed,
+              {{"window", absl::StrCat(report.window)},
+               {"requests", absl::StrCat(requests)},
+               {"token", absl::StrCat(holder->token)},
+               {"reason", is_ok(sent) ? "" : get_error(sent).message}});
+    if (!is_ok(sent) && get_error(sent).code == result_code::stale_fence) {
+        m_lease.on_fenced(now);
+        log_event(event_id::lease_lost, {{"scope", "control"}, {"reason", "fenced"}});
+    }
+    return is_ok(sent);
+}
+
+void control_duties::advance_rollouts(absl::Time now)
+{
+    for (auto& [service, one] : m_rollouts) {
+        version_outcomes total;
+        for (const auto& [node, counted] : one.outcomes) {
+            total.target_good += counted.target_good;
+            total.target_bad += counted.target_bad;
+            total.other_good += counted.other_good;
+            total.other_bad += counted.other_bad;
+        }
+        one.judge.on_outcomes(total, now);
+        announce(service, one);
+        if (one.judge.state() == rollout_state::done && one.done_at == absl::InfiniteFuture())
+            one.done_at = now;
+        if (!one.split_ended && now - one.done_at > forget_done_after) {
+            one.split_ended = true;
+            m_forwarder.on_event({node_event::version_decided{
+                .service = service, .version = one.judge.order().target, .share = std::nullopt}});
+        }
+        if (fence(now))
+            write_status(one);
+    }
+}
+
+void control_duties::announce(const service_id& service, rollout& one)
+{
+    const double share = one.judge.share();
+    if (share == one.announced_share || one.split_ended)
+        return;
+    one.announced_share = share;
+    log_event(event_id::move_step_decided, {{"service", service.str()},
+                                            {"version", one.judge.order().target.str()},
+                                            {"share", absl::StrCat(share)}});
+    m_forwarder.on_event({node_event::version_decided{
+        .service = service, .version = one.judge.order().target, .share = share}});
+}
+
+void control_duties::write_status(rollout& one)
+{
+    if (one.written_any && one.written == one.judge.state())
+        return;
+    const rollout_status next{.service = one.judge.order().service,
+                              .target = one.judge.order().target,
+                              .state = one.judge.state(),
+                              .order_offset = one.judge.order().offset};
+    const auto written =
+        m_store.append(topic::rollout_status, m_format.rollout_status_key(next),
+                       m_format.encode_rollout_status(next), std::nullopt);
+    if (!is_ok(written))
+        return;
+    one.written_any = true;
+    one.written = next.state;
+    if (next.state != rollout_state::running)
+        log_event(next.state == rollout_state::done ? event_id::move_done
+                                                    : event_id::move_rolled_back,
+                  {{"service", next.service.str()}, {"version", next.target.str()}});
+}
+
+} // namespace chivedeal::forward
--- /dev/null
+++ b/src/forward/endpoint_pool.cpp
@@ -0,0 +1,332 @@
+#include "chivedeal/forward/endpoint_pool.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace chivedeal::forward {
+
+namespace {
+
+// A cautious estimate of how fast an engine reads a prompt; engines report no speed.
+constexpr double prompt_tokens_per_ms = 50;
+// Cost of the link to another region: two ways of about a dozen milliseconds, and traffic between
+// regions is paid by volume.
+constexpr double remote_region_ms = 120;
+constexpr double remote_zone_ms = 4;
+// One more running request lengthens every step of an engine a little.
+constexpr double busy_request_ms = 1.5;
+// A request beyond the slots waits for one to end.
+constexpr double queued_request_ms = 60;
+// Weight of recent failures: an endpoint that fails all looks this much slower.
+constexpr double failing_ms = 2000;
+constexpr double failure_smoothing = 0.1;
+// Requests an endpoint may have queued, in parts of its slots, before it counts as full.
+constexpr double full_factor = 1.25;
+// Endpoints on which a shared prompt part is at home in each region.
+constexpr int homes = 1;
+constexpr absl::Duration part_lifetime = absl::Seconds(60);
+constexpr std::size_t most_parts = 512;
+constexpr absl::Duration full_pause = absl::Milliseconds(150);
+constexpr absl::Duration first_pause = absl::Milliseconds(250);
+constexpr absl::Duration longest_pause = absl::Seconds(4);
+constexpr int failures_to_pause = 3;
+
+std::uint64_t rendezvous(const std::string& part, const endpoint_id& endpoint)
+{
+    const std::string joined = part + "\n" + endpoint.str();
+    return XXH3_64bits(joined.data(), joined.size());
+}
+
+// The longest shared part names the group of requests that profit from each other's cache; the
+// last part is the request's own.
+std::string affinity_key(const endpoint_query& query)
+{
+    if (query.prefix.size() < 2)
+        return {};
+    return query.prefix[query.prefix.size() - 2].id;
+}
+
+} // namespace
+
+void endpoint_pool::update(const endpoint_record& record, absl::Time now)
+{
+    auto& one = m_entries[record.id];
+    const bool known = !one.record.id.empty();
+    const bool restarted = known && (one.record.born_ms != record.born_ms ||
+                                     one.record.address != record.address);
+    if (known && one.record.service != record.service)
+        remove(record.id);
+    auto& current = m_entries[record.id];
+    if (restarted) {
+        current.parts.clear();
+        current.failures_in_row = 0;
+        current.failure_share = 0;
+        current.unusable_until = now;
+    }
+    current.record = record;
+    auto& peers = m_by_service[record.service];
+    if (std::find(peers.begin(), peers.end(), record.id) == peers.end())
+        peers.push_back(record.id);
+}
+
+void endpoint_pool::remove(const endpoint_id& id)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end())
+        return;
+    auto& peers = m_by_service[found->second.record.service];
+    peers.erase(std::remove(peers.begin(), peers.end(), id), peers.end());
+    m_entries.erase(found);
+}
+
+void endpoint_pool::set_version_share(const service_id& service, const version_id& version,
+                                      double share)
+{
+    m_version_shares[service][version] = share;
+}
+
+void endpoint_pool::clear_version_shares(const service_id& service)
+{
+    m_version_shares.erase(service);
+}
+
+result<endpoint_choice> endpoint_pool::choose(const endpoint_query& query, double random,
+                                              absl::Time now) const
+{
+    const auto known = m_by_service.find(query.service);
+    if (known == m_by_service.end() || known->second.empty())
+        return error{.code = result_code::unknown_service, .message = "the service has no endpoint"};
+    const auto candidates = usable(query, random, now);
+    if (candidates.empty())
+        return error{.code = result_code::no_endpoint, .message = "no endpoint can be used"};
+
+    const std::string key = affinity_key(query);
+    std::vector<std::pair<std::uint64_t, const entry*>> ranked;
+    if (!key.empty()) {
+        for (const entry* one : candidates)
+            if (is_local(*one))
+                ranked.emplace_back(rendezvous(key, one->record.id), one);
+        std::sort(ranked.rbegin(), ranked.rend());
+        ranked.resize(std::min<std::size_t>(ranked.size(), homes));
+    }
+    std::vector<scored> scores;
+    for (const entry* one : candidates) {
+        const bool is_home = std::any_of(ranked.begin(), ranked.end(),
+                                         [one](const auto& home) { return home.second == one; });
+        const std::int64_t cached = cached_tokens(*one, query, is_home, now);
+        scores.push_back({one, predict_ms(*one, query, cached), cached});
+    }
+    const auto best = std::min_element(scores.begin(), scores.end(),
+                                       [](const scored& a, const scored& b) {
+                                           return a.milliseconds < b.milliseconds;
+                                       });
+    const entry& chosen = *best->candidate;
+    if (chosen.own_requests + chosen.peer_requests >= chosen.record.slots * full_factor)
+        return error{.code = result_code::shed, .message = "all endpoints are full"};
+    return endpoint_choice{.id = chosen.record.id,
+                           .address = chosen.record.address,
+                           .version = chosen.record.version,
+                           .predicted = absl::Milliseconds(best->milliseconds),
+                           .cached_tokens = best->cached_tokens,
+                           .candidates = static_cast<int>(candidates.size())};
+}
+
+std::vector<const endpoint_pool::entry*> endpoint_pool::usable(const endpoint_query& query,
+                                                               double random, absl::Time now) const
+{
+    std::vector<const entry*> allowed;
+    std::vector<const entry*> paused;
+    for (const endpoint_id& id : m_by_service.at(query.service)) {
+        const entry& one = m_entries.at(id);
+        const bool excluded = std::find(query.excluded.begin(), query.excluded.end(), id) !=
+                              query.excluded.end();
+        if (one.record.leaving || excluded || !allows_version(one, random))
+            continue;
+        if (now < one.unusable_until)
+            paused.push_back(&one);
+        else
+            allowed.push_back(&one);
+    }
+    // With every endpoint paused, trying one beats refusing: the pauses are guesses.
+    return allowed.empty() ? paused : allowed;
+}
+
+bool endpoint_pool::allows_version(const entry& one, double random) const
+{
+    const auto shares = m_version_shares.find(one.record.service);
+    if (shares == m_version_shares.end())
+        return true;
+    // `random` decides once for a request whether the target version takes it.
+    const auto target = shares->second.find(one.record.version);
+    const double target_share = shares->second.begin()->second;
+    return target != shares->second.end() ? random < target_share : random >= target_share;
+}
+
+bool endpoint_pool::is_local(const entry& one) const
+{
+    const auto region = m_options.zones.find(one.record.zone);
+    return region == m_options.zones.end() || region->second == m_options.region;
+}
+
+std::int64_t endpoint_pool::cached_tokens(const entry& one, const endpoint_query& query,
+                                          bool is_home, absl::Time now) const
+{
+    std::int64_t cached = 0;
+    for (const prompt_part& part : query.prefix) {
+        const auto known = one.parts.find(part.id);
+        const bool held = known != one.parts.end() && now - known->second.used < part_lifetime;
+        const bool shared = &part != &query.prefix.back();
+        // A part that is at home here was probably left by a peer's requests.
+        if (!held && !(is_home && shared))
+            break;
+        cached += part.tokens;
+    }
+    return std::min(cached, query.prompt_tokens);
+}
+
+double endpoint_pool::predict_ms(const entry& one, const endpoint_query& query,
+                                 std::int64_t cached) const
+{
+    const double unread = static_cast<double>(one.own_unread + one.peer_unread) +
+                          static_cast<double>(query.prompt_tokens - cached);
+    const int requests = one.own_requests + one.peer_requests;
+    const int queued = std::max(0, requests + 1 - one.record.slots);
+    double milliseconds = unread / prompt_tokens_per_ms +
+                          busy_request_ms * requests * 48.0 / std::max(one.record.slots, 1) +
+                          queued_request_ms * queued + failing_ms * one.failure_share;
+    if (!is_local(one))
+        milliseconds += remote_region_ms;
+    else
+        milliseconds += remote_zone_ms;
+    return milliseconds;
+}
+
+void endpoint_pool::on_sent(const endpoint_id& id, const endpoint_query& /*query*/,
+                            std::int64_t unread_tokens)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end())
+        return;
+    ++found->second.own_requests;
+    found->second.own_unread += unread_tokens;
+}
+
+void endpoint_pool::on_first_byte(const endpoint_id& id, const endpoint_query& query,
+                                  std::int64_t unread_tokens, absl::Time now)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end())
+        return;
+    entry& one = found->second;
+    one.own_unread = std::max<std::int64_t>(0, one.own_unread - unread_tokens);
+    if (one.parts.size() > most_parts)
+        one.parts.clear();
+    for (const prompt_part& part : query.prefix)
+        one.parts[part.id] = {.used = now};
+}
+
+void endpoint_pool::on_ended(const endpoint_id& id, std::int64_t unread_tokens)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end())
+        return;
+    entry& one = found->second;
+    one.own_requests = std::max(0, one.own_requests - 1);
+    one.own_unread = std::max<std::int64_t>(0, one.own_unread - unread_tokens);
+}
+
+void endpoint_pool::on_success(const endpoint_id& id)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end())
+        return;
+    found->second.failures_in_row = 0;
+    found->second.failure_share *= 1 - failure_smoothing;
+}
+
+void endpoint_pool::on_failure(const endpoint_id& id, absl::Time now)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end())
+        return;
+    entry& one = found->second;
+    one.failure_share += failure_smoothing * (1 - one.failure_share);
+    if (++one.failures_in_row >= failures_to_pause)
+        one.unusable_until = now + std::min(longest_pause, first_pause * one.failures_in_row);
+}
+
+void endpoint_pool::on_unreachable(const endpoint_id& id, absl::Time now)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end())
+        return;
+    entry& one = found->second;
+    ++one.failures_in_row;
+    one.unusable_until =
+        now + std::min(longest_pause, first_pause * std::exp2(std::min(one.failures_in_row, 5)));
+}
+
+void endpoint_pool::on_refused(const endpoint_id& id, absl::Time now)
+{
+    const auto found = m_entries.find(id);
+    if (found != m_entries.end())
+        found->second.unusable_until = std::max(found->second.unusable_until, now + full_pause);
+}
+
+void endpoint_pool::set_peer_load(const node_id& peer, const std::vector<endpoint_load>& loads)
+{
+    m_peer_loads[peer] = loads;
+    recount_peers();
+}
+
+void endpoint_pool::forget_peer(const node_id& peer)
+{
+    if (m_peer_loads.erase(peer) > 0)
+        recount_peers();
+}
+
+void endpoint_pool::recount_peers()
+{
+    for (auto& [id, one] : m_entries) {
+        one.peer_requests = 0;
+        one.peer_unread = 0;
+    }
+    for (const auto& [peer, loads] : m_peer_loads)
+        for (const endpoint_load& load : loads) {
+            const auto found = m_entries.find(load.endpoint);
+            if (found == m_entries.end())
+                continue;
+            found->second.peer_requests += load.requests;
+            found->second.peer_unread += load.unread_tokens;
+        }
+}
+
+std::vector<endpoint_load> endpoint_pool::own_load() const
+{
+    std::vector<endpoint_load> loads;
+    for (const auto& [id, one] : m_entries)
+        if (one.own_requests > 0)
+            loads.push_back({.endpoint = id,
+                             .requests = one.own_requests,
+                             .unread_tokens = one.own_unread});
+    return loads;
+}
+
+const endpoint_record* endpoint_pool::find(const endpoint_id& id) const
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? nullptr : &found->second.record;
+}
+
+std::vector<endpoint_record> endpoint_pool::records() const
+{
+    std::vector<endpoint_record> all;
+    for (const auto& [id, one] : m_entries)
+        all.push_back(one.record);
+    return all;
+}
+
+} // namespace chivedeal::forward
--- /dev/null
+++ b/src/forward/forwarder.cpp
@@ -0,0 +1,322 @@
+#include "chivedeal/forward/forwarder.hpp"
+
+#include "chivedeal/core/clock.hpp"
+#include "chivedeal/core/log_event.hpp"
+#include "chivedeal/core/metrics.hpp"
+#include "chivedeal/forward/http_fields.hpp"
+#include "chivedeal/forward/peer_exchange.hpp"
+#include "chivedeal/forward/route_index.hpp"
+#include "chivedeal/forward/sockets.hpp"
+#include "chivedeal/forward/wire_format.hpp"
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+namespace chivedeal::forward {
+
+namespace {
+
+constexpr std::uint64_t wake_id = 1;
+constexpr std::uint64_t first_listener_id = 16;
+constexpr absl::Duration periodic_interval = absl::Milliseconds(125);
+constexpr absl::Duration usage_interval = absl::Milliseconds(500);
+// A request that began right before a window's end has been counted by then.
+constexpr absl::Duration usage_settle = absl::Milliseconds(200);
+// Callers in a region with fewer ready nodes than this are sent to all nodes.
+constexpr std::size_t enough_near_nodes = 2;
+// Some callers keep an address answer three times as long as it says.
+constexpr double ttl_overstay = 3;
+// Left of the grace time for the process to end.
+constexpr absl::Duration exit_margin = absl::Milliseconds(400);
+
+std::string query_value(const std::string& target, const std::string& name)
+{
+    const std::size_t begin = target.find('?');
+    if (begin == std::string::npos)
+        return {};
+    const absl::string_view query = absl::string_view(target).substr(begin + 1);
+    for (const absl::string_view pair : absl::StrSplit(query, '&')) {
+        const std::pair<absl::string_view, absl::string_view> halves =
+            absl::StrSplit(pair, absl::MaxSplits('=', 1));
+        if (halves.first == absl::string_view(name))
+            return std::string(halves.second);
+    }
+    return {};
+}
+
+} // namespace
+
+forwarder::forwarder(options parts)
+    : m_settings(parts.settings),
+      m_format(parts.format),
+      m_time(parts.time),
+      m_counters(parts.counters),
+      m_inbox(parts.inbox),
+      m_control(parts.control),
+      m_peers(parts.peers),
+      m_on_drained(std::move(parts.on_drained)),
+      m_callers(m_poller, *this),
+      m_pool({.region = m_settings.region, .zones = m_settings.zones}),
+      m_endpoints(m_poller, m_runner, {.id_field = parts.names.request_id}),
+      m_runner({.settings = m_settings,
+                .names = parts.names,
+                .callers = m_callers,
+                .endpoints = m_endpoints,
+                .pool = m_pool,
+                .counters = m_counters}),
+      m_true_time_offset(m_time.wall_now() - m_time.now())
+{
+    m_runner.set_true_time_offset(m_true_time_offset);
+}
+
+forwarder::~forwarder()
+{
+    for (const auto& [socket, kind] : m_listeners)
+        ::close(socket);
+}
+
+void forwarder::run()
+{
+    m_poller.add(m_inbox.wake().descriptor(), wake_id, true, false);
+    open(m_settings.front, front);
+    if (m_settings.ready)
+        open(*m_settings.ready, ready);
+    if (m_settings.directory)
+        open(*m_settings.directory, directory);
+    if (m_settings.metrics)
+        open(*m_settings.metrics, metrics_page);
+    absl::Time next_timer = absl::InfiniteFuture();
+    while (!m_inbox.closed()) {
+        const absl::Time due = std::min(next_timer, m_next_periodic);
+        const auto& events = m_poller.wait(std::max(absl::ZeroDuration(), due - m_time.now()));
+        const absl::Time now = m_time.now();
+        for (const poller::ready& one : events)
+            dispatch(one, now);
+        take_events(now);
+        next_timer = m_runner.tick(now);
+        if (now >= m_next_periodic)
+            periodic(now);
+        m_callers.sweep();
+        m_endpoints.sweep();
+    }
+}
+
+void forwarder::request_stop() { m_inbox.close(); }
+
+void forwarder::open(const address& at, listener kind)
+{
+    const auto socket = listen_tcp(at);
+    if (!is_ok(socket))
+        throw std::runtime_error(get_error(socket).message);
+    m_listeners.emplace(get_value(socket), kind);
+    m_poller.add(get_value(socket), first_listener_id + static_cast<std::uint64_t>(get_value(socket)),
+                 true, false);
+}
+
+void forwarder::dispatch(const poller::ready& one, absl::Time now)
+{
+    if ((one.id & caller_side::id_mark) != 0)
+        return m_callers.on_ready(one.id, one.readable, one.writable, one.broken, now);
+    if ((one.id & endpoint_side::id_mark) != 0)
+        return m_endpoints.on_ready(one.id, one.readable, one.writable, one.broken, now);
+    if (one.id == wake_id)
+        return m_inbox.wake().clear();
+    const int socket = static_cast<int>(one.id - first_listener_id);
+    const auto found = m_listeners.find(socket);
+    if (found != m_listeners.end())
+        m_callers.accept_all(socket, found->second, now);
+}
+
+void forwarder::take_events(absl::Time now)
+{
+    while (const auto event = m_inbox.pop(absl::ZeroDuration()))
+        take(*event, now);
+}
+
+void forwarder::take(const node_event& event, absl::Time now)
+{
+    if (const auto* changed = std::get_if<node_event::config_changed>(&event.value)) {
+        m_runner.set_config(changed->index, now);
+    }
+    else if (const auto* endpoint = std::get_if<node_event::endpoint_changed>(&event.value)) {
+        m_pool.update(endpoint->record, now);
+    }
+    else if (const auto* removed = std::get_if<node_event::endpoint_removed>(&event.value)) {
+        m_pool.remove(removed->id);
+        m_endpoints.forget(removed->id);
+    }
+    else if (std::holds_alternative<node_event::endpoints_loaded>(event.value)) {
+        m_endpoints_loaded = true;
+    }
+    else if (const auto* heard = std::get_if<node_event::peer_heard>(&event.value)) {
+        take_peer(*heard, now);
+    }
+    else if (const auto* lost = std::get_if<node_event::peer_lost>(&event.value)) {
+        m_book.on_lost(lost->node);
+        m_pool.forget_peer(lost->node);
+        m_runner.set_nodes(m_book.ready_count() + 1);
+    }
+    else if (const auto* order = std::get_if<node_event::rollout_ordered>(&event.value)) {
+        m_runner.watch_rollout(order->order);
+    }
+    else if (const auto* share = std::get_if<node_event::version_decided>(&event.value)) {
+        if (share->share)
+            m_pool.set_version_share(share->service, share->version, *share->share);
+        else
+            m_pool.clear_version_shares(share->service);
+    }
+    else if (const auto* offset = std::get_if<node_event::true_time_changed>(&event.value)) {
+        m_true_time_offset = offset->offset;
+        m_runner.set_true_time_offset(offset->offset);
+    }
+    else if (std::holds_alternative<node_event::drain_requested>(event.value) &&
+             m_drain_started == absl::InfiniteFuture()) {
+        m_drain_started = now;
+        m_callers.close_after_answers();
+        log_event(event_id::drain_started, {{"under_way", absl::StrCat(m_runner.under_way())}});
+        publish();
+    }
+}
+
+void forwarder::take_peer(const node_event::peer_heard& heard, absl::Time now)
+{
+    m_book.on_beacon(heard.beacon);
+    m_pool.set_peer_load(heard.beacon.node, heard.beacon.loads);
+    for (const auto& [workspace, admitted] : heard.beacon.admitted) {
+        double before = 0;
+        if (heard.before) {
+            const auto known = heard.before->admitted.find(workspace);
+            before = known == heard.before->admitted.end() ? 0 : known->second;
+        }
+        else if (heard.beacon.sequence > 1) {
+            // The first beacon heard of a process that has run for long says nothing of the recent
+            // past.
+            continue;
+        }
+        if (admitted != before)
+            m_runner.quota().on_peers_admitted(workspace, admitted - before, now);
+    }
+    m_runner.set_nodes(m_book.ready_count() + 1);
+}
+
+void forwarder::periodic(absl::Time now)
+{
+    m_next_periodic = now + periodic_interval;
+    m_callers.tick(now);
+    m_endpoints.tick(now);
+    publish();
+    if (now >= m_next_usage) {
+        m_next_usage = now + usage_interval;
+        m_runner.quota().on_exchange();
+        flush_usage(now);
+        m_counters.set("chivedeal_requests_under_way", static_cast<double>(m_runner.under_way()));
+        m_counters.set("chivedeal_caller_connections", static_cast<double>(m_callers.size()));
+        m_counters.set("chivedeal_endpoint_connections", static_cast<double>(m_endpoints.size()));
+        m_counters.set("chivedeal_endpoint_connections_opened_total",
+                       static_cast<double>(m_endpoints.opened()));
+    }
+    advance_drain(now);
+}
+
+void forwarder::publish()
+{
+    m_peers.publish({.ready = is_ready(),
+                     .leaving = m_drain_started != absl::InfiniteFuture(),
+                     .admitted = m_runner.quota().admitted(),
+                     .loads = m_pool.own_load(),
+                     .outcomes = m_runner.outcomes()});
+}
+
+void forwarder::flush_usage(absl::Time now)
+{
+    const absl::Time settled = now + m_true_time_offset - usage_settle;
+    auto reports = m_runner.usage().take_before(m_runner.usage().window_of(settled));
+    if (!reports.empty())
+        m_control.on_event({node_event::usage_counted{std::move(reports)}});
+    auto outcomes = m_runner.outcomes();
+    if (!outcomes.empty())
+        m_control.on_event({node_event::outcomes_counted{std::move(outcomes)}});
+}
+
+void forwarder::advance_drain(absl::Time now)
+{
+    if (m_drain_started == absl::InfiniteFuture() || m_drained)
+        return;
+    const absl::Duration since = now - m_drain_started;
+    if (since < m_settings.address_ttl * ttl_overstay + periodic_interval)
+        return;
+    m_callers.close_idle(now);
+    if (m_runner.under_way() > 0 && since < m_settings.grace - exit_margin)
+        return;
+    m_drained = true;
+    log_event(event_id::drain_finished, {{"cut_off", absl::StrCat(m_runner.under_way())}});
+    m_on_drained();
+}
+
+bool forwarder::is_ready() const
+{
+    return m_runner.has_config() && m_endpoints_loaded &&
+           m_drain_started == absl::InfiniteFuture();
+}
+
+void forwarder::on_request(std::uint64_t connection, int listener, http_request request,
+                           absl::Time started, absl::Time now)
+{
+    switch (listener) {
+    case front:
+        return m_runner.on_request(connection, std::move(request), started, now);
+    case ready:
+        if (request.target != m_format.ready_path())
+            return answer_text(connection, 404, "text/plain", "", now);
+        return answer_text(connection, is_ready() ? 200 : 503, "text/plain", "", now);
+    case directory:
+        return answer_directory(connection, request.target, now);
+    default:
+        return answer_text(connection, 200, "text/plain; version=0.0.4", m_counters.expose(), now);
+    }
+}
+
+void forwarder::answer_directory(std::uint64_t connection, const std::string& target,
+                                 absl::Time now)
+{
+    if (target.substr(0, target.find('?')) != m_format.directory_path())
+        return answer_text(connection, 404, "text/plain", "", now);
+    const region_id region(query_value(target, m_format.region_parameter()));
+    address_book book = m_book;
+    if (is_ready())
+        book.on_beacon({.node = m_settings.node,
+                        .front = m_settings.front,
+                        .region = m_settings.region,
+                        .ready = true});
+    const auto fronts = book.ready_fronts(region, enough_near_nodes);
+    if (fronts.empty())
+        return answer_text(connection, 503, "text/plain", "", now);
+    answer_text(connection, 200, "application/json",
+                m_format.encode_addresses(fronts, m_settings.address_ttl), now);
+}
+
+void forwarder::answer_text(std::uint64_t connection, int status, const std::string& type,
+                            const std::string& body, absl::Time now)
+{
+    m_callers.respond(connection, {.status = status, .fields = {{"Content-Type", type}}}, body,
+                      now);
+}
+
+void forwarder::on_caller_left(std::uint64_t connection, absl::Time now)
+{
+    m_runner.on_caller_left(connection, now);
+}
+
+void forwarder::on_caller_writable(std::uint64_t connection)
+{
+    m_runner.on_caller_writable(connection);
+}
+
+} // namespace chivedeal::forward
--- /dev/null
+++ b/src/forward/forwarding_node.cpp
@@ -0,0 +1,148 @@
+#include "chivedeal/forward/forwarding_node.hpp"
+
+#include "chivedeal/core/duty.hpp"
+#include "chivedeal/core/log_event.hpp"
+#include "chivedeal/core/log_writer.hpp"
+#include "chivedeal/core/metrics.hpp"
+#include "chivedeal/core/supervisor.hpp"
+#include "chivedeal/core/system_clock.hpp"
+#include "chivedeal/forward/config_watcher.hpp"
+#include "chivedeal/forward/control_duties.hpp"
+#include "chivedeal/forward/endpoint_watcher.hpp"
+#include "chivedeal/forward/event_inbox.hpp"
+#include "chivedeal/forward/forwarder.hpp"
+#include "chivedeal/forward/peer_exchange.hpp"
+
+#include <utility>
+#include <vector>
+
+namespace chivedeal::forward {
+
+namespace {
+
+constexpr std::size_t inbox_capacity = 4096;
+
+/// Runs a duty that lives as long as the node, so that others may refer to it.
+class borrowed_duty : public duty
+{
+public:
+    explicit borrowed_duty(duty& owned) : m_owned(owned) {}
+
+    std::string name() const override { return m_owned.name(); }
+    void run() override { m_owned.run(); }
+    void request_stop() override { m_owned.request_stop(); }
+
+private:
+    duty& m_owned;
+};
+
+child_spec make_spec(duty& owned)
+{
+    return {.name = owned.name(), .make = [&owned] { return std::make_unique<borrowed_duty>(owned); }};
+}
+
+} // namespace
+
+class forwarding_node::impl
+{
+public:
+    explicit impl(options parts);
+
+    void run();
+    void request_drain();
+    void request_stop() { m_root.request_stop(); }
+
+private:
+    const node_settings m_settings;
+    const header_names m_names;
+    const std::unique_ptr<wire_format> m_format;
+    const std::unique_ptr<record_store> m_config_store;
+    const std::unique_ptr<record_store> m_endpoint_store;
+    const std::unique_ptr<record_store> m_control_store;
+    const std::unique_ptr<duty_api> m_platform;
+    const system_clock m_clock;
+    metrics m_metrics;
+    log_writer m_log;
+    event_inbox m_forwarder_inbox;
+    event_inbox m_control_inbox;
+    peer_exchange m_peers;
+    forwarder m_forwarder;
+    control_duties m_control;
+    config_watcher m_config;
+    endpoint_watcher m_endpoints;
+    supervisor m_root;
+};
+
+forwarding_node::impl::impl(options parts)
+    : m_settings(std::move(parts.settings)),
+      m_names(std::move(parts.names)),
+      m_format(std::move(parts.format)),
+      m_config_store(parts.make_store()),
+      m_endpoint_store(parts.make_store()),
+      m_control_store(parts.make_store()),
+      m_platform(std::move(parts.platform)),
+      m_log({}),
+      m_forwarder_inbox(inbox_capacity),
+      m_control_inbox(inbox_capacity),
+      m_peers({.settings = m_settings,
+               .time = m_clock,
+               .listeners = {&m_forwarder_inbox, &m_control_inbox}}),
+      m_forwarder({.settings = m_settings,
+                   .names = m_names,
+                   .format = *m_format,
+                   .time = m_clock,
+                   .counters = m_metrics,
+                   .inbox = m_forwarder_inbox,
+                   .control = m_control_inbox,
+                   .peers = m_peers,
+                   .on_drained = [this] { request_stop(); }}),
+      m_control({.settings = m_settings,
+                 .time = m_clock,
+                 .store = *m_control_store,
+                 .platform = *m_platform,
+                 .format = *m_format,
+                 .inbox = m_control_inbox,
+                 .forwarder = m_forwarder_inbox,
+                 .peers = m_peers}),
+      m_config({.store = *m_config_store,
+                .format = *m_format,
+                .listeners = {&m_forwarder_inbox, &m_control_inbox}}),
+      m_endpoints({.store = *m_endpoint_store,
+                   .format = *m_format,
+                   .time = m_clock,
+                   .listeners = {&m_forwarder_inbox, &m_control_inbox}}),
+      // The duties hold each other's rings and sockets: one that ends by a fault ends the process,
+      // which the platform starts again.
+      m_root({.name = "forwarding_node", .max_restarts = 0},
+             {make_spec(m_log), make_spec(m_peers), make_spec(m_forwarder), make_spec(m_control),
+              make_spec(m_config), make_spec(m_endpoints)})
+{}
+
+void forwarding_node::impl::run()
+{
+    m_log.install();
+    log_event(event_id::node_started, {{"node", m_settings.node.str()},
+                                       {"region", m_settings.region.str()},
+                                       {"zone", m_settings.zone.str()},
+                                       {"address", to_string(m_settings.front)}});
+    m_root.run();
+}
+
+void forwarding_node::impl::request_drain()
+{
+    m_forwarder_inbox.on_event({node_event::drain_requested{}});
+    m_control_inbox.on_event({node_event::drain_requested{}});
+}
+
+forwarding_node::forwarding_node(options parts) : m_impl(std::make_unique<impl>(std::move(parts)))
+{}
+
+forwarding_node::~forwarding_node() = default;
+
+void forwarding_node::run() { m_impl->run(); }
+
+void forwarding_node::request_drain() { m_impl->request_drain(); }
+
+void forwarding_node::request_stop() { m_impl->request_stop(); }
+
+} // namespace chivedeal::forward
--- /dev/null
+++ b/src/forward/head_parser.cpp
@@ -0,0 +1,81 @@
+#include "chivedeal/forward/head_parser.hpp"
+
+#include "chivedeal/forward/http_fields.hpp"
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+
+#include <cstdint>
+#include <utility>
+
+namespace chivedeal::forward {
+
+namespace {
+
+error invalid(const std::string& message)
+{
+    return {.code = result_code::invalid_request, .message = message};
+}
+
+std::string bearer_key(const std::vector<http_field>& fields)
+{
+    const std::string* text = find_field(fields, "Authorization");
+    if (text == nullptr || !absl::StartsWithIgnoreCase(*text, "Bearer "))
+        return {};
+    return std::string(absl::StripAsciiWhitespace(absl::string_view(*text).substr(7)));
+}
+
+} // namespace
+
+std::vector<prompt_part> parse_prefix(const std::string& text)
+{
+    std::vector<prompt_part> parts;
+    for (const absl::string_view entry : absl::StrSplit(text, ',', absl::SkipEmpty())) {
+        const std::pair<absl::string_view, absl::string_view> halves =
+            absl::StrSplit(absl::StripAsciiWhitespace(entry), absl::MaxSplits(':', 1));
+        std::int64_t tokens = 0;
+        if (halves.first.empty() || !absl::SimpleAtoi(halves.second, &tokens) || tokens < 0)
+            break;
+        parts.push_back({.id = std::string(halves.first), .tokens = tokens});
+    }
+    return parts;
+}
+
+result<request_head> parse_request_head(const http_request& request, const header_names& names)
+{
+    const std::string* id = find_field(request.fields, names.request_id);
+    if (id == nullptr || id->empty() || count_field(request.fields, names.request_id) != 1)
+        return invalid(absl::StrCat("send ", names.request_id, " once"));
+    if (count_field(request.fields, "Authorization") > 1)
+        return invalid("send one Authorization");
+    request_head head{.id = request_id(*id),
+                      .method = request.method,
+                      .target = request.target,
+                      .host = *find_field(request.fields, "Host"),
+                      .key = bearer_key(request.fields)};
+    if (const std::string* text = find_field(request.fields, names.deadline_ms)) {
+        std::int64_t milliseconds = 0;
+        if (!absl::SimpleAtoi(*text, &milliseconds) || milliseconds < 0)
+            return invalid(absl::StrCat(names.deadline_ms, " is not a number of milliseconds"));
+        head.deadline = absl::Milliseconds(milliseconds);
+    }
+    if (const std::string* text = find_field(request.fields, names.token_counts)) {
+        const std::pair<absl::string_view, absl::string_view> counts =
+            absl::StrSplit(*text, absl::MaxSplits(',', 1));
+        if (!absl::SimpleAtoi(counts.first, &head.prompt_tokens) ||
+            !absl::SimpleAtoi(counts.second, &head.max_output_tokens) || head.prompt_tokens < 0 ||
+            head.max_output_tokens < 0)
+            return invalid(absl::StrCat(names.token_counts, " is not two numbers"));
+        head.has_token_counts = true;
+    }
+    if (const std::string* text = find_field(request.fields, names.prefix))
+        head.prefix = parse_prefix(*text);
+    if (const std::string* text = find_field(request.fields, names.last_event_id))
+        head.last_event_id = *text;
+    return head;
+}
+
+} // namespace chivedeal::forward
--- /dev/null
+++ b/src/forward/peer_exchange.cpp
@@ -0,0 +1,190 @@
+#include "chivedeal/forward/peer_exchange.hpp"
+
+#include "chivedeal/core/clock.hpp"
+#include "chivedeal/core/log_event.hpp"
+#include "chivedeal/forward/beacon_codec.hpp"
+#include "chivedeal/forward/node_event.hpp"
+#include "chivedeal/forward/node_event_listener.hpp"
+#include "chivedeal/forward/sockets.hpp"
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <memory>
+#include <stdexcept>
+#include <utility>
+
+namespace chivedeal::forward {
+
+namespace {
+
+constexpr absl::Duration base_interval = absl::Milliseconds(500);
+// With more peers each beacon costs more, so they are sent less often.
+constexpr std::size_t peers_at_base_interval = 16;
+constexpr std::size_t most_datagram = 64 * 1024;
+// Peers named in each beacon, in turn, so that each node hears of all others.
+constexpr std::size_t named_peers = 4;
+constexpr absl::Duration offset_step = absl::Milliseconds(20);
+
+} // namespace
+
+peer_exchange::peer_exchange(options parts)
+    : m_settings(parts.settings),
+      m_time(parts.time),
+      m_listeners(std::move(parts.listeners)),
+      m_local(std::make_shared<const local_state>()),
+      m_lease(std::make_shared<const std::optional<std::uint64_t>>()),
+      m_table({.self = parts.settings.node, .self_address = parts.settings.peers}),
+      m_started_us(absl::ToUnixMicros(parts.time.wall_now())),
+      m_greetings(256)
+{
+    for (const address& seed : m_settings.seeds)
+        m_table.add_candidate(seed);
+}
+
+void peer_exchange::publish(local_state state)
+{
+    const auto before = m_local.load();
+    const bool urgent = before->ready != state.ready || before->leaving != state.leaving;
+    m_local.store(std::make_shared<const local_state>(std::move(state)));
+    if (urgent)
+        m_wake.raise();
+}
+
+void peer_exchange::set_lease_token(std::optional<std::uint64_t> token)
+{
+    m_lease.store(std::make_shared<const std::optional<std::uint64_t>>(token));
+}
+
+void peer_exchange::greet(const address& node) { (void)m_greetings.try_push(node); }
+
+void peer_exchange::run()
+{
+    const auto bound = bind_udp(m_settings.peers);
+    if (!is_ok(bound))
+        throw std::runtime_error(get_error(bound).message);
+    const int socket = get_value(bound);
+    absl::Time next_send = m_time.now();
+    while (!m_stopping) {
+        std::array<pollfd, 2> waiting{pollfd{.fd = socket, .events = POLLIN, .revents = 0},
+                                      pollfd{.fd = m_wake.descriptor(), .events = POLLIN, .revents = 0}};
+        const absl::Duration left = std::max(absl::ZeroDuration(), next_send - m_time.now());
+        poll(waiting.data(), waiting.size(),
+             static_cast<int>(absl::ToInt64Milliseconds(left)) + 1);
+        const absl::Time now = m_time.now();
+        const bool woken = (waiting[1].revents & POLLIN) != 0;
+        if (woken)
+            m_wake.clear();
+        if ((waiting[0].revents & POLLIN) != 0)
+            receive_all(socket, now);
+        if (woken || now >= next_send) {
+            send_beacon(socket, now);
+            expire(now);
+            next_send = now + interval();
+        }
+    }
+    ::close(socket);
+}
+
+void peer_exchange::request_stop()
+{
+    m_stopping = true;
+    m_wake.raise();
+}
+
+absl::Duration peer_exchange::interval() const
+{
+    const double factor =
+        static_cast<double>(m_table.beacons().size()) / peers_at_base_interval;
+    return base_interval * std::max(1.0, factor);
+}
+
+node_beacon peer_exchange::make_beacon(absl::Time /*now*/)
+{
+    const auto local = m_local.load();
+    node_beacon beacon{.node = m_settings.node,
+                       .started_us = m_started_us,
+                       .sequence = ++m_sequence,
+                       .front = m_settings.front,
+                       .peers = m_settings.peers,
+                       .region = m_settings.region,
+                       .ready = local->ready,
+                       .leaving = local->leaving,
+                       .wall_us = absl::ToUnixMicros(m_time.wall_now()),
+                       .lease_token = *m_lease.load(),
+                       .admitted = local->admitted,
+                       .loads = local->loads,
+                       .outcomes = local->outcomes};
+    std::vector<address> known;
+    for (const auto& [node, one] : m_table.beacons())
+        known.push_back(one.peers);
+    for (std::size_t i = 0; i < std::min(named_peers, known.size()); ++i)
+        beacon.known_peers.push_back(known[(m_sequence * named_peers + i) % known.size()]);
+    return beacon;
+}
+
+void peer_exchange::send_beacon(int socket, absl::Time now)
+{
+    while (const auto greeted = m_greetings.pop(absl::ZeroDuration()))
+        m_table.add_candidate(*greeted);
+    const std::string bytes = encode_beacon(make_beacon(now));
+    for (const address& target : m_table.targets())
+        // A lost datagram is made up for by the next one.
+        (void)send_datagram(socket, target, bytes.data(), bytes.size());
+}
+
+void peer_exchange::receive_all(int socket, absl::Time now)
+{
+    std::string buffer(most_datagram, '\0');
+    while (true) {
+        const ssize_t size = recv(socket, buffer.data(), buffer.size(), 0);
+        if (size < 0)
+            return;
+        const auto decoded = decode_beacon(buffer.substr(0, static_cast<std::size_t>(size)));
+        if (!is_ok(decoded)) {
+            log_event(event_id::record_rejected,
+                      {{"topic", "beacon"}, {"reason", get_error(decoded).message}});
+            continue;
+        }
+        const node_beacon& beacon = get_value(decoded);
+        const auto accepted = m_table.on_beacon(beacon, now);
+        if (!accepted)
+            continue;
+        m_clocks.observe(beacon.node, absl::FromUnixMicros(beacon.wall_us), now);
+        if (accepted->is_new) {
+            log_event(event_id::peer_joined,
+                      {{"peer", beacon.node.str()}, {"address", to_string(beacon.peers)}});
+            // Answers a newcomer at once, so that it doesn't wait for the next interval.
+            const std::string bytes = encode_beacon(make_beacon(now));
+            (void)send_datagram(socket, beacon.peers, bytes.data(), bytes.size());
+        }
+        tell({node_event::peer_heard{beacon, accepted->before}});
+    }
+}
+
+void peer_exchange::expire(absl::Time now)
+{
+    for (const node_id& node : m_table.expire(now)) {
+        m_clocks.forget(node);
+        log_event(event_id::peer_dead, {{"peer", node.str()}});
+        tell({node_event::peer_lost{node}});
+    }
+    const absl::Duration offset = m_clocks.true_time(m_time.wall_now(), now) - now;
+    const absl::Duration change = offset > m_offset ? offset - m_offset : m_offset - offset;
+    if (change < offset_step)
+        return;
+    m_offset = offset;
+    tell({node_event::true_time_changed{offset}});
+}
+
+void peer_exchange::tell(const node_event& event) const
+{
+    for (node_event_listener* one : m_listeners)
+        one->on_event(event);
+}
+
+} // namespace chivedeal::forward
--- /dev/null
+++ b/src/forward/peer_table.cpp
@@ -0,0 +1,61 @@
+#include "chivedeal/forward/peer_table.hpp"
+
+namespace chivedeal::forward {
+
+void peer_table::add_candidate(const address& candidate)
+{
+    if (candidate != m_options.self_address && candidate.port != 0)
+        m_candidates.insert(candidate);
+}
+
+std::optional<peer_table::accepted> peer_table::on_beacon(const node_beacon& beacon, absl::Time now)
+{
+    if (beacon.node == m_options.self || beacon.peers.port == 0)
+        return std::nullopt;
+    accepted taken;
+    const auto known = m_beacons.find(beacon.node);
+    if (known == m_beacons.end()) {
+        taken.is_new = true;
+    }
+    else {
+        const bool same_process = known->second.started_us == beacon.started_us;
+        if (beacon.started_us < known->second.started_us ||
+            (same_process && beacon.sequence <= known->second.sequence))
+            return std::nullopt;
+        taken.is_new = !same_process;
+        if (same_process)
+            taken.before = known->second;
+    }
+    m_beacons[beacon.node] = beacon;
+    m_heard[beacon.node] = now;
+    m_candidates.erase(beacon.peers);
+    for (const address& one : beacon.known_peers)
+        add_candidate(one);
+    for (const auto& [node, one] : m_beacons)
+        m_candidates.erase(one.peers);
+    return taken;
+}
+
+std::vector<node_id> peer_table::expire(absl::Time now)
+{
+    std::vector<node_id> silent;
+    for (const auto& [node, heard] : m_heard)
+        if (now - heard > m_options.silence)
+            silent.push_back(node);
+    for (const node_id& node : silent) {
+        add_candidate(m_beacons[node].peers);
+        m_beacons.erase(node);
+        m_heard.erase(node);
+    }
+    return silent;
+}
+
+std::vector<address> peer_table::targets() const
+{
+    std::vector<address> all(m_candidates.begin(), m_candidates.end());
+    for (const auto& [node, one] : m_beacons)
+        all.push_back(one.peers);
+    return all;
+}
+
+} // namespace chivedeal::forward
--- /dev/null
+++ b/src/forward/response_reader.cpp
@@ -0,0 +1,122 @@
+#include "chivedeal/forward/response_reader.hpp"
+
+#include "chivedeal/forward/http_fields.hpp"
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <limits>
+
+namespace chivedeal::forward {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::uint32_t max_head_bytes = 64 * 1024;
+
+} // namespace
+
+class response_reader::parser
+{
+public:
+    http::response_parser<http::buffer_body> inner;
+};
+
+response_reader::response_reader(bool to_head_request) : m_to_head_request(to_head_request)
+{
+    m_parser = std::make_unique<parser>();
+    m_parser->inner.header_limit(max_head_bytes);
+    m_parser->inner.body_limit(std::numeric_limits<std::uint64_t>::max());
+    m_parser->inner.skip(to_head_request);
+}
+
+response_reader::~response_reader() = default;
+
+std::size_t response_reader::feed(std::string_view bytes, std::string& body)
+{
+    std::size_t taken = 0;
+    while (taken < bytes.size() && !m_complete && !m_failed) {
+        auto& inner = m_parser->inner;
+        const std::size_t room = bytes.size() - taken;
+        const std::size_t before = body.size();
+        if (m_has_head) {
+            body.resize(before + room);
+            inner.get().body().data = body.data() + before;
+            inner.get().body().size = room;
+            inner.get().body().more = true;
+        }
+        boost::system::error_code fault;
+        const std::size_t step =
+            inner.put(boost::asio::buffer(bytes.data() + taken, room), fault);
+        taken += step;
+        if (m_has_head)
+            body.resize(before + room - inner.get().body().size);
+        if (fault && fault != http::error::need_more && fault != http::error::need_buffer) {
+            m_failed = true;
+            break;
+        }
+        if (!m_has_head && inner.is_header_done())
+            take_head();
+        else if (m_has_head && inner.is_done())
+            m_complete = true;
+        else if (step == 0)
+            break;
+    }
+    return taken;
+}
+
+void response_reader::take_head()
+{
+    const auto& message = m_parser->inner.get();
+    if (message.result_int() / 100 == 1) {
+        m_parser = std::make_unique<parser>();
+        m_parser->inner.header_limit(max_head_bytes);
+        m_parser->inner.body_limit(std::numeric_limits<std::uint64_t>::max());
+        m_parser->inner.skip(m_to_head_request);
+        return;
+    }
+    m_has_head = true;
+    m_head.status = static_cast<int>(message.result_int());
+    for (const auto& field : message)
+        m_head.fields.push_back(
+            {.name = std::string(field.name_string()), .value = std::string(field.value())});
+    m_complete = m_parser->inner.is_done();
+}
+
+void response_reader::on_eof()
+{
+    if (!m_has_head || m_complete || m_failed || !m_parser->inner.need_eof()) {
+        m_failed = m_failed || !m_complete;
+        return;
+    }
+    m_complete = true;
+}
+
+bool response_reader::keep_alive() const
+{
+    return m_has_head && m_parser->inner.keep_alive() && !m_parser->inner.need_eof();
+}
+
+std::optional<absl::Duration> response_reader::keep_alive_timeout() const
+{
+    const std::string* text = find_field(m_head.fields, "Keep-Alive");
+    if (text == nullptr)
+        return std::nullopt;
+    for (absl::string_view part : absl::StrSplit(*text, ',')) {
+        part = absl::StripAsciiWhitespace(part);
+        int seconds = 0;
+        if (absl::StartsWithIgnoreCase(part, "timeout=") &&
+            absl::SimpleAtoi(part.substr(sizeof("timeout=") - 1), &seconds))
+            return absl::Seconds(seconds);
+    }
+    return std::nullopt;
+}
+
+} // namespace chivedeal::forward
--- /dev/null
+++ b/src/forward/sockets.cpp
@@ -0,0 +1,129 @@
+#include "chivedeal/forward/sockets.hpp"
+
+#include "absl/strings/str_cat.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+
+namespace chivedeal::forward {
+
+namespace {
+
+constexpr int listen_backlog = 1024;
+// A peer that acknowledges nothing for so long is gone; without it a connection behind a partition
+// hangs for minutes.
+constexpr unsigned int user_timeout_ms = 3000;
+// Probes find a connection that fell silent while nothing is sent on it.
+constexpr int keepalive_idle_s = 3;
+constexpr int keepalive_interval_s = 1;
+constexpr int keepalive_probes = 3;
+
+sockaddr_in to_sockaddr(const address& value)
+{
+    sockaddr_in out{};
+    out.sin_family = AF_INET;
+    out.sin_port = htons(value.port);
+    inet_pton(AF_INET, value.host.c_str(), &out.sin_addr);
+    return out;
+}
+
+void set_option(int descriptor, int level, int name, int value)
+{
+    setsockopt(descriptor, level, name, &value, sizeof value);
+}
+
+void tune(int descriptor)
+{
+    set_option(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(user_timeout_ms));
+    set_option(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
+    set_option(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
+    set_option(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
+}
+
+error io_fault(const char* call, const address& at)
+{
+    return {.code = result_code::io_error,
+            .message = absl::StrCat(call, " ", to_string(at), ": ", std::strerror(errno))};
+}
+
+} // namespace
+
+result<int> listen_tcp(const address& local)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0)
+        return io_fault("socket", local);
+    set_option(descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
+    const sockaddr_in at = to_sockaddr(local);
+    if (bind(descriptor, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 ||
+        listen(descriptor, listen_backlog) != 0) {
+        const error fault = io_fault("listen on", local);
+        ::close(descriptor);
+        return fault;
+    }
+    return descriptor;
+}
+
+int accept_tcp(int listener)
+{
+    const int descriptor = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor >= 0)
+        tune(descriptor);
+    return descriptor;
+}
+
+result<int> begin_connect(const address& remote)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0)
+        return io_fault("socket", remote);
+    tune(descriptor);
+    const sockaddr_in at = to_sockaddr(remote);
+    if (connect(descriptor, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 &&
+        errno != EINPROGRESS) {
+        const error fault = io_fault("connect to", remote);
+        ::close(descriptor);
+        return fault;
+    }
+    return descriptor;
+}
+
+int connect_failure(int descriptor)
+{
+    int failure = 0;
+    socklen_t size = sizeof failure;
+    if (getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &failure, &size) != 0)
+        return errno;
+    return failure;
+}
+
+result<int> bind_udp(const address& local)
+{
+    const int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0)
+        return io_fault("socket", local);
+    const sockaddr_in at = to_sockaddr(local);
+    if (bind(descriptor, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0) {
+        const error fault = io_fault("bind", local);
+        ::close(descriptor);
+        return fault;
+    }
+    return descriptor;
+}
+
+bool send_datagram(int descriptor, const address& remote, const void* data, std::size_t size)
+{
+    const sockaddr_in to = to_sockaddr(remote);
+    return sendto(descriptor, data, size, 0, reinterpret_cast<const sockaddr*>(&to), sizeof to) ==
+           static_cast<ssize_t>(size);
+}
+
+} // namespace chivedeal::forward
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 #include "chivedeal/operators/send_command.hpp"
 #include "chivedeal/operators/serve_command.hpp"
 #include "chivedeal/operators/status_command.hpp"
+#include "platform/forward_command.hpp"
 
 #include <glog/logging.h>
 
@@ -33,6 +34,7 @@
     all.push_back(std::make_unique<operators::drain_command>());
     all.push_back(std::make_unique<operators::check_command>());
     all.push_back(std::make_unique<operators::send_command>());
+    all.push_back(std::make_unique<chivedeal::platform::forward_command>());
     return all;
 }
 
@@ -40,7 +42,7 @@
 {
     std::fprintf(out, "Usage: chivedeal COMMAND [--help]\n\n");
     for (const auto& one : commands)
-        std::fprintf(out, "  %-8s %s\n", one->name().c_str(), one->summary().c_str());
+        std::fprintf(out, "  %-9s %s\n", one->name().c_str(), one->summary().c_str());
 }
 
 } // namespace
