Hold a removal back only right after an outage of the store

Change: a removal waits only until 2.3 s after the last failed read. Test: holds_no_removal_back_long_after_an_outage.

--- a/include/chivedeal/forward/endpoint_directory.hpp
+++ b/include/chivedeal/forward/endpoint_directory.hpp
@@ -8,14 +8,15 @@
 #include "absl/time/time.h"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace chivedeal::forward {
 
 /// Turns the endpoints' records into changes.
 ///
-/// Records lapse while the store is away, though their endpoints live; after an outage a removal
-/// takes effect only when the record has stayed away for a while.
+/// Records lapse while the store is away, though their endpoints live. A removal that is read right
+/// after an outage takes effect only if the record is still missing some time after the return.
 class endpoint_directory
 {
 public:
@@ -23,8 +24,6 @@
     {
         /// After the store's return the records of living endpoints are back within two seconds.
         absl::Duration return_time = absl::Milliseconds(2300);
-        /// Entries lapse after three missed heartbeats, so also some time after a short outage.
-        absl::Duration outage_memory = absl::Seconds(6);
     };
 
     endpoint_directory() : endpoint_directory(options{}) {}
@@ -43,7 +42,8 @@
 
     options m_options;
     std::map<endpoint_id, endpoint_record> m_known;
-    std::map<endpoint_id, absl::Time> m_removed_at;
+    // Removed right after an outage; they may come back.
+    std::set<endpoint_id> m_removed;
     absl::Time m_last_failure = absl::InfinitePast();
 };
 
--- a/src/forward/endpoint_directory.cpp
+++ b/src/forward/endpoint_directory.cpp
@@ -8,7 +8,7 @@
 
 std::vector<node_event> endpoint_directory::on_record(const endpoint_record& record)
 {
-    m_removed_at.erase(record.id);
+    m_removed.erase(record.id);
     const auto known = m_known.find(record.id);
     if (known != m_known.end() && known->second == record)
         return {};
@@ -21,11 +21,11 @@
     if (m_known.find(id) == m_known.end())
         return {};
     if (after_outage(now)) {
-        m_removed_at.emplace(id, now);
+        m_removed.insert(id);
         return {};
     }
     m_known.erase(id);
-    m_removed_at.erase(id);
+    m_removed.erase(id);
     return {{node_event::endpoint_removed{id}}};
 }
 
@@ -52,22 +52,21 @@
 std::vector<node_event> endpoint_directory::tick(absl::Time now)
 {
     std::vector<node_event> events;
-    for (auto one = m_removed_at.begin(); one != m_removed_at.end();) {
-        const absl::Time counted_from = std::max(one->second, m_last_failure);
-        if (now - counted_from < m_options.return_time) {
+    for (auto one = m_removed.begin(); one != m_removed.end();) {
+        if (after_outage(now)) {
             ++one;
             continue;
         }
-        m_known.erase(one->first);
-        events.push_back({node_event::endpoint_removed{one->first}});
-        one = m_removed_at.erase(one);
+        m_known.erase(*one);
+        events.push_back({node_event::endpoint_removed{*one}});
+        one = m_removed.erase(one);
     }
     return events;
 }
 
 bool endpoint_directory::after_outage(absl::Time now) const
 {
-    return now - m_last_failure < m_options.outage_memory;
+    return now - m_last_failure < m_options.return_time;
 }
 
 } // namespace chivedeal::forward
