--- a/include/chivedeal/forward/config_watcher.hpp
+++ b/include/chivedeal/forward/config_watcher.hpp
@@ -1,12 +1,14 @@
 #ifndef CHIVEDEAL_FORWARD_CONFIG_WATCHER_HPP
 #define CHIVEDEAL_FORWARD_CONFIG_WATCHER_HPP
 
-#include "chivedeal/core/duty.hpp"
 #include "chivedeal/core/bounded_ring.hpp"
+#include "chivedeal/core/duty.hpp"
+#include "chivedeal/forward/relay_listener.hpp"
+#include "chivedeal/forward/relayed_batch.hpp"
+#include "chivedeal/forward/topic_tail.hpp"
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,18 +20,21 @@
 
 class node_event_listener;
 class record_store;
+class relay_port;
 class wire_format;
 struct record_batch;
-struct stored_record;
 
 /// Duty: follows the operator's records. A version that isn't newer is never passed on.
-class config_watcher : public duty
+class config_watcher : public duty, public relay_listener
 {
 public:
     struct options
     {
+        node_id self;
         record_store& store;
         const wire_format& format;
+        const clock& time;
+        relay_port& peers;
         std::vector<node_event_listener*> listeners;
     };
 
@@ -39,6 +44,8 @@
     void run() override;
     void request_stop() override;
 
+    void on_relay(const relayed_batch& batch) override { (void)m_relays.try_push(batch); }
+
 private:
     bool load();
     bool follow();
@@ -48,11 +55,15 @@
 
     record_store& m_store;
     const wire_format& m_format;
+    const clock& m_time;
+    relay_port& m_peers;
+    node_id m_self;
     std::vector<node_event_listener*> m_listeners;
-    // Closed to stop; a pop on it is a sleep that a stop ends.
-    bounded_ring<int> m_stop;
-    std::optional<std::uint64_t> m_next;
+    // Closed to stop.
+    bounded_ring<relayed_batch> m_relays;
+    topic_tail m_tail;
     std::int64_t m_version = -1;
+    // The newest order of each service; one past its record's offset.
     std::map<std::string, std::uint64_t> m_rollouts;
     bool m_reachable = true;
 };
--- a/include/chivedeal/forward/control_duties.hpp
+++ b/include/chivedeal/forward/control_duties.hpp
@@ -5,7 +5,9 @@
 #include "chivedeal/forward/control_log.hpp"
 #include "chivedeal/forward/duty_fence.hpp"
 #include "chivedeal/forward/duty_lease.hpp"
+#include "chivedeal/forward/endpoint_record.hpp"
 #include "chivedeal/forward/event_inbox.hpp"
+#include "chivedeal/forward/fleet_planner.hpp"
 #include "chivedeal/forward/node_settings.hpp"
 #include "chivedeal/forward/rollout_judge.hpp"
 #include "chivedeal/forward/usage_ledger.hpp"
@@ -14,9 +16,7 @@
 
 #include <cstdint>
 #include <map>
-#include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -32,8 +32,8 @@
 class record_store;
 class wire_format;
 
-/// Duty: what one node at a time does for all: usage reports and verdicts on roll-outs. Also writes
-/// this node's own counts.
+/// Duty: what one node at a time does for all: usage reports, verdicts on roll-outs and the number
+/// of endpoints.
 class control_duties : public duty
 {
 public:
@@ -76,8 +76,10 @@
     bool read_control_log(absl::Time now);
     void append_grant(absl::Time now);
     void register_node(absl::Time now);
-    void write_counts(absl::Time now);
-    void read_counts();
+    void take_usage(const std::string& process, const std::vector<usage_report>& reports);
+    void plan_fleets(absl::Time now);
+    void send_order(fleet_planner& planner, const fleet_order& order, absl::Time now);
+    fleet_view view_of(const service_id& service, const scale_spec& spec) const;
     void report_usage(absl::Time now);
     bool report_window(std::int64_t window, absl::Time now);
     bool plan_report(const usage_report& report, absl::Time now);
@@ -100,12 +102,16 @@
     control_log m_log;
     usage_ledger m_windows;
     absl::Duration m_true_time_offset;
-    std::vector<usage_report> m_unwritten;
-    std::map<std::int64_t, std::map<node_id, usage_report>> m_counts;
-    std::uint64_t m_counts_next = 0;
+    // By window and process: a restarted node counts from zero again.
+    std::map<std::int64_t, std::map<std::string, usage_report>> m_counts;
     std::int64_t m_next_window = 0;
     absl::Time m_next_report_try = absl::InfinitePast();
     std::map<service_id, rollout> m_rollouts;
+    std::map<service_id, scale_spec> m_scales;
+    std::map<service_id, fleet_planner> m_planners;
+    std::map<endpoint_id, endpoint_record> m_endpoints;
+    std::map<node_id, std::map<service_id, int>> m_running;
+    bool m_endpoints_loaded = false;
     bool m_registered = false;
     absl::Time m_next_registration = absl::InfinitePast();
 };
--- a/include/chivedeal/forward/control_log.hpp
+++ b/include/chivedeal/forward/control_log.hpp
@@ -2,7 +2,6 @@
 #define CHIVEDEAL_FORWARD_CONTROL_LOG_HPP
 
 #include "chivedeal/core/id.hpp"
-#include "chivedeal/core/result.hpp"
 #include "chivedeal/forward/record_batch.hpp"
 #include "chivedeal/forward/usage_report.hpp"
 
@@ -10,7 +9,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <utility>
 
 namespace chivedeal::forward {
 
@@ -32,10 +30,6 @@
 
     static std::string encode_grant(const node_id& holder);
     static std::string encode_report(const usage_report& report);
-    /// Counts of one node for one window, for the usage topic.
-    static std::string encode_counts(const node_id& node, const usage_report& report);
-    /// Errors: `malformed_message`.
-    static result<std::pair<node_id, usage_report>> decode_counts(const std::string& text);
 
 private:
     std::optional<node_id> m_holder;
--- a/include/chivedeal/forward/duty_lease.hpp
+++ b/include/chivedeal/forward/duty_lease.hpp
@@ -50,7 +50,11 @@
     /// The platform refused the token as too low.
     void on_fenced(absl::Time now);
     /// The node leaves: it gives the lease up and asks for none.
-    void release() { m_released = true; m_held.reset(); }
+    void release()
+    {
+        m_released = true;
+        m_held.reset();
+    }
 
     /// The fencing token, while the node may act.
     std::optional<std::uint64_t> held(absl::Time now) const;
--- a/include/chivedeal/forward/endpoint_listener.hpp
+++ b/include/chivedeal/forward/endpoint_listener.hpp
@@ -21,8 +21,7 @@
     virtual void on_request_sent(std::uint64_t exchange, absl::Time now) = 0;
     virtual void on_answer_head(std::uint64_t exchange, const http_response_head& head,
                                 absl::Time now) = 0;
-    virtual void on_answer_body(std::uint64_t exchange, std::string_view bytes,
-                                absl::Time now) = 0;
+    virtual void on_answer_body(std::uint64_t exchange, std::string_view bytes, absl::Time now) = 0;
     virtual void on_answer_end(std::uint64_t exchange, absl::Time now) = 0;
     /// `reason` is for the log. `sent` tells whether a byte of the request left.
     virtual void on_attempt_lost(std::uint64_t exchange, bool sent, const char* reason,
--- a/include/chivedeal/forward/endpoint_pool.hpp
+++ b/include/chivedeal/forward/endpoint_pool.hpp
@@ -46,7 +46,8 @@
 
     /// Errors: `unknown_service` without any endpoint, `no_endpoint` when all are out of use,
     /// `shed` when all are full.
-    result<endpoint_choice> choose(const endpoint_query& query, double random, absl::Time now) const;
+    result<endpoint_choice> choose(const endpoint_query& query, double random,
+                                   absl::Time now) const;
 
     void on_sent(const endpoint_id& id, const endpoint_query& query, std::int64_t unread_tokens);
     /// The answer began: its prompt has been read.
@@ -70,6 +71,9 @@
     /// What this node has under way, for its peers.
     std::vector<endpoint_load> own_load() const;
 
+    /// Requests that this node has under way, by service.
+    std::map<service_id, int> own_requests() const;
+
     const endpoint_record* find(const endpoint_id& id) const;
     std::vector<endpoint_record> records() const;
 
--- a/include/chivedeal/forward/endpoint_watcher.hpp
+++ b/include/chivedeal/forward/endpoint_watcher.hpp
@@ -4,9 +4,10 @@
 #include "chivedeal/core/bounded_ring.hpp"
 #include "chivedeal/core/duty.hpp"
 #include "chivedeal/forward/endpoint_directory.hpp"
+#include "chivedeal/forward/relay_listener.hpp"
+#include "chivedeal/forward/relayed_batch.hpp"
+#include "chivedeal/forward/topic_tail.hpp"
 
-#include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,17 +19,20 @@
 
 class node_event_listener;
 class record_store;
+class relay_port;
 class wire_format;
 
 /// Duty: follows the endpoints' records.
-class endpoint_watcher : public duty
+class endpoint_watcher : public duty, public relay_listener
 {
 public:
     struct options
     {
+        node_id self;
         record_store& store;
         const wire_format& format;
         const clock& time;
+        relay_port& peers;
         std::vector<node_event_listener*> listeners;
         /// Endpoints write a record each heartbeat; a poll gathers several for one call.
         absl::Duration poll_interval = absl::Milliseconds(600);
@@ -40,19 +44,26 @@
     void run() override;
     void request_stop() override;
 
+    void on_relay(const relayed_batch& batch) override { (void)m_relays.try_push(batch); }
+
 private:
     bool load();
     bool follow();
+    // Returns whether the record changed what is known.
+    bool take(const stored_record& record);
     void tell(const std::vector<node_event>& events) const;
     void note_reachable(bool reachable, const std::string& reason);
 
     record_store& m_store;
     const wire_format& m_format;
     const clock& m_time;
+    relay_port& m_peers;
+    node_id m_self;
     std::vector<node_event_listener*> m_listeners;
     absl::Duration m_poll_interval;
-    bounded_ring<int> m_stop;
-    std::optional<std::uint64_t> m_next;
+    // Closed to stop.
+    bounded_ring<relayed_batch> m_relays;
+    topic_tail m_tail;
     endpoint_directory m_directory;
     bool m_loaded = false;
     bool m_reachable = true;
--- a/include/chivedeal/forward/forwarder.hpp
+++ b/include/chivedeal/forward/forwarder.hpp
@@ -43,7 +43,7 @@
         const clock& time;
         metrics& counters;
         event_inbox& inbox;
-        /// Gets the usage counts and outcomes of this node.
+        /// Gets what this node counts.
         node_event_listener& control;
         peer_exchange& peers;
         /// Called when a drain is complete.
@@ -79,8 +79,8 @@
     void take(const node_event& event, absl::Time now);
     void take_peer(const node_event::peer_heard& heard, absl::Time now);
     void periodic(absl::Time now);
-    void publish();
-    void flush_usage(absl::Time now);
+    local_state local() const;
+    void count(absl::Time now);
     void advance_drain(absl::Time now);
     bool is_ready() const;
     void answer_directory(std::uint64_t connection, const std::string& target, absl::Time now);
@@ -106,7 +106,7 @@
     absl::Duration m_true_time_offset;
     bool m_endpoints_loaded = false;
     absl::Time m_next_periodic = absl::InfinitePast();
-    absl::Time m_next_usage = absl::InfinitePast();
+    absl::Time m_next_count = absl::InfinitePast();
     absl::Time m_drain_started = absl::InfiniteFuture();
     bool m_drained = false;
 };
--- a/include/chivedeal/forward/local_state.hpp
+++ b/include/chivedeal/forward/local_state.hpp
@@ -3,6 +3,7 @@
 
 #include "chivedeal/core/id.hpp"
 #include "chivedeal/forward/endpoint_load.hpp"
+#include "chivedeal/forward/usage_report.hpp"
 #include "chivedeal/forward/version_outcomes.hpp"
 
 #include <map>
@@ -17,7 +18,9 @@
     bool leaving = false;
     std::map<workspace_id, double> admitted;
     std::vector<endpoint_load> loads;
+    std::map<service_id, int> running;
     std::vector<version_outcomes> outcomes;
+    std::vector<usage_report> usage;
 
     friend bool operator==(const local_state&, const local_state&) = default;
 };
--- a/include/chivedeal/forward/node_beacon.hpp
+++ b/include/chivedeal/forward/node_beacon.hpp
@@ -4,6 +4,7 @@
 #include "chivedeal/core/address.hpp"
 #include "chivedeal/core/id.hpp"
 #include "chivedeal/forward/endpoint_load.hpp"
+#include "chivedeal/forward/usage_report.hpp"
 #include "chivedeal/forward/version_outcomes.hpp"
 
 #include <cstdint>
@@ -32,7 +33,11 @@
     /// Cost admitted of each workspace since its start.
     std::map<workspace_id, double> admitted;
     std::vector<endpoint_load> loads;
+    /// Requests under way by service; also where the loads are left out.
+    std::map<service_id, int> running;
     std::vector<version_outcomes> outcomes;
+    /// Requests that began on it in the newest windows.
+    std::vector<usage_report> usage;
     /// Peers that it knows, so that a node learns of others without the store.
     std::vector<address> known_peers;
 
--- a/include/chivedeal/forward/node_event.hpp
+++ b/include/chivedeal/forward/node_event.hpp
@@ -2,16 +2,15 @@
 #define CHIVEDEAL_FORWARD_NODE_EVENT_HPP
 
 #include "chivedeal/forward/endpoint_record.hpp"
+#include "chivedeal/forward/local_state.hpp"
 #include "chivedeal/forward/node_beacon.hpp"
 #include "chivedeal/forward/rollout_order.hpp"
-#include "chivedeal/forward/usage_report.hpp"
 
 #include "absl/time/time.h"
 
 #include <memory>
 #include <optional>
 #include <variant>
-#include <vector>
 
 namespace chivedeal::forward {
 
@@ -65,10 +64,10 @@
         std::optional<double> share;
     };
 
-    /// Requests that began on this node, by window.
-    struct usage_counted
+    /// What this node counts, for the control duties.
+    struct local_counted
     {
-        std::vector<usage_report> reports;
+        local_state state;
     };
 
     /// True time minus the steady clock.
@@ -77,19 +76,13 @@
         absl::Duration offset;
     };
 
-    /// This node's counts of a roll-out, for the verdict.
-    struct outcomes_counted
-    {
-        std::vector<version_outcomes> outcomes;
-    };
-
     /// The node shall leave gracefully.
     struct drain_requested
     {};
 
     std::variant<config_changed, rollout_ordered, endpoint_changed, endpoint_removed,
-                 endpoints_loaded, peer_heard, peer_lost, version_decided, usage_counted,
-                 true_time_changed, outcomes_counted, drain_requested>
+                 endpoints_loaded, peer_heard, peer_lost, version_decided, local_counted,
+                 true_time_changed, drain_requested>
         value;
 };
 
--- /dev/null
+++ b/include/chivedeal/forward/peer_codec.hpp
@@ -0,0 +1,24 @@
+#ifndef CHIVEDEAL_FORWARD_PEER_CODEC_HPP
+#define CHIVEDEAL_FORWARD_PEER_CODEC_HPP
+
+#include "chivedeal/core/result.hpp"
+#include "chivedeal/forward/node_beacon.hpp"
+#include "chivedeal/forward/relayed_batch.hpp"
+
+#include <string>
+#include <variant>
+
+namespace chivedeal::forward {
+
+/// A datagram between nodes.
+using peer_message = std::variant<node_beacon, relayed_batch>;
+
+/// Encodes as MessagePack.
+std::string encode_message(const peer_message& message);
+
+/// Errors: `malformed_message`.
+result<peer_message> decode_message(const std::string& bytes);
+
+} // namespace chivedeal::forward
+
+#endif
--- a/include/chivedeal/forward/peer_exchange.hpp
+++ b/include/chivedeal/forward/peer_exchange.hpp
@@ -8,12 +8,15 @@
 #include "chivedeal/forward/local_state.hpp"
 #include "chivedeal/forward/node_settings.hpp"
 #include "chivedeal/forward/peer_table.hpp"
+#include "chivedeal/forward/relay_port.hpp"
+#include "chivedeal/forward/relayed_batch.hpp"
 #include "chivedeal/forward/wake_signal.hpp"
 
 #include "absl/time/time.h"
 
 #include <atomic>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -25,10 +28,11 @@
 namespace chivedeal::forward {
 
 class node_event_listener;
+class relay_listener;
 struct node_event;
 
 /// Duty: sends this node's beacon to its peers and hears theirs.
-class peer_exchange : public duty
+class peer_exchange : public duty, public relay_port
 {
 public:
     struct options
@@ -47,16 +51,22 @@
     /// Replaces what the next beacon says; a change of readiness is sent at once. Any thread.
     void publish(local_state state);
     void set_lease_token(std::optional<std::uint64_t> token);
+    void relay(relayed_batch batch) override;
+    /// Tells `listener` what peers read of a topic. Before `run` only.
+    void follow(topic which, relay_listener& listener) { m_followers[which] = &listener; }
     /// Greets a node that may not be known yet. Any thread.
     void greet(const address& node);
 
 private:
-    node_beacon make_beacon(absl::Time now);
-    void send_beacon(int socket, absl::Time now);
+    node_beacon make_beacon();
+    void send_beacon(int socket);
+    void send_relays(int socket);
+    void take_beacon(int socket, const node_beacon& beacon, absl::Time now);
+    bool in_region(const node_beacon& beacon) const { return beacon.region == m_settings.region; }
     void receive_all(int socket, absl::Time now);
     void expire(absl::Time now);
     void tell(const node_event& event) const;
-    absl::Duration interval() const;
+    bool turn_of_other_regions() const;
 
     const node_settings& m_settings;
     const clock& m_time;
@@ -65,12 +75,15 @@
     shared_cell<local_state> m_local;
     shared_cell<std::optional<std::uint64_t>> m_lease;
     std::atomic<bool> m_stopping = false;
+    std::atomic<bool> m_urgent = false;
     peer_table m_table;
     clock_consensus m_clocks;
     std::int64_t m_started_us;
     std::uint64_t m_sequence = 0;
     absl::Duration m_offset = absl::InfiniteDuration();
     bounded_ring<address> m_greetings;
+    bounded_ring<relayed_batch> m_relays;
+    std::map<topic, relay_listener*> m_followers;
 };
 
 } // namespace chivedeal::forward
--- a/include/chivedeal/forward/peer_table.hpp
+++ b/include/chivedeal/forward/peer_table.hpp
@@ -23,7 +23,7 @@
         node_id self;
         address self_address;
         /// A node that is silent for longer is no longer listed to callers.
-        absl::Duration silence = absl::Milliseconds(2500);
+        absl::Duration silence = absl::Milliseconds(2600);
     };
 
     explicit peer_table(options settings) : m_options(std::move(settings)) {}
@@ -43,8 +43,8 @@
     /// Removes the nodes that fell silent and returns them.
     std::vector<node_id> expire(absl::Time now);
 
-    /// Where to send this node's beacon.
-    std::vector<address> targets() const;
+    /// Addresses that have not answered yet.
+    const std::set<address>& candidates() const { return m_candidates; }
 
     const std::map<node_id, node_beacon>& beacons() const { return m_beacons; }
 
--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -74,7 +74,8 @@
     absl::Time tick(absl::Time now);
 
     token_quota& quota() { return m_quota; }
-    usage_ledger& usage() { return m_usage; }
+    const token_quota& quota() const { return m_quota; }
+    const usage_ledger& usage() const { return m_usage; }
     /// True time minus the steady clock, for the windows of usage.
     void set_true_time_offset(absl::Duration offset) { m_true_time_offset = offset; }
 
--- a/include/chivedeal/forward/topic.hpp
+++ b/include/chivedeal/forward/topic.hpp
@@ -14,10 +14,8 @@
     rollout_status,
     /// Addresses of the nodes.
     nodes,
-    /// Grants of the control lease, a plain log.
+    /// Grants of the control lease and usage reports about to be sent, a plain log.
     lease,
-    /// Started requests by node and window, a plain log.
-    usage,
 };
 
 } // namespace chivedeal::forward
--- a/include/chivedeal/forward/usage_ledger.hpp
+++ b/include/chivedeal/forward/usage_ledger.hpp
@@ -26,8 +26,8 @@
 
     void on_started(const workspace_id& workspace, absl::Time wall);
 
-    /// Returns and forgets the windows before `window`.
-    std::vector<usage_report> take_before(std::int64_t window);
+    /// Counts of the newest windows, the current one included; older ones are forgotten.
+    std::vector<usage_report> recent() const;
 
 private:
     absl::Duration m_window;
--- a/src/forward/caller_side.cpp
+++ b/src/forward/caller_side.cpp
@@ -108,9 +108,8 @@
 {
     while (!one.dead && !one.busy && !one.closing && !one.in.empty()) {
         if (!one.reader) {
-            one.reader = std::make_unique<request_reader>(
-                request_reader::limits{.header_bytes = m_limits.max_header_bytes,
-                                       .body_bytes = m_limits.max_body_bytes});
+            one.reader = std::make_unique<request_reader>(request_reader::limits{
+                .header_bytes = m_limits.max_header_bytes, .body_bytes = m_limits.max_body_bytes});
             one.request_started = now;
             one.sent_continue = false;
         }
@@ -200,8 +199,7 @@
 std::size_t caller_side::backlog(std::uint64_t id) const
 {
     const auto found = m_connections.find(id);
-    return found == m_connections.end() ? 0
-                                        : found->second->out.size() - found->second->out_done;
+    return found == m_connections.end() ? 0 : found->second->out.size() - found->second->out_done;
 }
 
 void caller_side::finish_answer(caller_connection& one, absl::Time now)
@@ -292,8 +290,7 @@
                 close(*one);
             continue;
         }
-        const bool in_head =
-            one->reader && one->reader->current() == request_reader::state::head;
+        const bool in_head = one->reader && one->reader->current() == request_reader::state::head;
         if (in_head && now - one->request_started > m_limits.header_timeout) {
             refuse(*one, 408, now);
             continue;
--- a/src/forward/config_watcher.cpp
+++ b/src/forward/config_watcher.cpp
@@ -1,9 +1,11 @@
 #include "chivedeal/forward/config_watcher.hpp"
 
+#include "chivedeal/core/clock.hpp"
 #include "chivedeal/core/log_event.hpp"
 #include "chivedeal/forward/node_event.hpp"
 #include "chivedeal/forward/node_event_listener.hpp"
 #include "chivedeal/forward/record_store.hpp"
+#include "chivedeal/forward/relay_port.hpp"
 #include "chivedeal/forward/route_index.hpp"
 #include "chivedeal/forward/wire_format.hpp"
 
@@ -15,32 +17,46 @@
 
 namespace {
 
-// Short enough that a connection that fell silent is noticed well within the time in which a
-// configuration has to be in force.
-constexpr absl::Duration poll_wait = absl::Milliseconds(1500);
+// Short enough that a node which follows a peer's reads, and the peer's end, has a configuration
+// in force in time.
+constexpr absl::Duration poll_wait = absl::Milliseconds(600);
 constexpr absl::Duration retry_pause = absl::Milliseconds(200);
+constexpr std::size_t most_relays = 64;
 
 } // namespace
 
 config_watcher::config_watcher(options parts)
     : m_store(parts.store),
       m_format(parts.format),
+      m_time(parts.time),
+      m_peers(parts.peers),
+      m_self(std::move(parts.self)),
       m_listeners(std::move(parts.listeners)),
-      m_stop(1)
+      m_relays(most_relays),
+      m_tail({.self = m_self})
 {}
 
 void config_watcher::run()
 {
-    while (!m_stop.closed()) {
-        const bool ok = m_next ? follow() : load();
-        if (!ok)
-            (void)m_stop.pop(retry_pause);
+    while (!m_relays.closed()) {
+        const absl::Time begin = m_time.now();
+        bool ok = true;
+        if (m_tail.must_read(begin))
+            ok = m_tail.next() ? follow() : load();
+        // A read normally waits at the store; otherwise this is where the duty sleeps.
+        const bool waited = ok && m_time.now() - begin > retry_pause;
+        const absl::Duration pause = waited ? absl::ZeroDuration() : retry_pause;
+        while (const auto batch = m_relays.pop(pause)) {
+            (void)m_tail.on_relay(*batch, m_time.now());
+            if (m_tail.must_read(m_time.now()))
+                break;
+        }
     }
 }
 
 void config_watcher::request_stop()
 {
-    m_stop.close();
+    m_relays.close();
     m_store.stop();
 }
 
@@ -51,20 +67,28 @@
     if (!is_ok(batch))
         return false;
     take(get_value(batch));
-    m_next = get_value(batch).next;
+    m_tail.on_own_read(get_value(batch).next);
     return true;
 }
 
 bool config_watcher::follow()
 {
-    const auto batch = m_store.read(topic::configuration, *m_next, poll_wait);
+    const std::uint64_t begin = *m_tail.next();
+    const auto batch = m_store.read(topic::configuration, begin, poll_wait);
     note_reachable(is_ok(batch), is_ok(batch) ? "" : get_error(batch).message);
     if (!is_ok(batch))
         return false;
     take(get_value(batch));
-    m_next = get_value(batch).next;
-    if (get_value(batch).truncated)
-        m_next.reset();
+    m_tail.on_own_read(get_value(batch).next);
+    if (get_value(batch).truncated) {
+        m_tail.reset();
+        return true;
+    }
+    // A configuration may exceed a datagram: peers that miss one read it themselves.
+    m_peers.relay({.sender = m_self,
+                   .from = topic::configuration,
+                   .begin = begin,
+                   .next = get_value(batch).next});
     return true;
 }
 
@@ -101,10 +125,9 @@
     if (config == nullptr || config->version <= m_version)
         return;
     m_version = config->version;
-    log_event(event_id::configuration_applied,
-              {{"version", absl::StrCat(m_version)},
-               {"routes", absl::StrCat(config->routes.size())},
-               {"offset", absl::StrCat(record.offset)}});
+    log_event(event_id::configuration_applied, {{"version", absl::StrCat(m_version)},
+                                                {"routes", absl::StrCat(config->routes.size())},
+                                                {"offset", absl::StrCat(record.offset)}});
     const auto index = std::make_shared<const route_index>(std::move(*config));
     for (node_event_listener* one : m_listeners)
         one->on_event({node_event::config_changed{index}});
--- a/src/forward/control_duties.cpp
+++ b/src/forward/control_duties.cpp
@@ -6,6 +6,7 @@
 #include "chivedeal/forward/duty_api.hpp"
 #include "chivedeal/forward/peer_exchange.hpp"
 #include "chivedeal/forward/record_store.hpp"
+#include "chivedeal/forward/route_index.hpp"
 #include "chivedeal/forward/wire_format.hpp"
 
 #include "absl/strings/str_cat.h"
@@ -18,7 +19,7 @@
 namespace {
 
 constexpr absl::Duration tick_interval = absl::Milliseconds(250);
-// After this all nodes have written their counts of a window.
+// After this all nodes have told their counts of a window, also those that beacon only each second.
 constexpr absl::Duration report_delay = absl::Milliseconds(1800);
 constexpr absl::Duration report_retry = absl::Milliseconds(500);
 constexpr absl::Duration registration_interval = absl::Seconds(10);
@@ -70,15 +71,35 @@
 void control_duties::take(const node_event& event, absl::Time now)
 {
     if (const auto* heard = std::get_if<node_event::peer_heard>(&event.value)) {
-        if (heard->beacon.lease_token)
-            m_lease.on_peer_holds(*heard->beacon.lease_token, now);
-        take_outcomes(heard->beacon.node, heard->beacon.outcomes, now);
+        const node_beacon& beacon = heard->beacon;
+        if (beacon.lease_token)
+            m_lease.on_peer_holds(*beacon.lease_token, now);
+        m_running[beacon.node] = beacon.running;
+        take_usage(absl::StrCat(beacon.node.str(), "/", beacon.started_us), beacon.usage);
+        take_outcomes(beacon.node, beacon.outcomes, now);
     }
-    else if (const auto* own = std::get_if<node_event::outcomes_counted>(&event.value)) {
-        take_outcomes(m_settings.node, own->outcomes, now);
+    else if (const auto* lost = std::get_if<node_event::peer_lost>(&event.value)) {
+        m_running.erase(lost->node);
     }
-    else if (const auto* usage = std::get_if<node_event::usage_counted>(&event.value)) {
-        m_unwritten.insert(m_unwritten.end(), usage->reports.begin(), usage->reports.end());
+    else if (const auto* own = std::get_if<node_event::local_counted>(&event.value)) {
+        m_running[m_settings.node] = own->state.running;
+        take_usage(m_settings.node.str(), own->state.usage);
+        take_outcomes(m_settings.node, own->state.outcomes, now);
+    }
+    else if (const auto* changed = std::get_if<node_event::config_changed>(&event.value)) {
+        m_scales.clear();
+        for (const service_spec& service : changed->index->config().services)
+            if (service.scale)
+                m_scales[service.name] = *service.scale;
+    }
+    else if (const auto* endpoint = std::get_if<node_event::endpoint_changed>(&event.value)) {
+        m_endpoints[endpoint->record.id] = endpoint->record;
+    }
+    else if (const auto* removed = std::get_if<node_event::endpoint_removed>(&event.value)) {
+        m_endpoints.erase(removed->id);
+    }
+    else if (std::holds_alternative<node_event::endpoints_loaded>(event.value)) {
+        m_endpoints_loaded = true;
     }
     else if (const auto* offset = std::get_if<node_event::true_time_changed>(&event.value)) {
         m_true_time_offset = offset->offset;
@@ -108,8 +129,7 @@
 {
     for (const version_outcomes& counted : outcomes) {
         const auto found = m_rollouts.find(counted.service);
-        if (found == m_rollouts.end() ||
-            found->second.judge.order().offset != counted.order_offset)
+        if (found == m_rollouts.end() || found->second.judge.order().offset != counted.order_offset)
             continue;
         found->second.outcomes[node] = counted;
     }
@@ -120,9 +140,10 @@
 {
     register_node(now);
     advance_lease(now);
-    write_counts(now);
     if (m_settings.reports_usage)
         report_usage(now);
+    if (m_settings.orders_endpoints)
+        plan_fleets(now);
     advance_rollouts(now);
 }
 
@@ -140,8 +161,7 @@
     if (!is_ok(nodes))
         return;
     for (const stored_record& record : get_value(nodes).records) {
-        const auto parsed =
-            parse_address(member_or(parse_json_object(record.value), "peers", ""));
+        const auto parsed = parse_address(member_or(parse_json_object(record.value), "peers", ""));
         if (is_ok(parsed))
             m_peers.greet(get_value(parsed));
     }
@@ -176,8 +196,8 @@
 
 void control_duties::append_grant(absl::Time now)
 {
-    const auto appended = m_store.append(topic::lease, "", control_log::encode_grant(m_settings.node),
-                                         m_lease.expected_end());
+    const auto appended = m_store.append(
+        topic::lease, "", control_log::encode_grant(m_settings.node), m_lease.expected_end());
     if (!is_ok(appended)) {
         if (get_error(appended).code == result_code::conflict)
             m_lease.on_conflict(now);
@@ -197,32 +217,11 @@
     return duty_fence{.holder = m_settings.node, .token = *token};
 }
 
-void control_duties::write_counts(absl::Time now)
-{
-    while (!m_unwritten.empty()) {
-        const usage_report& report = m_unwritten.front();
-        const bool too_late =
-            m_windows.end_of(report.window) + m_settings.usage_due < now + m_true_time_offset;
-        if (!too_late && !is_ok(m_store.append(topic::usage, "",
-                                               control_log::encode_counts(m_settings.node, report),
-                                               std::nullopt)))
-            return;
-        m_unwritten.erase(m_unwritten.begin());
-    }
-}
-
-void control_duties::read_counts()
+void control_duties::take_usage(const std::string& process,
+                                const std::vector<usage_report>& reports)
 {
-    const auto batch = m_store.read(topic::usage, m_counts_next, absl::ZeroDuration());
-    if (!is_ok(batch))
-        return;
-    m_counts_next = get_value(batch).next;
-    for (const stored_record& record : get_value(batch).records) {
-        const auto decoded = control_log::decode_counts(record.value);
-        if (is_ok(decoded))
-            m_counts[get_value(decoded).second.window][get_value(decoded).first] =
-                get_value(decoded).second;
-    }
+    for (const usage_report& report : reports)
+        m_counts[report.window][process] = report;
     while (m_counts.size() > kept_windows)
         m_counts.erase(m_counts.begin());
 }
@@ -236,7 +235,6 @@
         return;
     if (m_windows.end_of(m_next_window) + report_delay > true_now)
         return;
-    read_counts();
     while (m_windows.end_of(m_next_window) + report_delay <= true_now) {
         if (!report_window(m_next_window, m_time.now())) {
             m_next_report_try = m_time.now() + report_retry;
@@ -251,7 +249,7 @@
     if (const usage_report* planned = m_log.planned_report(window))
         return send_report(*planned, now);
     usage_report total{.window = window};
-    for (const auto& [node, report] : m_counts[window])
+    for (const auto& [process, report] : m_counts[window])
         for (const auto& [workspace, count] : report.counts)
             total.counts[workspace] += count;
     return plan_report(total, now) && send_report(total, m_time.now());
@@ -290,6 +288,67 @@
     return is_ok(sent);
 }
 
+void control_duties::plan_fleets(absl::Time now)
+{
+    if (!fence(now)) {
+        // A later tenure begins with what it observes.
+        m_planners.clear();
+        return;
+    }
+    if (!m_endpoints_loaded)
+        return;
+    for (const auto& [service, spec] : m_scales) {
+        auto& planner = m_planners.try_emplace(service, fleet_planner::options{.service = service})
+                            .first->second;
+        const fleet_view view = view_of(service, spec);
+        for (const fleet_order& order : planner.plan(view, spec, now))
+            send_order(planner, order, m_time.now());
+    }
+}
+
+fleet_view control_duties::view_of(const service_id& service, const scale_spec& spec) const
+{
+    fleet_view view;
+    for (const auto& [zone, region] : m_settings.zones)
+        if (spec.zone_prices.count(zone) > 0)
+            view.zones[zone] = {};
+    for (const auto& [id, record] : m_endpoints) {
+        if (record.service != service || record.leaving)
+            continue;
+        fleet_view::zone_counts& counts = view.zones[record.zone];
+        ++(record.reclaimable ? counts.reclaimable : counts.on_demand);
+    }
+    for (const auto& [node, running] : m_running) {
+        const auto found = running.find(service);
+        view.requests += found == running.end() ? 0 : found->second;
+    }
+    return view;
+}
+
+void control_duties::send_order(fleet_planner& planner, const fleet_order& order, absl::Time now)
+{
+    const auto holder = fence(now);
+    if (!holder)
+        return planner.on_failed(order);
+    const status sent = m_platform.order_endpoints(order, *holder);
+    log_event(is_ok(sent) ? event_id::order_sent : event_id::order_refused,
+              {{"service", order.service.str()},
+               {"zone", order.zone.str()},
+               {"desired", absl::StrCat(order.desired)},
+               {"reclaimable", order.reclaimable ? "yes" : "no"},
+               {"token", absl::StrCat(holder->token)},
+               {"reason", is_ok(sent) ? "" : get_error(sent).message}});
+    if (is_ok(sent))
+        return;
+    if (get_error(sent).code == result_code::start_refused)
+        return planner.on_refused(order, now);
+    planner.on_failed(order);
+    if (get_error(sent).code == result_code::stale_fence) {
+        m_lease.on_fenced(now);
+        log_event(event_id::lease_lost, {{"scope", "control"}, {"reason", "fenced"}});
+    }
+}
+
 void control_duties::advance_rollouts(absl::Time now)
 {
     for (auto& [service, one] : m_rollouts) {
@@ -335,9 +394,8 @@
                               .target = one.judge.order().target,
                               .state = one.judge.state(),
                               .order_offset = one.judge.order().offset};
-    const auto written =
-        m_store.append(topic::rollout_status, m_format.rollout_status_key(next),
-                       m_format.encode_rollout_status(next), std::nullopt);
+    const auto written = m_store.append(topic::rollout_status, m_format.rollout_status_key(next),
+                                        m_format.encode_rollout_status(next), std::nullopt);
     if (!is_ok(written))
         return;
     one.written_any = true;
--- a/src/forward/control_log.cpp
+++ b/src/forward/control_log.cpp
@@ -67,19 +67,4 @@
     return encode_json({{"window", report.window}, {"counts", counts_to_json(report)}});
 }
 
-std::string control_log::encode_counts(const node_id& node, const usage_report& report)
-{
-    return encode_json(
-        {{"node", node.str()}, {"window", report.window}, {"counts", counts_to_json(report)}});
-}
-
-result<std::pair<node_id, usage_report>> control_log::decode_counts(const std::string& text)
-{
-    const json object = parse_json_object(text);
-    const std::string node = member_or(object, "node", "");
-    if (node.empty() || !object.contains("window"))
-        return error{.code = result_code::malformed_message, .message = "counts without a node"};
-    return std::pair{node_id(node), report_from_json(object)};
-}
-
 } // namespace chivedeal::forward
--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -55,8 +55,8 @@
 {
     auto& one = m_entries[record.id];
     const bool known = !one.record.id.empty();
-    const bool restarted = known && (one.record.born_ms != record.born_ms ||
-                                     one.record.address != record.address);
+    const bool restarted =
+        known && (one.record.born_ms != record.born_ms || one.record.address != record.address);
     if (known && one.record.service != record.service)
         remove(record.id);
     auto& current = m_entries[record.id];
@@ -98,7 +98,8 @@
 {
     const auto known = m_by_service.find(query.service);
     if (known == m_by_service.end() || known->second.empty())
-        return error{.code = result_code::unknown_service, .message = "the service has no endpoint"};
+        return error{.code = result_code::unknown_service,
+                     .message = "the service has no endpoint"};
     const auto candidates = usable(query, random, now);
     if (candidates.empty())
         return error{.code = result_code::no_endpoint, .message = "no endpoint can be used"};
@@ -119,10 +120,10 @@
         const std::int64_t cached = cached_tokens(*one, query, is_home, now);
         scores.push_back({one, predict_ms(*one, query, cached), cached});
     }
-    const auto best = std::min_element(scores.begin(), scores.end(),
-                                       [](const scored& a, const scored& b) {
-                                           return a.milliseconds < b.milliseconds;
-                                       });
+    const auto best =
+        std::min_element(scores.begin(), scores.end(), [](const scored& a, const scored& b) {
+            return a.milliseconds < b.milliseconds;
+        });
     const entry& chosen = *best->candidate;
     if (chosen.own_requests + chosen.peer_requests >= chosen.record.slots * full_factor)
         return error{.code = result_code::shed, .message = "all endpoints are full"};
@@ -141,8 +142,8 @@
     std::vector<const entry*> paused;
     for (const endpoint_id& id : m_by_service.at(query.service)) {
         const entry& one = m_entries.at(id);
-        const bool excluded = std::find(query.excluded.begin(), query.excluded.end(), id) !=
-                              query.excluded.end();
+        const bool excluded =
+            std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end();
         if (one.record.leaving || excluded || !allows_version(one, random))
             continue;
         if (now < one.unusable_until)
@@ -309,12 +310,20 @@
     std::vector<endpoint_load> loads;
     for (const auto& [id, one] : m_entries)
         if (one.own_requests > 0)
-            loads.push_back({.endpoint = id,
-                             .requests = one.own_requests,
-                             .unread_tokens = one.own_unread});
+            loads.push_back(
+                {.endpoint = id, .requests = one.own_requests, .unread_tokens = one.own_unread});
     return loads;
 }
 
+std::map<service_id, int> endpoint_pool::own_requests() const
+{
+    std::map<service_id, int> requests;
+    for (const auto& [id, one] : m_entries)
+        if (one.own_requests > 0)
+            requests[one.record.service] += one.own_requests;
+    return requests;
+}
+
 const endpoint_record* endpoint_pool::find(const endpoint_id& id) const
 {
     const auto found = m_entries.find(id);
--- a/src/forward/endpoint_side.cpp
+++ b/src/forward/endpoint_side.cpp
@@ -279,8 +279,8 @@
 void endpoint_side::lose(endpoint_connection& one, const char* reason, absl::Time now)
 {
     const std::uint64_t exchange = one.exchange;
-    const bool sent = one.out_done > 0 || (one.out.empty() && one.current !=
-                                                                  endpoint_connection::state::connecting);
+    const bool sent = one.out_done > 0 ||
+                      (one.out.empty() && one.current != endpoint_connection::state::connecting);
     m_by_exchange.erase(exchange);
     close(one);
     if (exchange != 0)
--- a/src/forward/endpoint_watcher.cpp
+++ b/src/forward/endpoint_watcher.cpp
@@ -4,10 +4,12 @@
 #include "chivedeal/core/log_event.hpp"
 #include "chivedeal/forward/node_event_listener.hpp"
 #include "chivedeal/forward/record_store.hpp"
+#include "chivedeal/forward/relay_port.hpp"
 #include "chivedeal/forward/wire_format.hpp"
 
 #include "absl/strings/str_cat.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace chivedeal::forward {
@@ -15,6 +17,9 @@
 namespace {
 
 constexpr absl::Duration retry_pause = absl::Milliseconds(200);
+constexpr std::size_t most_relays = 64;
+// More than this doesn't go into one datagram; peers then read the topic themselves.
+constexpr std::size_t most_relayed_bytes = 8 * 1024;
 
 } // namespace
 
@@ -22,23 +27,34 @@
     : m_store(parts.store),
       m_format(parts.format),
       m_time(parts.time),
+      m_peers(parts.peers),
+      m_self(std::move(parts.self)),
       m_listeners(std::move(parts.listeners)),
       m_poll_interval(parts.poll_interval),
-      m_stop(1)
+      m_relays(most_relays),
+      m_tail({.self = m_self})
 {}
 
 void endpoint_watcher::run()
 {
-    while (!m_stop.closed()) {
-        const bool ok = m_next ? follow() : load();
+    while (!m_relays.closed()) {
+        bool ok = true;
+        if (m_tail.must_read(m_time.now()))
+            ok = m_tail.next() ? follow() : load();
         tell(m_directory.tick(m_time.now()));
-        (void)m_stop.pop(ok ? m_poll_interval : retry_pause);
+        const absl::Time until = m_time.now() + (ok ? m_poll_interval : retry_pause);
+        while (const auto batch =
+                   m_relays.pop(std::max(absl::ZeroDuration(), until - m_time.now()))) {
+            if (m_tail.on_relay(*batch, m_time.now()))
+                for (const stored_record& record : batch->records)
+                    take(record);
+        }
     }
 }
 
 void endpoint_watcher::request_stop()
 {
-    m_stop.close();
+    m_relays.close();
     m_store.stop();
 }
 
@@ -61,7 +77,7 @@
                                                   {"reason", get_error(decoded).message}});
     }
     tell(m_directory.on_list(records, m_time.now()));
-    m_next = get_value(batch).next;
+    m_tail.on_own_read(get_value(batch).next);
     if (!m_loaded) {
         m_loaded = true;
         tell({{node_event::endpoints_loaded{}}});
@@ -71,32 +87,56 @@
 
 bool endpoint_watcher::follow()
 {
-    const auto batch = m_store.read(topic::endpoints, *m_next, absl::ZeroDuration());
+    const std::uint64_t begin = *m_tail.next();
+    const auto batch = m_store.read(topic::endpoints, begin, absl::ZeroDuration());
     note_reachable(is_ok(batch), is_ok(batch) ? "" : get_error(batch).message);
     if (!is_ok(batch))
         return false;
     if (get_value(batch).truncated) {
-        m_next.reset();
+        m_tail.reset();
         return true;
     }
+    m_tail.on_own_read(get_value(batch).next);
+    relayed_batch relayed{.sender = m_self,
+                          .from = topic::endpoints,
+                          .begin = begin,
+                          .next = get_value(batch).next,
+                          .complete = true};
+    std::size_t bytes = 0;
     for (const stored_record& record : get_value(batch).records) {
-        if (record.removed) {
-            tell(m_directory.on_removed(endpoint_id(record.key), m_time.now()));
+        if (!take(record))
             continue;
-        }
-        const auto decoded = m_format.decode_endpoint(record);
-        if (is_ok(decoded))
-            tell(m_directory.on_record(get_value(decoded)));
-        else
-            log_event(event_id::record_rejected, {{"topic", "endpoints"},
-                                                  {"key", record.key},
-                                                  {"offset", absl::StrCat(record.offset)},
-                                                  {"reason", get_error(decoded).message}});
+        bytes += record.key.size() + record.value.size();
+        relayed.complete = relayed.complete && bytes <= most_relayed_bytes;
+        if (relayed.complete)
+            relayed.records.push_back(record);
     }
-    m_next = get_value(batch).next;
+    m_peers.relay(std::move(relayed));
     return true;
 }
 
+bool endpoint_watcher::take(const stored_record& record)
+{
+    std::vector<node_event> events;
+    if (record.removed) {
+        events = m_directory.on_removed(endpoint_id(record.key), m_time.now());
+        tell(events);
+        // A removal that is held back here is passed on, too: each node decides for itself.
+        return true;
+    }
+    const auto decoded = m_format.decode_endpoint(record);
+    if (is_ok(decoded)) {
+        events = m_directory.on_record(get_value(decoded));
+        tell(events);
+        return !events.empty();
+    }
+    log_event(event_id::record_rejected, {{"topic", "endpoints"},
+                                          {"key", record.key},
+                                          {"offset", absl::StrCat(record.offset)},
+                                          {"reason", get_error(decoded).message}});
+    return false;
+}
+
 void endpoint_watcher::tell(const std::vector<node_event>& events) const
 {
     for (const node_event& event : events) {
--- /dev/null
+++ b/src/forward/fleet_planner.cpp
@@ -0,0 +1,126 @@
+#include "chivedeal/forward/fleet_planner.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chivedeal::forward {
+
+std::vector<fleet_order> fleet_planner::plan(const fleet_view& view, const scale_spec& spec,
+                                             absl::Time now)
+{
+    std::vector<fleet_order> orders;
+    if (view.zones.empty())
+        return orders;
+    const int zones = static_cast<int>(view.zones.size());
+    const int need = std::min(needed(view.requests, now), spec.max * zones);
+    // What is left after the loss of one zone's reclaimable endpoints is enough.
+    const int left_zones = std::max(1, zones - 1);
+    const int wanted = std::clamp((need + left_zones - 1) / left_zones, spec.min, spec.max);
+
+    int serving = 0;
+    int coming = 0;
+    for (const auto& [zone, counts] : view.zones) {
+        serving += counts.reclaimable;
+        coming += expected(m_zones[zone].reclaimable, counts.reclaimable, spec, now);
+        const fleet_order order{
+            .service = m_options.service, .zone = zone, .desired = wanted, .reclaimable = true};
+        add_order(orders, order, counts.reclaimable, spec, now);
+    }
+    // On-demand endpoints are ordered for what reclaimable ones can't give soon, and kept until
+    // those serve.
+    const auto ordered = share_on_demand(view, spec, need - coming);
+    const auto kept = share_on_demand(view, spec, need - serving);
+    for (const auto& [zone, counts] : view.zones) {
+        const int have =
+            std::max(counts.on_demand, m_zones[zone].on_demand.ordered.value_or(counts.on_demand));
+        const int desired = std::max(ordered.at(zone), std::min(have, kept.at(zone)));
+        add_order(
+            orders,
+            {.service = m_options.service, .zone = zone, .desired = desired, .reclaimable = false},
+            counts.on_demand, spec, now);
+    }
+    return orders;
+}
+
+int fleet_planner::needed(int requests, absl::Time now)
+{
+    m_loads[now] = requests;
+    while (m_loads.begin()->first < now - m_options.load_memory)
+        m_loads.erase(m_loads.begin());
+    int peak = 0;
+    for (const auto& [at, load] : m_loads)
+        peak = std::max(peak, load);
+    const int carrying = static_cast<int>(std::ceil(peak / m_options.requests_per_endpoint));
+    return std::max(m_options.floor, carrying + m_options.spare);
+}
+
+int fleet_planner::expected(const kind_state& state, int serving, const scale_spec& spec,
+                            absl::Time now) const
+{
+    const bool booting = state.ordered && now >= state.dry_until &&
+                         now - state.ordered_at < spec.boot_time + m_options.order_patience;
+    return booting ? std::max(serving, *state.ordered) : serving;
+}
+
+void fleet_planner::add_order(std::vector<fleet_order>& orders, const fleet_order& order,
+                              int serving, const scale_spec& spec, absl::Time now)
+{
+    kind_state& state = state_of(order);
+    if (now < state.dry_until)
+        return;
+    const bool overdue = now - state.ordered_at > spec.boot_time + m_options.order_patience;
+    const bool changed = state.ordered ? *state.ordered != order.desired : serving != order.desired;
+    if (!changed && (serving == order.desired || !overdue))
+        return;
+    state.ordered = order.desired;
+    state.ordered_at = now;
+    orders.push_back(order);
+}
+
+std::map<zone_id, int> fleet_planner::share_on_demand(const fleet_view& view,
+                                                      const scale_spec& spec, int missing) const
+{
+    std::map<zone_id, int> shares;
+    std::vector<std::pair<double, zone_id>> by_price;
+    for (const auto& [zone, counts] : view.zones) {
+        shares[zone] = 0;
+        const auto price = spec.zone_prices.find(zone);
+        by_price.emplace_back(price == spec.zone_prices.end() ? 1 : price->second, zone);
+    }
+    std::sort(by_price.begin(), by_price.end());
+    // In turns, so that no zone carries all.
+    for (bool given = true; missing > 0 && given;) {
+        given = false;
+        for (const auto& [price, zone] : by_price) {
+            const int room = spec.max - view.zones.at(zone).reclaimable;
+            if (missing <= 0 || shares[zone] >= room)
+                continue;
+            ++shares[zone];
+            --missing;
+            given = true;
+        }
+    }
+    return shares;
+}
+
+fleet_planner::kind_state& fleet_planner::state_of(const fleet_order& order)
+{
+    zone_state& zone = m_zones[order.zone];
+    return order.reclaimable ? zone.reclaimable : zone.on_demand;
+}
+
+void fleet_planner::on_refused(const fleet_order& order, absl::Time now)
+{
+    kind_state& state = state_of(order);
+    state.ordered.reset();
+    state.dry_until = now + m_options.dry_pause;
+}
+
+void fleet_planner::on_failed(const fleet_order& order)
+{
+    kind_state& state = state_of(order);
+    state.ordered.reset();
+    state.ordered_at = absl::InfinitePast();
+}
+
+} // namespace chivedeal::forward
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -26,9 +26,7 @@
 constexpr std::uint64_t wake_id = 1;
 constexpr std::uint64_t first_listener_id = 16;
 constexpr absl::Duration periodic_interval = absl::Milliseconds(125);
-constexpr absl::Duration usage_interval = absl::Milliseconds(500);
-// A request that began right before a window's end has been counted by then.
-constexpr absl::Duration usage_settle = absl::Milliseconds(200);
+constexpr absl::Duration count_interval = absl::Milliseconds(500);
 // Callers in a region with fewer ready nodes than this are sent to all nodes.
 constexpr std::size_t enough_near_nodes = 2;
 // Some callers keep an address answer three times as long as it says.
@@ -116,8 +114,8 @@
     if (!is_ok(socket))
         throw std::runtime_error(get_error(socket).message);
     m_listeners.emplace(get_value(socket), kind);
-    m_poller.add(get_value(socket), first_listener_id + static_cast<std::uint64_t>(get_value(socket)),
-                 true, false);
+    m_poller.add(get_value(socket),
+                 first_listener_id + static_cast<std::uint64_t>(get_value(socket)), true, false);
 }
 
 void forwarder::dispatch(const poller::ready& one, absl::Time now)
@@ -181,7 +179,7 @@
         m_drain_started = now;
         m_callers.close_after_answers();
         log_event(event_id::drain_started, {{"under_way", absl::StrCat(m_runner.under_way())}});
-        publish();
+        m_peers.publish(local());
     }
 }
 
@@ -211,38 +209,33 @@
     m_next_periodic = now + periodic_interval;
     m_callers.tick(now);
     m_endpoints.tick(now);
-    publish();
-    if (now >= m_next_usage) {
-        m_next_usage = now + usage_interval;
-        m_runner.quota().on_exchange();
-        flush_usage(now);
-        m_counters.set("chivedeal_requests_under_way", static_cast<double>(m_runner.under_way()));
-        m_counters.set("chivedeal_caller_connections", static_cast<double>(m_callers.size()));
-        m_counters.set("chivedeal_endpoint_connections", static_cast<double>(m_endpoints.size()));
-        m_counters.set("chivedeal_endpoint_connections_opened_total",
-                       static_cast<double>(m_endpoints.opened()));
-    }
+    m_peers.publish(local());
+    if (now >= m_next_count)
+        count(now);
     advance_drain(now);
 }
 
-void forwarder::publish()
+local_state forwarder::local() const
 {
-    m_peers.publish({.ready = is_ready(),
-                     .leaving = m_drain_started != absl::InfiniteFuture(),
-                     .admitted = m_runner.quota().admitted(),
-                     .loads = m_pool.own_load(),
-                     .outcomes = m_runner.outcomes()});
+    return {.ready = is_ready(),
+            .leaving = m_drain_started != absl::InfiniteFuture(),
+            .admitted = m_runner.quota().admitted(),
+            .loads = m_pool.own_load(),
+            .running = m_pool.own_requests(),
+            .outcomes = m_runner.outcomes(),
+            .usage = m_runner.usage().recent()};
 }
 
-void forwarder::flush_usage(absl::Time now)
+void forwarder::count(absl::Time now)
 {
-    const absl::Time settled = now + m_true_time_offset - usage_settle;
-    auto reports = m_runner.usage().take_before(m_runner.usage().window_of(settled));
-    if (!reports.empty())
-        m_control.on_event({node_event::usage_counted{std::move(reports)}});
-    auto outcomes = m_runner.outcomes();
-    if (!outcomes.empty())
-        m_control.on_event({node_event::outcomes_counted{std::move(outcomes)}});
+    m_next_count = now + count_interval;
+    m_runner.quota().on_exchange();
+    m_control.on_event({node_event::local_counted{local()}});
+    m_counters.set("chivedeal_requests_under_way", static_cast<double>(m_runner.under_way()));
+    m_counters.set("chivedeal_caller_connections", static_cast<double>(m_callers.size()));
+    m_counters.set("chivedeal_endpoint_connections", static_cast<double>(m_endpoints.size()));
+    m_counters.set("chivedeal_endpoint_connections_opened_total",
+                   static_cast<double>(m_endpoints.opened()));
 }
 
 void forwarder::advance_drain(absl::Time now)
@@ -262,8 +255,7 @@
 
 bool forwarder::is_ready() const
 {
-    return m_runner.has_config() && m_endpoints_loaded &&
-           m_drain_started == absl::InfiniteFuture();
+    return m_runner.has_config() && m_endpoints_loaded && m_drain_started == absl::InfiniteFuture();
 }
 
 void forwarder::on_request(std::uint64_t connection, int listener, http_request request,
--- a/src/forward/forwarding_node.cpp
+++ b/src/forward/forwarding_node.cpp
@@ -38,7 +38,8 @@
 
 child_spec make_spec(duty& owned)
 {
-    return {.name = owned.name(), .make = [&owned] { return std::make_unique<borrowed_duty>(owned); }};
+    return {.name = owned.name(),
+            .make = [&owned] { return std::make_unique<borrowed_duty>(owned); }};
 }
 
 } // namespace
@@ -104,19 +105,27 @@
                  .inbox = m_control_inbox,
                  .forwarder = m_forwarder_inbox,
                  .peers = m_peers}),
-      m_config({.store = *m_config_store,
+      m_config({.self = m_settings.node,
+                .store = *m_config_store,
                 .format = *m_format,
+                .time = m_clock,
+                .peers = m_peers,
                 .listeners = {&m_forwarder_inbox, &m_control_inbox}}),
-      m_endpoints({.store = *m_endpoint_store,
+      m_endpoints({.self = m_settings.node,
+                   .store = *m_endpoint_store,
                    .format = *m_format,
                    .time = m_clock,
+                   .peers = m_peers,
                    .listeners = {&m_forwarder_inbox, &m_control_inbox}}),
       // The duties hold each other's rings and sockets: one that ends by a fault ends the process,
       // which the platform starts again.
       m_root({.name = "forwarding_node", .max_restarts = 0},
              {make_spec(m_log), make_spec(m_peers), make_spec(m_forwarder), make_spec(m_control),
               make_spec(m_config), make_spec(m_endpoints)})
-{}
+{
+    m_peers.follow(topic::configuration, m_config);
+    m_peers.follow(topic::endpoints, m_endpoints);
+}
 
 void forwarding_node::impl::run()
 {
--- a/src/forward/http_fields.cpp
+++ b/src/forward/http_fields.cpp
@@ -15,9 +15,8 @@
 namespace {
 
 constexpr std::array<const char*, 10> connection_fields{
-    "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate",
-    "TE",         "Trailer",           "Upgrade",          "Transfer-Encoding",
-    "Expect",     "Content-Length"};
+    "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "TE", "Trailer",
+    "Upgrade",    "Transfer-Encoding", "Expect",           "Content-Length"};
 
 bool same_name(std::string_view a, std::string_view b)
 {
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -2,9 +2,10 @@
 
 #include "chivedeal/core/clock.hpp"
 #include "chivedeal/core/log_event.hpp"
-#include "chivedeal/forward/beacon_codec.hpp"
 #include "chivedeal/forward/node_event.hpp"
 #include "chivedeal/forward/node_event_listener.hpp"
+#include "chivedeal/forward/peer_codec.hpp"
+#include "chivedeal/forward/relay_listener.hpp"
 #include "chivedeal/forward/sockets.hpp"
 
 #include <poll.h>
@@ -23,8 +24,10 @@
 namespace {
 
 constexpr absl::Duration base_interval = absl::Milliseconds(500);
-// With more peers each beacon costs more, so they are sent less often.
-constexpr std::size_t peers_at_base_interval = 16;
+// Traffic between regions is paid by volume. With more peers than this, other regions get every
+// second beacon, and without the load at endpoints, which are mostly used from their own region.
+constexpr std::size_t few_peers = 16;
+constexpr std::uint64_t other_regions_turn = 2;
 constexpr std::size_t most_datagram = 64 * 1024;
 // Peers named in each beacon, in turn, so that each node hears of all others.
 constexpr std::size_t named_peers = 4;
@@ -40,7 +43,8 @@
       m_lease(std::make_shared<const std::optional<std::uint64_t>>()),
       m_table({.self = parts.settings.node, .self_address = parts.settings.peers}),
       m_started_us(absl::ToUnixMicros(parts.time.wall_now())),
-      m_greetings(256)
+      m_greetings(256),
+      m_relays(64)
 {
     for (const address& seed : m_settings.seeds)
         m_table.add_candidate(seed);
@@ -51,8 +55,10 @@
     const auto before = m_local.load();
     const bool urgent = before->ready != state.ready || before->leaving != state.leaving;
     m_local.store(std::make_shared<const local_state>(std::move(state)));
-    if (urgent)
+    if (urgent) {
+        m_urgent = true;
         m_wake.raise();
+    }
 }
 
 void peer_exchange::set_lease_token(std::optional<std::uint64_t> token)
@@ -62,6 +68,13 @@
 
 void peer_exchange::greet(const address& node) { (void)m_greetings.try_push(node); }
 
+void peer_exchange::relay(relayed_batch batch)
+{
+    // A batch that is dropped here is missed by peers as a lost datagram is.
+    if (m_relays.try_push(std::move(batch)))
+        m_wake.raise();
+}
+
 void peer_exchange::run()
 {
     const auto bound = bind_udp(m_settings.peers);
@@ -70,21 +83,21 @@
     const int socket = get_value(bound);
     absl::Time next_send = m_time.now();
     while (!m_stopping) {
-        std::array<pollfd, 2> waiting{pollfd{.fd = socket, .events = POLLIN, .revents = 0},
-                                      pollfd{.fd = m_wake.descriptor(), .events = POLLIN, .revents = 0}};
+        std::array<pollfd, 2> waiting{
+            pollfd{.fd = socket, .events = POLLIN, .revents = 0},
+            pollfd{.fd = m_wake.descriptor(), .events = POLLIN, .revents = 0}};
         const absl::Duration left = std::max(absl::ZeroDuration(), next_send - m_time.now());
-        poll(waiting.data(), waiting.size(),
-             static_cast<int>(absl::ToInt64Milliseconds(left)) + 1);
+        poll(waiting.data(), waiting.size(), static_cast<int>(absl::ToInt64Milliseconds(left)) + 1);
         const absl::Time now = m_time.now();
-        const bool woken = (waiting[1].revents & POLLIN) != 0;
-        if (woken)
+        if ((waiting[1].revents & POLLIN) != 0)
             m_wake.clear();
         if ((waiting[0].revents & POLLIN) != 0)
             receive_all(socket, now);
-        if (woken || now >= next_send) {
-            send_beacon(socket, now);
+        send_relays(socket);
+        if (m_urgent.exchange(false) || now >= next_send) {
+            send_beacon(socket);
             expire(now);
-            next_send = now + interval();
+            next_send = now + base_interval;
         }
     }
     ::close(socket);
@@ -96,14 +109,12 @@
     m_wake.raise();
 }
 
-absl::Duration peer_exchange::interval() const
+bool peer_exchange::turn_of_other_regions() const
 {
-    const double factor =
-        static_cast<double>(m_table.beacons().size()) / peers_at_base_interval;
-    return base_interval * std::max(1.0, factor);
+    return m_table.beacons().size() <= few_peers || m_sequence % other_regions_turn == 0;
 }
 
-node_beacon peer_exchange::make_beacon(absl::Time /*now*/)
+node_beacon peer_exchange::make_beacon()
 {
     const auto local = m_local.load();
     node_beacon beacon{.node = m_settings.node,
@@ -118,7 +129,9 @@
                        .lease_token = *m_lease.load(),
                        .admitted = local->admitted,
                        .loads = local->loads,
-                       .outcomes = local->outcomes};
+                       .running = local->running,
+                       .outcomes = local->outcomes,
+                       .usage = local->usage};
     std::vector<address> known;
     for (const auto& [node, one] : m_table.beacons())
         known.push_back(one.peers);
@@ -127,14 +140,34 @@
     return beacon;
 }
 
-void peer_exchange::send_beacon(int socket, absl::Time now)
+void peer_exchange::send_beacon(int socket)
 {
     while (const auto greeted = m_greetings.pop(absl::ZeroDuration()))
         m_table.add_candidate(*greeted);
-    const std::string bytes = encode_beacon(make_beacon(now));
-    for (const address& target : m_table.targets())
-        // A lost datagram is made up for by the next one.
-        (void)send_datagram(socket, target, bytes.data(), bytes.size());
+    node_beacon beacon = make_beacon();
+    const std::string near = encode_message(beacon);
+    // A lost datagram is made up for by the next one.
+    for (const address& target : m_table.candidates())
+        (void)send_datagram(socket, target, near.data(), near.size());
+    if (m_table.beacons().size() > few_peers)
+        beacon.loads.clear();
+    const std::string far = encode_message(beacon);
+    for (const auto& [node, peer] : m_table.beacons()) {
+        if (in_region(peer))
+            (void)send_datagram(socket, peer.peers, near.data(), near.size());
+        else if (beacon.leaving || turn_of_other_regions())
+            (void)send_datagram(socket, peer.peers, far.data(), far.size());
+    }
+}
+
+void peer_exchange::send_relays(int socket)
+{
+    while (auto batch = m_relays.pop(absl::ZeroDuration())) {
+        const std::string bytes = encode_message(*batch);
+        for (const auto& [node, peer] : m_table.beacons())
+            if (in_region(peer))
+                (void)send_datagram(socket, peer.peers, bytes.data(), bytes.size());
+    }
 }
 
 void peer_exchange::receive_all(int socket, absl::Time now)
@@ -144,26 +177,37 @@
         const ssize_t size = recv(socket, buffer.data(), buffer.size(), 0);
         if (size < 0)
             return;
-        const auto decoded = decode_beacon(buffer.substr(0, static_cast<std::size_t>(size)));
+        const auto decoded = decode_message(buffer.substr(0, static_cast<std::size_t>(size)));
         if (!is_ok(decoded)) {
             log_event(event_id::record_rejected,
-                      {{"topic", "beacon"}, {"reason", get_error(decoded).message}});
+                      {{"topic", "datagram"}, {"reason", get_error(decoded).message}});
             continue;
         }
-        const node_beacon& beacon = get_value(decoded);
-        const auto accepted = m_table.on_beacon(beacon, now);
-        if (!accepted)
+        if (const auto* beacon = std::get_if<node_beacon>(&get_value(decoded))) {
+            take_beacon(socket, *beacon, now);
             continue;
-        m_clocks.observe(beacon.node, absl::FromUnixMicros(beacon.wall_us), now);
-        if (accepted->is_new) {
-            log_event(event_id::peer_joined,
-                      {{"peer", beacon.node.str()}, {"address", to_string(beacon.peers)}});
-            // Answers a newcomer at once, so that it doesn't wait for the next interval.
-            const std::string bytes = encode_beacon(make_beacon(now));
-            (void)send_datagram(socket, beacon.peers, bytes.data(), bytes.size());
         }
-        tell({node_event::peer_heard{beacon, accepted->before}});
+        const auto& batch = std::get<relayed_batch>(get_value(decoded));
+        const auto follower = m_followers.find(batch.from);
+        if (follower != m_followers.end())
+            follower->second->on_relay(batch);
+    }
+}
+
+void peer_exchange::take_beacon(int socket, const node_beacon& beacon, absl::Time now)
+{
+    const auto accepted = m_table.on_beacon(beacon, now);
+    if (!accepted)
+        return;
+    m_clocks.observe(beacon.node, absl::FromUnixMicros(beacon.wall_us), now);
+    if (accepted->is_new) {
+        log_event(event_id::peer_joined,
+                  {{"peer", beacon.node.str()}, {"address", to_string(beacon.peers)}});
+        // Answers a newcomer at once, so that it doesn't wait for the next interval.
+        const std::string bytes = encode_message(make_beacon());
+        (void)send_datagram(socket, beacon.peers, bytes.data(), bytes.size());
     }
+    tell({node_event::peer_heard{beacon, accepted->before}});
 }
 
 void peer_exchange::expire(absl::Time now)
--- a/src/forward/peer_table.cpp
+++ b/src/forward/peer_table.cpp
@@ -50,12 +50,4 @@
     return silent;
 }
 
-std::vector<address> peer_table::targets() const
-{
-    std::vector<address> all(m_candidates.begin(), m_candidates.end());
-    for (const auto& [node, one] : m_beacons)
-        all.push_back(one.peers);
-    return all;
-}
-
 } // namespace chivedeal::forward
--- a/src/forward/poller.cpp
+++ b/src/forward/poller.cpp
@@ -51,8 +51,8 @@
 {
     std::array<epoll_event, most_at_once> events{};
     // Rounds up, or the last millisecond before a timer would be spent in a busy loop.
-    const auto milliseconds =
-        std::clamp<std::int64_t>(absl::ToInt64Milliseconds(timeout + absl::Microseconds(999)), 0, 60000);
+    const auto milliseconds = std::clamp<std::int64_t>(
+        absl::ToInt64Milliseconds(timeout + absl::Microseconds(999)), 0, 60000);
     const int count =
         epoll_wait(m_epoll, events.data(), most_at_once, static_cast<int>(milliseconds));
     m_ready.clear();
--- a/src/forward/request_reader.cpp
+++ b/src/forward/request_reader.cpp
@@ -66,8 +66,8 @@
     const auto encodings = message.equal_range(http::field::transfer_encoding);
     int encoding_count = 0;
     for (auto one = encodings.first; one != encodings.second; ++one, ++encoding_count)
-        if (!absl::EqualsIgnoreCase(
-                absl::string_view(one->value().data(), one->value().size()), "chunked"))
+        if (!absl::EqualsIgnoreCase(absl::string_view(one->value().data(), one->value().size()),
+                                    "chunked"))
             return fail(400);
     const bool has_length = message.count(http::field::content_length) > 0;
     if (encoding_count > 1 || message.count(http::field::content_length) > 1 ||
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -79,9 +79,8 @@
       m_dropped_fields(parts.names.reserved),
       m_usage(parts.settings.usage_window)
 {
-    for (const std::string& name :
-         {m_names.workspace, m_names.expected_endpoint, m_names.priority, m_names.deadline_ms,
-          std::string("Authorization")})
+    for (const std::string& name : {m_names.workspace, m_names.expected_endpoint, m_names.priority,
+                                    m_names.deadline_ms, std::string("Authorization")})
         m_dropped_fields.push_back(name);
 }
 
@@ -186,8 +185,7 @@
                                             .bytes = format_request(one, now),
                                             .expected_id = one.head.id,
                                             .is_head_request = one.head.method == "HEAD",
-                                            .max_connections =
-                                                connection_limit(one.query.service)},
+                                            .max_connections = connection_limit(one.query.service)},
                                            now);
         // The attempt may have ended, and the exchange with it, before `send` returned.
         if (find(id) == nullptr)
@@ -258,8 +256,7 @@
     const bool signed_answer =
         m_names.signature.empty() || find_field(head.fields, m_names.signature) != nullptr;
     const bool streams = one->match.matched->kind == route_kind::streaming && head.status == 200 &&
-                         signed_answer &&
-                         find_field(head.fields, "Content-Encoding") == nullptr;
+                         signed_answer && find_field(head.fields, "Content-Encoding") == nullptr;
     if (!streams) {
         if (one->relaying)
             end_attempt(*one, attempt_outcome::broken, "stream not resumed", now);
@@ -360,8 +357,7 @@
     const int status = one.answer.status;
     if (status / 100 != 5) {
         m_pool.on_success(one.attempt->id);
-        count_outcome(one,
-                      now - one.attempt_started <= one.match.matched->goal * slow_factor);
+        count_outcome(one, now - one.attempt_started <= one.match.matched->goal * slow_factor);
     }
     release_attempt(one);
     m_callers.respond(one.connection,
@@ -502,8 +498,7 @@
 }
 
 void request_runner::answer_early(std::uint64_t connection, int status, const char* reason,
-                                  const std::string& id, absl::Duration retry_after,
-                                  absl::Time now)
+                                  const std::string& id, absl::Duration retry_after, absl::Time now)
 {
     std::vector<http_field> fields;
     if (!id.empty())
--- a/src/forward/response_reader.cpp
+++ b/src/forward/response_reader.cpp
@@ -53,8 +53,7 @@
             inner.get().body().more = true;
         }
         boost::system::error_code fault;
-        const std::size_t step =
-            inner.put(boost::asio::buffer(bytes.data() + taken, room), fault);
+        const std::size_t step = inner.put(boost::asio::buffer(bytes.data() + taken, room), fault);
         taken += step;
         if (m_has_head)
             body.resize(before + room - inner.get().body().size);
--- a/src/forward/route_index.cpp
+++ b/src/forward/route_index.cpp
@@ -30,7 +30,8 @@
         return route_match{.matched = matched};
     const auto found = m_by_key.find(key);
     if (found == m_by_key.end())
-        return error{.code = result_code::unknown_workspace, .message = "no workspace has this key"};
+        return error{.code = result_code::unknown_workspace,
+                     .message = "no workspace has this key"};
     return route_match{.matched = matched, .workspace = found->second};
 }
 
--- a/src/forward/token_quota.cpp
+++ b/src/forward/token_quota.cpp
@@ -87,8 +87,8 @@
 {
     if (now <= one.refilled)
         return;
-    one.level = std::min(one.burst,
-                         one.level + one.rate * absl::ToDoubleSeconds(now - one.refilled));
+    one.level =
+        std::min(one.burst, one.level + one.rate * absl::ToDoubleSeconds(now - one.refilled));
     one.refilled = now;
 }
 
--- /dev/null
+++ b/src/forward/topic_tail.cpp
@@ -0,0 +1,23 @@
+#include "chivedeal/forward/topic_tail.hpp"
+
+namespace chivedeal::forward {
+
+bool topic_tail::on_relay(const relayed_batch& batch, absl::Time now)
+{
+    if (!m_next || batch.next < *m_next)
+        return false;
+    const bool fits = batch.begin <= *m_next && (batch.complete || batch.next == *m_next);
+    if (!fits) {
+        m_behind = true;
+        return false;
+    }
+    const bool has_news = batch.next > *m_next;
+    m_next = batch.next;
+    m_behind = false;
+    // Of two nodes that read, the one with the higher name stops.
+    if (batch.sender < m_options.self)
+        m_trusted_until = now + m_options.trust;
+    return has_news;
+}
+
+} // namespace chivedeal::forward
--- a/src/forward/usage_ledger.cpp
+++ b/src/forward/usage_ledger.cpp
@@ -2,6 +2,13 @@
 
 namespace chivedeal::forward {
 
+namespace {
+
+// A window is reported within two further ones.
+constexpr std::size_t kept_windows = 4;
+
+} // namespace
+
 std::int64_t usage_ledger::window_of(absl::Time wall) const
 {
     return absl::ToUnixMillis(wall) / absl::ToInt64Milliseconds(m_window);
@@ -15,17 +22,16 @@
 void usage_ledger::on_started(const workspace_id& workspace, absl::Time wall)
 {
     ++m_counts[window_of(wall)][workspace];
+    while (m_counts.size() > kept_windows)
+        m_counts.erase(m_counts.begin());
 }
 
-std::vector<usage_report> usage_ledger::take_before(std::int64_t window)
+std::vector<usage_report> usage_ledger::recent() const
 {
-    std::vector<usage_report> taken;
-    while (!m_counts.empty() && m_counts.begin()->first < window) {
-        taken.push_back({.window = m_counts.begin()->first,
-                         .counts = std::move(m_counts.begin()->second)});
-        m_counts.erase(m_counts.begin());
-    }
-    return taken;
+    std::vector<usage_report> reports;
+    for (const auto& [window, counts] : m_counts)
+        reports.push_back({.window = window, .counts = counts});
+    return reports;
 }
 
 } // namespace chivedeal::forward
--- /dev/null
+++ b/test/forward_endpoint_pool_test.cpp
@@ -0,0 +1,145 @@
+#include "chivedeal/forward/endpoint_pool.hpp"
+
+#include <gtest/gtest.h>
+
+namespace chivedeal::forward {
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(1000);
+const service_id drafts("drafts");
+
+endpoint_record make_record(const char* id, const char* zone = "a", const char* version = "v1")
+{
+    return {.id = endpoint_id(id),
+            .service = drafts,
+            .address = {.host = "127.0.0.1", .port = 1},
+            .zone = zone_id(zone),
+            .version = version_id(version),
+            .slots = 4};
+}
+
+endpoint_pool make_pool()
+{
+    return endpoint_pool(
+        {.region = region_id("r1"),
+         .zones = {{zone_id("a"), region_id("r1")}, {zone_id("b"), region_id("r2")}}});
+}
+
+endpoint_query make_query() { return {.service = drafts, .prompt_tokens = 1000}; }
+
+std::string chosen(const endpoint_pool& pool, const endpoint_query& query, absl::Time now = start)
+{
+    const auto choice = pool.choose(query, 0.5, now);
+    return is_ok(choice) ? get_value(choice).id.str() : to_string(get_error(choice).code);
+}
+
+TEST(endpoint_pool, prefers_the_own_region_and_the_least_loaded)
+{
+    endpoint_pool pool = make_pool();
+    pool.update(make_record("e1"), start);
+    pool.update(make_record("e2"), start);
+    pool.update(make_record("e3", "b"), start);
+    pool.on_sent(endpoint_id("e1"), make_query(), 1000);
+    EXPECT_EQ(chosen(pool, make_query()), "e2");
+    pool.set_peer_load(node_id("n2"), {{endpoint_id("e2"), 2, 9000}});
+    EXPECT_EQ(chosen(pool, make_query()), "e1");
+}
+
+TEST(endpoint_pool, never_chooses_a_leaving_or_removed_endpoint)
+{
+    endpoint_pool pool = make_pool();
+    pool.update(make_record("e1"), start);
+    endpoint_record leaving = make_record("e1");
+    leaving.leaving = true;
+    pool.update(leaving, start);
+    EXPECT_EQ(chosen(pool, make_query()), "no_endpoint");
+    pool.remove(endpoint_id("e1"));
+    EXPECT_EQ(chosen(pool, make_query()), "unknown_service");
+}
+
+TEST(endpoint_pool, keeps_a_shared_prompt_part_on_one_endpoint)
+{
+    endpoint_pool pool = make_pool();
+    for (const char* id : {"e1", "e2", "e3", "e4"})
+        pool.update(make_record(id), start);
+    endpoint_query query = make_query();
+    query.prompt_tokens = 6000;
+    query.prefix = {{"shared", 5000}, {"own", 1000}};
+    const std::string home = chosen(pool, query);
+    query.prefix.back().id = "another";
+    EXPECT_EQ(chosen(pool, query), home);
+}
+
+// A home that is busy enough costs more than reading the part again elsewhere.
+TEST(endpoint_pool, leaves_a_busy_home)
+{
+    endpoint_pool pool = make_pool();
+    for (const char* id : {"e1", "e2", "e3", "e4"})
+        pool.update(make_record(id), start);
+    endpoint_query query = make_query();
+    query.prefix = {{"shared", 900}, {"own", 100}};
+    const std::string home = chosen(pool, query);
+    pool.on_sent(endpoint_id(home), query, 20000);
+    EXPECT_NE(chosen(pool, query), home);
+}
+
+TEST(endpoint_pool, pauses_an_endpoint_that_cannot_be_reached)
+{
+    endpoint_pool pool = make_pool();
+    pool.update(make_record("e1"), start);
+    pool.update(make_record("e2", "b"), start);
+    pool.on_unreachable(endpoint_id("e1"), start);
+    EXPECT_EQ(chosen(pool, make_query()), "e2");
+    EXPECT_EQ(chosen(pool, make_query(), start + absl::Seconds(1)), "e1");
+}
+
+// Pauses are guesses: with nothing else left, a paused endpoint is tried.
+TEST(endpoint_pool, tries_a_paused_endpoint_when_all_are_paused)
+{
+    endpoint_pool pool = make_pool();
+    pool.update(make_record("e1"), start);
+    pool.on_unreachable(endpoint_id("e1"), start);
+    EXPECT_EQ(chosen(pool, make_query()), "e1");
+}
+
+TEST(endpoint_pool, refuses_when_all_are_full)
+{
+    endpoint_pool pool = make_pool();
+    pool.update(make_record("e1"), start);
+    for (int i = 0; i < 5; ++i)
+        pool.on_sent(endpoint_id("e1"), make_query(), 0);
+    EXPECT_EQ(chosen(pool, make_query()), "shed");
+    pool.on_ended(endpoint_id("e1"), 0);
+    EXPECT_EQ(chosen(pool, make_query()), "e1");
+}
+
+TEST(endpoint_pool, gives_a_new_version_its_share_only)
+{
+    endpoint_pool pool = make_pool();
+    pool.update(make_record("e1"), start);
+    pool.update(make_record("e2", "a", "v2"), start);
+    pool.set_version_share(drafts, version_id("v2"), 0.05);
+    EXPECT_EQ(get_value(pool.choose(make_query(), 0.04, start)).id, endpoint_id("e2"));
+    EXPECT_EQ(get_value(pool.choose(make_query(), 0.06, start)).id, endpoint_id("e1"));
+    pool.set_version_share(drafts, version_id("v2"), 0);
+    EXPECT_EQ(get_value(pool.choose(make_query(), 0.0, start)).id, endpoint_id("e1"));
+}
+
+// The same identifier with a new start time is an endpoint that holds nothing of before.
+TEST(endpoint_pool, forgets_what_a_restarted_endpoint_held)
+{
+    endpoint_pool pool = make_pool();
+    pool.update(make_record("e1"), start);
+    endpoint_query query = make_query();
+    query.prefix = {{"own", 1000}};
+    pool.on_sent(endpoint_id("e1"), query, 1000);
+    pool.on_first_byte(endpoint_id("e1"), query, 1000, start);
+    EXPECT_EQ(get_value(pool.choose(query, 0.5, start)).cached_tokens, 1000);
+    endpoint_record restarted = make_record("e1");
+    restarted.born_ms = 5;
+    pool.update(restarted, start);
+    EXPECT_EQ(get_value(pool.choose(query, 0.5, start)).cached_tokens, 0);
+}
+
+} // namespace
+} // namespace chivedeal::forward
--- /dev/null
+++ b/test/forward_fleet_planner_test.cpp
@@ -0,0 +1,110 @@
+#include "chivedeal/forward/fleet_planner.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+namespace chivedeal::forward {
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(1000);
+const zone_id a("a");
+const zone_id b("b");
+const zone_id c("c");
+
+scale_spec make_spec()
+{
+    return {.min = 1,
+            .max = 12,
+            .boot_time = absl::Seconds(4),
+            .reclaimable_price = 0.18,
+            .zone_prices = {{a, 1.0}, {b, 0.8}, {c, 1.25}}};
+}
+
+fleet_view make_view(int reclaimable, int on_demand, int requests)
+{
+    const fleet_view::zone_counts counts{.reclaimable = reclaimable, .on_demand = on_demand};
+    return {.zones = {{a, counts}, {b, counts}, {c, counts}}, .requests = requests};
+}
+
+int desired(const std::vector<fleet_order>& orders, bool reclaimable)
+{
+    int total = 0;
+    for (const fleet_order& one : orders)
+        if (one.reclaimable == reclaimable)
+            total += one.desired;
+    return total;
+}
+
+fleet_planner make_planner() { return fleet_planner({.service = service_id("drafts")}); }
+
+// On-demand endpoints serve until the reclaimable ones do.
+TEST(fleet_planner, orders_reclaimable_endpoints_before_it_gives_others_up)
+{
+    fleet_planner planner = make_planner();
+    const auto orders = planner.plan(make_view(0, 6, 0), make_spec(), start);
+    EXPECT_GE(desired(orders, true), 8);
+    EXPECT_GE(desired(orders, false), 8);
+    const auto later = planner.plan(make_view(6, 4, 0), make_spec(), start + absl::Seconds(5));
+    EXPECT_EQ(desired(later, false), 0);
+}
+
+TEST(fleet_planner, repeats_no_order_that_shows_its_effect)
+{
+    fleet_planner planner = make_planner();
+    planner.plan(make_view(0, 6, 0), make_spec(), start);
+    const auto again = planner.plan(make_view(0, 6, 0), make_spec(), start + absl::Seconds(1));
+    EXPECT_EQ(desired(again, true), 0);
+}
+
+// A zone's reclaimable endpoints are taken back at once, and no others are to be had.
+TEST(fleet_planner, fills_in_with_on_demand_endpoints_when_none_are_to_be_had)
+{
+    fleet_planner planner = make_planner();
+    planner.plan(make_view(5, 0, 0), make_spec(), start);
+    fleet_view view = make_view(5, 0, 60);
+    view.zones[a].reclaimable = 0;
+    view.zones[b].reclaimable = 0;
+    auto orders = planner.plan(view, make_spec(), start + absl::Seconds(20));
+    for (const fleet_order& one : orders)
+        if (one.reclaimable)
+            planner.on_refused(one, start + absl::Seconds(20));
+    orders = planner.plan(view, make_spec(), start + absl::Milliseconds(20250));
+    EXPECT_GT(desired(orders, false), 0);
+}
+
+TEST(fleet_planner, asks_a_dry_zone_again_only_after_a_pause)
+{
+    fleet_planner planner = make_planner();
+    for (const fleet_order& one : planner.plan(make_view(0, 6, 0), make_spec(), start))
+        if (one.reclaimable)
+            planner.on_refused(one, start);
+    EXPECT_EQ(
+        desired(planner.plan(make_view(0, 6, 0), make_spec(), start + absl::Seconds(1)), true), 0);
+    EXPECT_GT(
+        desired(planner.plan(make_view(0, 6, 0), make_spec(), start + absl::Seconds(10)), true), 0);
+}
+
+RC_GTEST_PROP(fleet_planner, stays_within_the_bounds_of_each_zone, ())
+{
+    fleet_planner planner = make_planner();
+    const scale_spec spec = make_spec();
+    absl::Time now = start;
+    for (int i = 0; i < 30; ++i) {
+        fleet_view view;
+        for (const zone_id& zone : {a, b, c})
+            view.zones[zone] = {.reclaimable = *rc::gen::inRange(0, 13),
+                                .on_demand = *rc::gen::inRange(0, 13)};
+        view.requests = *rc::gen::inRange(0, 500);
+        for (const fleet_order& one : planner.plan(view, spec, now)) {
+            RC_ASSERT(one.desired >= 0 && one.desired <= spec.max);
+            if (*rc::gen::arbitrary<bool>())
+                planner.on_refused(one, now);
+        }
+        now += absl::Milliseconds(*rc::gen::inRange(100, 6000));
+    }
+}
+
+} // namespace
+} // namespace chivedeal::forward
--- /dev/null
+++ b/test/forward_http_reader_test.cpp
@@ -0,0 +1,171 @@
+#include "chivedeal/forward/http_fields.hpp"
+#include "chivedeal/forward/request_reader.hpp"
+#include "chivedeal/forward/response_reader.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+
+namespace chivedeal::forward {
+namespace {
+
+int failure_of(const std::string& bytes)
+{
+    request_reader reader({.header_bytes = 512, .body_bytes = 16});
+    reader.feed(bytes);
+    return reader.current() == request_reader::state::failed ? reader.failure_status() : 0;
+}
+
+TEST(request_reader, reads_a_body_with_a_length_and_leaves_the_next_request)
+{
+    request_reader reader({});
+    const std::string first =
+        "POST /a?b=1 HTTP/1.1\r\nHost: h\r\nX-a: 1\r\nContent-Length: 3\r\n\r\nabc";
+    EXPECT_EQ(reader.feed(first + "GET"), first.size());
+    ASSERT_EQ(reader.current(), request_reader::state::complete);
+    const http_request request = reader.take();
+    EXPECT_EQ(request.method, "POST");
+    EXPECT_EQ(request.target, "/a?b=1");
+    EXPECT_EQ(request.body, "abc");
+    EXPECT_EQ(*find_field(request.fields, "x-A"), "1");
+}
+
+TEST(request_reader, reads_a_chunked_body)
+{
+    request_reader reader({});
+    reader.feed("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n");
+    ASSERT_EQ(reader.current(), request_reader::state::complete);
+    EXPECT_EQ(reader.take().body, "abc");
+}
+
+// Two parsers that read different framing from the same bytes let one request hide in another.
+TEST(request_reader, refuses_ambiguous_framing)
+{
+    EXPECT_EQ(failure_of("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+              400);
+    EXPECT_EQ(failure_of("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                         "Content-Length: 4\r\n\r\nabcd"),
+              400);
+    EXPECT_EQ(failure_of("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n"), 400);
+    EXPECT_EQ(failure_of("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding : chunked\r\n\r\n"), 400);
+    EXPECT_EQ(failure_of("GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n"), 400);
+    EXPECT_EQ(failure_of("GET / HTTP/1.1\r\n\r\n"), 400);
+}
+
+TEST(request_reader, names_what_is_too_large)
+{
+    EXPECT_EQ(failure_of("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 17\r\n\r\n"), 413);
+    EXPECT_EQ(failure_of("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(600, 'x')), 431);
+}
+
+RC_GTEST_PROP(request_reader, gives_the_same_request_however_bytes_are_cut, ())
+{
+    const std::string bytes = "POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                              "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n";
+    request_reader reader({});
+    std::string pending;
+    std::size_t at = 0;
+    while (at < bytes.size()) {
+        const auto size = *rc::gen::inRange<std::size_t>(1, 12);
+        pending += bytes.substr(at, size);
+        at += size;
+        pending.erase(0, reader.feed(pending));
+    }
+    RC_ASSERT(reader.current() == request_reader::state::complete);
+    RC_ASSERT(reader.take().body == "hello world");
+}
+
+// Hostile bytes must end in a state, not in a fault.
+RC_GTEST_PROP(request_reader, survives_any_bytes, (const std::string& bytes))
+{
+    request_reader reader({});
+    reader.feed(bytes);
+    RC_SUCCEED("no fault");
+}
+
+TEST(response_reader, completes_only_with_the_whole_body)
+{
+    response_reader reader(false);
+    std::string body;
+    reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab", body);
+    EXPECT_TRUE(reader.has_head());
+    EXPECT_FALSE(reader.complete());
+    reader.on_eof();
+    EXPECT_FALSE(reader.complete());
+    EXPECT_TRUE(reader.failed());
+}
+
+TEST(response_reader, leaves_bytes_beyond_the_answer)
+{
+    response_reader reader(false);
+    std::string body;
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+    EXPECT_EQ(reader.feed(answer + "HTTP/1.1", body), answer.size());
+    EXPECT_TRUE(reader.complete());
+    EXPECT_EQ(body, "ab");
+}
+
+TEST(response_reader, an_orderly_end_completes_an_answer_without_length)
+{
+    response_reader reader(false);
+    std::string body;
+    reader.feed("HTTP/1.1 200 OK\r\n\r\nab", body);
+    EXPECT_FALSE(reader.complete());
+    reader.on_eof();
+    EXPECT_TRUE(reader.complete());
+    EXPECT_FALSE(reader.keep_alive());
+}
+
+TEST(response_reader, passes_over_interim_answers)
+{
+    response_reader reader(false);
+    std::string body;
+    reader.feed(
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\nKeep-Alive: timeout=7\r\n\r\n",
+        body);
+    EXPECT_TRUE(reader.complete());
+    EXPECT_EQ(reader.head().status, 204);
+    EXPECT_EQ(reader.keep_alive_timeout(), absl::Seconds(7));
+}
+
+TEST(response_reader, an_answer_to_head_has_no_body)
+{
+    response_reader reader(true);
+    std::string body;
+    reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", body);
+    EXPECT_TRUE(reader.complete());
+}
+
+TEST(response_reader, fails_on_what_is_no_http)
+{
+    response_reader reader(false);
+    std::string body;
+    reader.feed("garbage that is no answer\r\n\r\n", body);
+    EXPECT_TRUE(reader.failed());
+}
+
+RC_GTEST_PROP(response_reader, survives_any_bytes, (const std::string& bytes))
+{
+    response_reader reader(false);
+    std::string body;
+    reader.feed(bytes, body);
+    reader.on_eof();
+    RC_SUCCEED("no fault");
+}
+
+TEST(http_fields, drops_what_concerns_one_connection)
+{
+    const auto kept = end_to_end_fields({{"Connection", "close, X-Hop"},
+                                         {"X-Hop", "1"},
+                                         {"Transfer-Encoding", "chunked"},
+                                         {"Reserved", "1"},
+                                         {"X-Kept", "1"}},
+                                        {"reserved"});
+    EXPECT_EQ(kept, (std::vector<http_field>{{"X-Kept", "1"}}));
+}
+
+} // namespace
+} // namespace chivedeal::forward
--- /dev/null
+++ b/test/forward_peers_test.cpp
@@ -0,0 +1,169 @@
+#include "chivedeal/forward/address_book.hpp"
+#include "chivedeal/forward/clock_consensus.hpp"
+#include "chivedeal/forward/control_log.hpp"
+#include "chivedeal/forward/peer_codec.hpp"
+#include "chivedeal/forward/peer_table.hpp"
+#include "chivedeal/forward/usage_ledger.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace chivedeal::forward {
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(1000);
+
+node_beacon make_beacon(const char* node, std::uint64_t sequence, std::uint16_t port = 7)
+{
+    return {.node = node_id(node),
+            .started_us = 5,
+            .sequence = sequence,
+            .front = {.host = "127.0.0.1", .port = port},
+            .peers = {.host = "127.0.0.1", .port = port},
+            .region = region_id("r1"),
+            .ready = true};
+}
+
+peer_table make_table()
+{
+    return peer_table({.self = node_id("n1"), .self_address = {.host = "127.0.0.1", .port = 1}});
+}
+
+TEST(peer_codec, restores_a_beacon)
+{
+    node_beacon beacon = make_beacon("n2", 3);
+    beacon.lease_token = 9;
+    beacon.admitted[workspace_id("w")] = 12.5;
+    beacon.loads = {{endpoint_id("e1"), 2, 500}};
+    beacon.running[service_id("s")] = 2;
+    beacon.outcomes = {{.service = service_id("s"), .target = version_id("v2"), .target_bad = 4}};
+    beacon.usage = {{.window = 4, .counts = {{workspace_id("w"), 3}}}};
+    beacon.known_peers = {{.host = "127.0.0.1", .port = 8}};
+    const auto decoded = decode_message(encode_message(beacon));
+    ASSERT_TRUE(is_ok(decoded));
+    EXPECT_EQ(std::get<node_beacon>(get_value(decoded)), beacon);
+}
+
+TEST(peer_codec, restores_a_relayed_batch)
+{
+    const relayed_batch batch{.sender = node_id("n2"),
+                              .from = topic::endpoints,
+                              .begin = 3,
+                              .next = 5,
+                              .complete = true,
+                              .records = {{.key = "e1", .value = "{}", .offset = 4}}};
+    const auto decoded = decode_message(encode_message(batch));
+    ASSERT_TRUE(is_ok(decoded));
+    EXPECT_EQ(std::get<relayed_batch>(get_value(decoded)), batch);
+}
+
+// Any datagram may arrive on the port.
+RC_GTEST_PROP(peer_codec, refuses_any_other_bytes, (const std::string& bytes))
+{
+    RC_ASSERT(!is_ok(decode_message(bytes)));
+}
+
+TEST(peer_table, learns_of_nodes_from_beacons)
+{
+    peer_table table = make_table();
+    node_beacon beacon = make_beacon("n2", 1, 2);
+    beacon.known_peers = {{.host = "127.0.0.1", .port = 3}, {.host = "127.0.0.1", .port = 1}};
+    const auto accepted = table.on_beacon(beacon, start);
+    ASSERT_TRUE(accepted);
+    EXPECT_TRUE(accepted->is_new);
+    EXPECT_EQ(table.candidates(), (std::set<address>{{.host = "127.0.0.1", .port = 3}}));
+}
+
+// Datagrams may be late or doubled; an old one must not undo a newer one.
+TEST(peer_table, ignores_old_beacons)
+{
+    peer_table table = make_table();
+    table.on_beacon(make_beacon("n2", 2), start);
+    EXPECT_FALSE(table.on_beacon(make_beacon("n2", 2), start));
+    EXPECT_FALSE(table.on_beacon(make_beacon("n2", 1), start));
+    EXPECT_TRUE(table.on_beacon(make_beacon("n2", 3), start)->before);
+}
+
+TEST(peer_table, takes_a_restarted_process_for_a_new_one)
+{
+    peer_table table = make_table();
+    table.on_beacon(make_beacon("n2", 9), start);
+    node_beacon restarted = make_beacon("n2", 1);
+    restarted.started_us = 6;
+    const auto accepted = table.on_beacon(restarted, start);
+    ASSERT_TRUE(accepted);
+    EXPECT_TRUE(accepted->is_new);
+    EXPECT_FALSE(accepted->before);
+}
+
+TEST(peer_table, greets_a_node_that_fell_silent)
+{
+    peer_table table = make_table();
+    table.on_beacon(make_beacon("n2", 1), start);
+    EXPECT_TRUE(table.expire(start + absl::Seconds(2)).empty());
+    EXPECT_EQ(table.expire(start + absl::Seconds(3)), std::vector<node_id>{node_id("n2")});
+    EXPECT_EQ(table.candidates().size(), 1U);
+}
+
+TEST(address_book, names_ready_nodes_of_the_callers_region)
+{
+    address_book book;
+    book.on_beacon(make_beacon("n1", 1, 1));
+    book.on_beacon(make_beacon("n2", 1, 2));
+    node_beacon far = make_beacon("n3", 1, 3);
+    far.region = region_id("r2");
+    book.on_beacon(far);
+    EXPECT_EQ(book.ready_fronts(region_id("r1"), 2).size(), 2U);
+    // One node near the caller would be a single point of failure.
+    EXPECT_EQ(book.ready_fronts(region_id("r2"), 2).size(), 3U);
+    node_beacon leaving = make_beacon("n1", 2, 1);
+    leaving.leaving = true;
+    book.on_beacon(leaving);
+    EXPECT_EQ(book.ready_count(), 2);
+}
+
+// The time of day steps on a minority of machines, also on this one.
+TEST(clock_consensus, follows_the_majority)
+{
+    clock_consensus clocks;
+    const absl::Time wall = absl::FromUnixSeconds(5000);
+    clocks.observe(node_id("n2"), wall, start);
+    clocks.observe(node_id("n3"), wall, start);
+    EXPECT_EQ(clocks.true_time(wall - absl::Seconds(3), start), wall);
+    clocks.observe(node_id("n3"), wall + absl::Seconds(3), start);
+    EXPECT_EQ(clocks.true_time(wall, start), wall);
+}
+
+TEST(usage_ledger, counts_by_window)
+{
+    usage_ledger ledger(absl::Seconds(5));
+    const workspace_id w("w");
+    ledger.on_started(w, absl::FromUnixSeconds(4));
+    ledger.on_started(w, absl::FromUnixSeconds(5));
+    ledger.on_started(w, absl::FromUnixSeconds(9));
+    const auto reports = ledger.recent();
+    ASSERT_EQ(reports.size(), 2U);
+    EXPECT_EQ(reports[0], (usage_report{.window = 0, .counts = {{w, 1}}}));
+    EXPECT_EQ(reports[1], (usage_report{.window = 1, .counts = {{w, 2}}}));
+    EXPECT_EQ(ledger.end_of(1), absl::FromUnixSeconds(10));
+}
+
+// Two holders must not send different counts for a window: the first plan in the topic counts.
+TEST(control_log, the_first_planned_report_counts)
+{
+    control_log log;
+    const usage_report first{.window = 7, .counts = {{workspace_id("w"), 3}}};
+    const usage_report second{.window = 7, .counts = {{workspace_id("w"), 4}}};
+    log.apply({.records = {{.value = control_log::encode_grant(node_id("n1")), .offset = 0},
+                           {.value = control_log::encode_report(first), .offset = 1},
+                           {.value = control_log::encode_grant(node_id("n2")), .offset = 2},
+                           {.value = control_log::encode_report(second), .offset = 3}},
+               .next = 4});
+    EXPECT_EQ(*log.planned_report(7), first);
+    EXPECT_EQ(log.holder(), node_id("n2"));
+    EXPECT_EQ(log.token(), 2U);
+    EXPECT_EQ(log.end(), 4U);
+}
+
+} // namespace
+} // namespace chivedeal::forward
--- /dev/null
+++ b/test/platform_format_test.cpp
@@ -0,0 +1,149 @@
+#include "platform/json_wire_format.hpp"
+#include "platform/log_store.hpp"
+#include "platform/platform_settings.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace chivedeal::platform {
+namespace {
+
+forward::stored_record make_record(const std::string& key, const std::string& value)
+{
+    return {.key = key, .value = value};
+}
+
+constexpr const char* server = R"({"service":"s","addr":"10.0.0.1:80","zone":"z","version":"v1",)"
+                               R"("slots":48,"state":"draining","cold_left_ms":5,"born":7,)"
+                               R"("spot":true,"leaves_ms":2500,"seq":4})";
+
+TEST(json_wire_format, decodes_an_endpoint)
+{
+    const auto decoded = json_wire_format().decode_endpoint(make_record("i-1", server));
+    ASSERT_TRUE(is_ok(decoded));
+    EXPECT_EQ(get_value(decoded),
+              (forward::endpoint_record{.id = endpoint_id("i-1"),
+                                        .service = service_id("s"),
+                                        .address = {.host = "10.0.0.1", .port = 80},
+                                        .zone = zone_id("z"),
+                                        .version = version_id("v1"),
+                                        .slots = 48,
+                                        .leaving = true,
+                                        .cold_left = absl::Milliseconds(5),
+                                        .born_ms = 7,
+                                        .reclaimable = true,
+                                        .leaves_in = absl::Milliseconds(2500)}));
+}
+
+// Other writers leave records with missing or mistyped fields; they name no endpoint to use.
+TEST(json_wire_format, refuses_broken_endpoints)
+{
+    const json_wire_format format;
+    for (const char* text :
+         {"", "[]", "{", R"({"service":5})", R"({"service":"s","state":"ready","slots":1})",
+          R"({"service":"s","state":"odd","addr":"1.2.3.4:5","slots":1})",
+          R"({"service":"s","state":"ready","addr":"1.2.3.4:5","slots":"1"})"})
+        EXPECT_FALSE(is_ok(format.decode_endpoint(make_record("i", text)))) << text;
+}
+
+RC_GTEST_PROP(json_wire_format, survives_any_bytes, (const std::string& bytes))
+{
+    const json_wire_format format;
+    (void)format.decode_endpoint(make_record("i", bytes));
+    (void)format.decode_operator_record(make_record("config", bytes));
+    (void)format.decode_operator_record(make_record("rollout/s", bytes));
+    (void)format.decode_rollout_status(make_record("rollout/s", bytes));
+    RC_SUCCEED("no fault");
+}
+
+TEST(json_wire_format, decodes_a_configuration)
+{
+    const auto decoded = json_wire_format().decode_operator_record(make_record(
+        "config",
+        R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/","kind":"streaming",)"
+        R"("timeout_ms":15000,"goal_ms":500,"priority":1,"backends":[{"service":"a","weight":90},)"
+        R"({"service":"b","weight":10}],"attempts":2,"public":false,"resumable":true,"gap_aim_ms":250}],)"
+        R"("services":[{"name":"a","max_conns":310,"engine":{"slots":48,"kv_capacity":9},)"
+        R"("scale":{"min":1,"max":12,"boot_s":4.0,"spot_price":0.18,"zone_prices":{"z":0.8}}}],)"
+        R"("limits":{"max_body_bytes":5},"tenants":[{"name":"t","api_keys":["k"],"priority":1,)"
+        R"("unit":"tokens","plain_tokens":200,"rate_per_s":10,"burst":20}]})"));
+    ASSERT_TRUE(is_ok(decoded));
+    const auto& config = std::get<forward::traffic_config>(get_value(decoded));
+    EXPECT_EQ(config.version, 7);
+    ASSERT_EQ(config.routes.size(), 1U);
+    EXPECT_EQ(config.routes[0].kind, forward::route_kind::streaming);
+    EXPECT_EQ(config.routes[0].services[1],
+              (forward::weighted_service{.service = service_id("b"), .weight = 10}));
+    EXPECT_EQ(config.services[0].scale->zone_prices.at(zone_id("z")), 0.8);
+    EXPECT_EQ(config.limits.max_body_bytes, 5U);
+    EXPECT_EQ(config.workspaces[0].priority, 1);
+}
+
+TEST(json_wire_format, round_trips_a_rollout_status)
+{
+    const json_wire_format format;
+    const forward::rollout_status status{.service = service_id("s"),
+                                         .target = version_id("v2"),
+                                         .state = forward::rollout_state::rolled_back};
+    const auto decoded = format.decode_rollout_status(
+        make_record(format.rollout_status_key(status), format.encode_rollout_status(status)));
+    ASSERT_TRUE(is_ok(decoded));
+    EXPECT_EQ(get_value(decoded), status);
+}
+
+TEST(log_store, decodes_what_it_encodes)
+{
+    const std::string bytes =
+        std::string(16, '\0') + encode_record("key", "value") + encode_record("gone", "");
+    const auto decoded = decode_records(bytes, 5, true);
+    ASSERT_TRUE(is_ok(decoded));
+    EXPECT_EQ(get_value(decoded),
+              (forward::record_batch{.records = {{.key = "key", .value = "value", .offset = 5},
+                                                 {.key = "gone", .removed = true, .offset = 6}},
+                                     .next = 7}));
+}
+
+// A connection that breaks off must not pass for a short answer.
+TEST(log_store, refuses_an_answer_that_is_cut_off)
+{
+    const std::string bytes = std::string(16, '\0') + encode_record("key", "value");
+    for (std::size_t size = 0; size < bytes.size(); ++size)
+        if (size != 16)
+            EXPECT_FALSE(is_ok(decode_records(bytes.substr(0, size), 0, true))) << size;
+}
+
+RC_GTEST_PROP(log_store, survives_any_bytes, (const std::string& bytes))
+{
+    (void)decode_records(bytes, 0, true);
+    RC_SUCCEED("no fault");
+}
+
+TEST(platform_settings, names_all_faults_at_once)
+{
+    const auto parsed =
+        parse_settings(R"({"node":"n","listen":{"front":"x"},"bounds":{"grace_s":-1}})");
+    const auto& faults = std::get<std::vector<error>>(parsed);
+    std::string all;
+    for (const error& fault : faults)
+        all += fault.message + "\n";
+    for (const char* name :
+         {"zone", "region", "listen.front", "listen.control", "grace_s", "provider.addr"})
+        EXPECT_NE(all.find(name), std::string::npos) << name << " in\n" << all;
+}
+
+TEST(platform_settings, reads_bounds_and_ignores_unknown_fields)
+{
+    const auto parsed = parse_settings(
+        R"({"node":"n","zone":"z","region":"r","zones":{"z":"r"},"later":1,"seeds":["10.0.0.1:2"],)"
+        R"("listen":{"front":"10.0.0.1:1","control":"10.0.0.1:2"},"bounds":{"retry_slack":58},)"
+        R"("provider":{"addr":"10.0.0.2:3"},"cloud":{"addr":"10.0.0.3:4","duties":["usage"]}})");
+    ASSERT_TRUE(std::holds_alternative<platform_settings>(parsed));
+    const auto& settings = std::get<platform_settings>(parsed);
+    EXPECT_EQ(settings.node.retry_slack, 58);
+    EXPECT_TRUE(settings.node.reports_usage);
+    EXPECT_FALSE(settings.node.orders_endpoints);
+    EXPECT_EQ(settings.node.seeds.size(), 1U);
+}
+
+} // namespace
+} // namespace chivedeal::platform
