Predict engines by when they have read their prompts; tell near nodes at once

Change: each endpoint has a time by which it has read what all nodes gave it; beacons carry the cumulative tokens and go to the own region each 100 ms; a silent endpoint loses a repeatable request after three times the predicted time; more reclaimable endpoints are kept; part of the platform's quota tolerance goes into the limits.

--- a/include/chivedeal/forward/endpoint_load.hpp
+++ b/include/chivedeal/forward/endpoint_load.hpp
@@ -12,8 +12,8 @@
 {
     endpoint_id endpoint;
     int requests = 0;
-    /// Prompt tokens that the endpoint has yet to read.
-    std::int64_t unread_tokens = 0;
+    /// Prompt tokens that the node gave the endpoint to read, since the node's start.
+    std::int64_t sent_tokens = 0;
 
     friend bool operator==(const endpoint_load&, const endpoint_load&) = default;
 };
--- a/include/chivedeal/forward/endpoint_pool.hpp
+++ b/include/chivedeal/forward/endpoint_pool.hpp
@@ -20,9 +20,9 @@
 
 /// The endpoints that may get requests, their load and their health; chooses one for each attempt.
 ///
-/// The score of an endpoint is the predicted time to its first byte: prompt tokens that it has yet
-/// to read, its part of the own prompt that it doesn't hold, requests beyond its slots, the link,
-/// and its recent failures. All nodes put a shared prompt part on the same endpoints by rendezvous
+/// The score of an endpoint is the predicted time to its first byte: until it has read the prompts
+/// that all nodes gave it, its part of the own prompt that it doesn't hold, requests beyond its
+/// slots, the link, and its recent failures. All nodes put a shared prompt part on the same endpoints by rendezvous
 /// hashing, without messages.
 class endpoint_pool
 {
@@ -49,12 +49,11 @@
     result<endpoint_choice> choose(const endpoint_query& query, double random,
                                    absl::Time now) const;
 
-    void on_sent(const endpoint_id& id, const endpoint_query& query, std::int64_t unread_tokens);
-    /// The answer began: its prompt has been read.
-    void on_first_byte(const endpoint_id& id, const endpoint_query& query,
-                       std::int64_t unread_tokens, absl::Time now);
-    /// `unread_tokens` is 0 when the answer had begun.
-    void on_ended(const endpoint_id& id, std::int64_t unread_tokens);
+    void on_sent(const endpoint_id& id, std::int64_t unread_tokens, absl::Time now);
+    /// The answer began: its prompt has been read, `late` after the predicted time.
+    void on_first_byte(const endpoint_id& id, const endpoint_query& query, absl::Duration late,
+                       absl::Time now);
+    void on_ended(const endpoint_id& id);
 
     void on_success(const endpoint_id& id);
     /// The endpoint failed a request it had taken.
@@ -64,8 +63,8 @@
     /// The endpoint refused a request because it is full.
     void on_refused(const endpoint_id& id, absl::Time now);
 
-    /// Replaces what a peer has under way.
-    void set_peer_load(const node_id& peer, const std::vector<endpoint_load>& loads);
+    /// Replaces what a peer has under way; adds what it sent since its last report.
+    void set_peer_load(const node_id& peer, const std::vector<endpoint_load>& loads, absl::Time now);
     void forget_peer(const node_id& peer);
 
     /// What this node has under way, for its peers.
@@ -87,9 +86,10 @@
     {
         endpoint_record record;
         int own_requests = 0;
-        std::int64_t own_unread = 0;
         int peer_requests = 0;
-        std::int64_t peer_unread = 0;
+        std::int64_t own_sent_tokens = 0;
+        // When the endpoint has read the prompts that it was given.
+        absl::Time read_by = absl::InfinitePast();
         int failures_in_row = 0;
         double failure_share = 0;
         absl::Time unusable_until = absl::InfinitePast();
@@ -107,7 +107,9 @@
     bool allows_version(const entry& one, double random) const;
     std::int64_t cached_tokens(const entry& one, const endpoint_query& query, bool is_home,
                                absl::Time now) const;
-    double predict_ms(const entry& one, const endpoint_query& query, std::int64_t cached) const;
+    double predict_ms(const entry& one, const endpoint_query& query, std::int64_t cached,
+                      absl::Time now) const;
+    static void add_prompt(entry& one, std::int64_t tokens, absl::Time now);
     std::vector<const entry*> usable(const endpoint_query& query, double random,
                                      absl::Time now) const;
     bool is_local(const entry& one) const;
--- a/include/chivedeal/forward/exchange.hpp
+++ b/include/chivedeal/forward/exchange.hpp
@@ -42,7 +42,9 @@
     std::optional<endpoint_choice> attempt;
     bool attempt_sent = false;
     bool attempt_answered = false;
+    /// Prompt tokens that the endpoint is expected to read.
     std::int64_t attempt_unread = 0;
+    bool attempt_read = false;
     absl::Time attempt_started;
     absl::Time attempt_deadline = absl::InfiniteFuture();
     int attempts = 0;
--- a/include/chivedeal/forward/fleet_planner.hpp
+++ b/include/chivedeal/forward/fleet_planner.hpp
@@ -28,17 +28,17 @@
         service_id service;
         /// Requests under way for which one endpoint is planned: engines slow each other's
         /// requests down long before their batch is full.
-        double requests_per_endpoint = 7;
+        double requests_per_endpoint = 9;
         /// Endpoints beyond those, for bursts that are shorter than a boot.
-        int spare = 3;
+        int spare = 2;
         /// Never fewer in all zones together.
-        int floor = 8;
-        /// The peak of the load over this time counts.
-        absl::Duration load_memory = absl::Seconds(8);
+        int floor = 16;
+        /// The mean of the load over this time counts.
+        absl::Duration load_memory = absl::Seconds(4);
         /// An order that shows no effect this long after the boot time is given again.
         absl::Duration order_patience = absl::Seconds(3);
         /// A zone that had no endpoint to give is asked again after this.
-        absl::Duration dry_pause = absl::Seconds(2);
+        absl::Duration dry_pause = absl::Seconds(3);
     };
 
     explicit fleet_planner(options settings) : m_options(std::move(settings)) {}
--- a/include/chivedeal/forward/node_settings.hpp
+++ b/include/chivedeal/forward/node_settings.hpp
@@ -41,6 +41,10 @@
     double retry_ratio = 0.2;
     absl::Duration retry_window = absl::Seconds(10);
     double retry_slack = 20;
+    /// Parts of a workspace's rate, and tokens, by which all nodes together may exceed its limit.
+    /// They make up for what nodes know of each other too late.
+    double quota_excess = 0;
+    double quota_slack = 0;
     /// Share of a service's requests that an unproven version may get.
     double unproven_share = 0.1;
     bool reports_usage = false;
--- a/include/chivedeal/forward/peer_exchange.hpp
+++ b/include/chivedeal/forward/peer_exchange.hpp
@@ -59,14 +59,14 @@
 
 private:
     node_beacon make_beacon();
-    void send_beacon(int socket);
+    void send_beacon(int socket, absl::Time now);
     void send_relays(int socket);
     void take_beacon(int socket, const node_beacon& beacon, absl::Time now);
     bool in_region(const node_beacon& beacon) const { return beacon.region == m_settings.region; }
     void receive_all(int socket, absl::Time now);
     void expire(absl::Time now);
     void tell(const node_event& event) const;
-    bool turn_of_other_regions() const;
+    absl::Duration interval() const;
 
     const node_settings& m_settings;
     const clock& m_time;
@@ -80,6 +80,7 @@
     clock_consensus m_clocks;
     std::int64_t m_started_us;
     std::uint64_t m_sequence = 0;
+    absl::Time m_next_far = absl::InfinitePast();
     absl::Duration m_offset = absl::InfiniteDuration();
     bounded_ring<address> m_greetings;
     bounded_ring<relayed_batch> m_relays;
--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -87,6 +87,7 @@
     std::size_t under_way() const { return m_exchanges.size(); }
 
 private:
+    std::vector<workspace_spec> limits_with_tolerance() const;
     bool admit(exchange& one, absl::Time now);
     void try_endpoint(exchange& one, absl::Time now);
     bool may_repeat_now(exchange& one, absl::Time now);
--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -16,8 +16,11 @@
 // regions is paid by volume.
 constexpr double remote_region_ms = 120;
 constexpr double remote_zone_ms = 4;
-// One more running request lengthens every step of an engine a little.
-constexpr double busy_request_ms = 1.5;
+// A full batch lengthens the wait for a first token by about this much.
+constexpr double full_batch_ms = 72;
+// Part of an unexpected delay that is taken for a backlog, and the longest delay that counts.
+constexpr double late_weight = 0.3;
+constexpr absl::Duration longest_lateness = absl::Seconds(1);
 // A request beyond the slots waits for one to end.
 constexpr double queued_request_ms = 60;
 // Weight of recent failures: an endpoint that fails all looks this much slower.
@@ -118,7 +121,7 @@
         const bool is_home = std::any_of(ranked.begin(), ranked.end(),
                                          [one](const auto& home) { return home.second == one; });
         const std::int64_t cached = cached_tokens(*one, query, is_home, now);
-        scores.push_back({one, predict_ms(*one, query, cached), cached});
+        scores.push_back({one, predict_ms(*one, query, cached, now), cached});
     }
     const auto best =
         std::min_element(scores.begin(), scores.end(), [](const scored& a, const scored& b) {
@@ -189,54 +192,58 @@
 }
 
 double endpoint_pool::predict_ms(const entry& one, const endpoint_query& query,
-                                 std::int64_t cached) const
+                                 std::int64_t cached, absl::Time now) const
 {
-    const double unread = static_cast<double>(one.own_unread + one.peer_unread) +
-                          static_cast<double>(query.prompt_tokens - cached);
+    const absl::Duration busy = std::max(absl::ZeroDuration(), one.read_by - now);
     const int requests = one.own_requests + one.peer_requests;
     const int queued = std::max(0, requests + 1 - one.record.slots);
-    double milliseconds = unread / prompt_tokens_per_ms +
-                          busy_request_ms * requests * 48.0 / std::max(one.record.slots, 1) +
-                          queued_request_ms * queued + failing_ms * one.failure_share;
-    if (!is_local(one))
-        milliseconds += remote_region_ms;
-    else
-        milliseconds += remote_zone_ms;
+    double milliseconds =
+        absl::ToDoubleMilliseconds(busy) +
+        static_cast<double>(query.prompt_tokens - cached) / prompt_tokens_per_ms +
+        full_batch_ms * requests / std::max(one.record.slots, 1) + queued_request_ms * queued +
+        failing_ms * one.failure_share;
+    milliseconds += is_local(one) ? remote_zone_ms : remote_region_ms;
     return milliseconds;
 }
 
-void endpoint_pool::on_sent(const endpoint_id& id, const endpoint_query& /*query*/,
-                            std::int64_t unread_tokens)
+void endpoint_pool::add_prompt(entry& one, std::int64_t tokens, absl::Time now)
+{
+    one.read_by = std::max(one.read_by, now) +
+                  absl::Milliseconds(static_cast<double>(tokens) / prompt_tokens_per_ms);
+}
+
+void endpoint_pool::on_sent(const endpoint_id& id, std::int64_t unread_tokens, absl::Time now)
 {
     const auto found = m_entries.find(id);
     if (found == m_entries.end())
         return;
-    ++found->second.own_requests;
-    found->second.own_unread += unread_tokens;
+    entry& one = found->second;
+    ++one.own_requests;
+    one.own_sent_tokens += unread_tokens;
+    add_prompt(one, unread_tokens, now);
 }
 
 void endpoint_pool::on_first_byte(const endpoint_id& id, const endpoint_query& query,
-                                  std::int64_t unread_tokens, absl::Time now)
+                                  absl::Duration late, absl::Time now)
 {
     const auto found = m_entries.find(id);
     if (found == m_entries.end())
         return;
     entry& one = found->second;
-    one.own_unread = std::max<std::int64_t>(0, one.own_unread - unread_tokens);
+    // An answer that is late shows a backlog that isn't known here; part of it remains.
+    if (late > absl::ZeroDuration())
+        one.read_by = std::max(one.read_by, now) + std::min(late, longest_lateness) * late_weight;
     if (one.parts.size() > most_parts)
         one.parts.clear();
     for (const prompt_part& part : query.prefix)
         one.parts[part.id] = {.used = now};
 }
 
-void endpoint_pool::on_ended(const endpoint_id& id, std::int64_t unread_tokens)
+void endpoint_pool::on_ended(const endpoint_id& id)
 {
     const auto found = m_entries.find(id);
-    if (found == m_entries.end())
-        return;
-    entry& one = found->second;
-    one.own_requests = std::max(0, one.own_requests - 1);
-    one.own_unread = std::max<std::int64_t>(0, one.own_unread - unread_tokens);
+    if (found != m_entries.end())
+        found->second.own_requests = std::max(0, found->second.own_requests - 1);
 }
 
 void endpoint_pool::on_success(const endpoint_id& id)
@@ -277,9 +284,20 @@
         found->second.unusable_until = std::max(found->second.unusable_until, now + full_pause);
 }
 
-void endpoint_pool::set_peer_load(const node_id& peer, const std::vector<endpoint_load>& loads)
+void endpoint_pool::set_peer_load(const node_id& peer, const std::vector<endpoint_load>& loads,
+                                  absl::Time now)
 {
-    m_peer_loads[peer] = loads;
+    std::vector<endpoint_load>& known = m_peer_loads[peer];
+    for (const endpoint_load& load : loads) {
+        const auto before = std::find_if(
+            known.begin(), known.end(),
+            [&load](const endpoint_load& one) { return one.endpoint == load.endpoint; });
+        const auto found = m_entries.find(load.endpoint);
+        if (found != m_entries.end() && before != known.end() &&
+            load.sent_tokens > before->sent_tokens)
+            add_prompt(found->second, load.sent_tokens - before->sent_tokens, now);
+    }
+    known = loads;
     recount_peers();
 }
 
@@ -293,7 +311,6 @@
 {
     for (auto& [id, one] : m_entries) {
         one.peer_requests = 0;
-        one.peer_unread = 0;
     }
     for (const auto& [peer, loads] : m_peer_loads)
         for (const endpoint_load& load : loads) {
@@ -301,7 +318,6 @@
             if (found == m_entries.end())
                 continue;
             found->second.peer_requests += load.requests;
-            found->second.peer_unread += load.unread_tokens;
         }
 }
 
@@ -309,9 +325,9 @@
 {
     std::vector<endpoint_load> loads;
     for (const auto& [id, one] : m_entries)
-        if (one.own_requests > 0)
+        if (one.own_sent_tokens > 0 || one.own_requests > 0)
             loads.push_back(
-                {.endpoint = id, .requests = one.own_requests, .unread_tokens = one.own_unread});
+                {.endpoint = id, .requests = one.own_requests, .sent_tokens = one.own_sent_tokens});
     return loads;
 }
 
--- a/src/forward/fleet_planner.cpp
+++ b/src/forward/fleet_planner.cpp
@@ -21,10 +21,10 @@
     int coming = 0;
     for (const auto& [zone, counts] : view.zones) {
         serving += counts.reclaimable;
-        coming += expected(m_zones[zone].reclaimable, counts.reclaimable, spec, now);
         const fleet_order order{
             .service = m_options.service, .zone = zone, .desired = wanted, .reclaimable = true};
         add_order(orders, order, counts.reclaimable, spec, now);
+        coming += expected(m_zones[zone].reclaimable, counts.reclaimable, spec, now);
     }
     // On-demand endpoints are ordered for what reclaimable ones can't give soon, and kept until
     // those serve.
@@ -47,10 +47,11 @@
     m_loads[now] = requests;
     while (m_loads.begin()->first < now - m_options.load_memory)
         m_loads.erase(m_loads.begin());
-    int peak = 0;
+    double sum = 0;
     for (const auto& [at, load] : m_loads)
-        peak = std::max(peak, load);
-    const int carrying = static_cast<int>(std::ceil(peak / m_options.requests_per_endpoint));
+        sum += load;
+    const double mean = sum / static_cast<double>(m_loads.size());
+    const int carrying = static_cast<int>(std::ceil(mean / m_options.requests_per_endpoint));
     return std::max(m_options.floor, carrying + m_options.spare);
 }
 
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -25,7 +25,7 @@
 
 constexpr std::uint64_t wake_id = 1;
 constexpr std::uint64_t first_listener_id = 16;
-constexpr absl::Duration periodic_interval = absl::Milliseconds(125);
+constexpr absl::Duration periodic_interval = absl::Milliseconds(100);
 constexpr absl::Duration count_interval = absl::Milliseconds(500);
 // Callers in a region with fewer ready nodes than this are sent to all nodes.
 constexpr std::size_t enough_near_nodes = 2;
@@ -186,7 +186,7 @@
 void forwarder::take_peer(const node_event::peer_heard& heard, absl::Time now)
 {
     m_book.on_beacon(heard.beacon);
-    m_pool.set_peer_load(heard.beacon.node, heard.beacon.loads);
+    m_pool.set_peer_load(heard.beacon.node, heard.beacon.loads, now);
     for (const auto& [workspace, admitted] : heard.beacon.admitted) {
         double before = 0;
         if (heard.before) {
--- a/src/forward/peer_codec.cpp
+++ b/src/forward/peer_codec.cpp
@@ -14,7 +14,7 @@
 {
     json loads = json::array();
     for (const endpoint_load& one : beacon.loads)
-        loads.push_back({one.endpoint.str(), one.requests, one.unread_tokens});
+        loads.push_back({one.endpoint.str(), one.requests, one.sent_tokens});
     return loads;
 }
 
@@ -51,7 +51,7 @@
     for (const json& one : fields.at(11))
         beacon.loads.push_back({.endpoint = endpoint_id(one.at(0).get<std::string>()),
                                 .requests = one.at(1).get<int>(),
-                                .unread_tokens = one.at(2).get<std::int64_t>()});
+                                .sent_tokens = one.at(2).get<std::int64_t>()});
     for (const json& one : fields.at(12))
         beacon.outcomes.push_back({.service = service_id(one.at(0).get<std::string>()),
                                    .target = version_id(one.at(1).get<std::string>()),
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -23,11 +23,14 @@
 
 namespace {
 
-constexpr absl::Duration base_interval = absl::Milliseconds(500);
-// Traffic between regions is paid by volume. With more peers than this, other regions get every
-// second beacon, and without the load at endpoints, which are mostly used from their own region.
+// Endpoints of a region are shared by its nodes: prompts take a fraction of a second to read, so
+// news of them has to be younger than that.
+constexpr absl::Duration near_interval = absl::Milliseconds(100);
+constexpr absl::Duration near_interval_a_peer = absl::Milliseconds(12);
+constexpr absl::Duration far_interval = absl::Milliseconds(500);
+// Traffic between regions is paid by volume. With more peers than this, other regions get beacons
+// half as often, and without the load at endpoints, which are mostly used from their own region.
 constexpr std::size_t few_peers = 16;
-constexpr std::uint64_t other_regions_turn = 2;
 constexpr std::size_t most_datagram = 64 * 1024;
 // Peers named in each beacon, in turn, so that each node hears of all others.
 constexpr std::size_t named_peers = 4;
@@ -95,9 +98,9 @@
             receive_all(socket, now);
         send_relays(socket);
         if (m_urgent.exchange(false) || now >= next_send) {
-            send_beacon(socket);
+            send_beacon(socket, now);
             expire(now);
-            next_send = now + base_interval;
+            next_send = now + interval();
         }
     }
     ::close(socket);
@@ -109,9 +112,12 @@
     m_wake.raise();
 }
 
-bool peer_exchange::turn_of_other_regions() const
+absl::Duration peer_exchange::interval() const
 {
-    return m_table.beacons().size() <= few_peers || m_sequence % other_regions_turn == 0;
+    std::int64_t near = 0;
+    for (const auto& [node, peer] : m_table.beacons())
+        near += in_region(peer) ? 1 : 0;
+    return std::max(near_interval, near_interval_a_peer * near);
 }
 
 node_beacon peer_exchange::make_beacon()
@@ -140,7 +146,7 @@
     return beacon;
 }
 
-void peer_exchange::send_beacon(int socket)
+void peer_exchange::send_beacon(int socket, absl::Time now)
 {
     while (const auto greeted = m_greetings.pop(absl::ZeroDuration()))
         m_table.add_candidate(*greeted);
@@ -149,15 +155,19 @@
     // A lost datagram is made up for by the next one.
     for (const address& target : m_table.candidates())
         (void)send_datagram(socket, target, near.data(), near.size());
-    if (m_table.beacons().size() > few_peers)
-        beacon.loads.clear();
-    const std::string far = encode_message(beacon);
-    for (const auto& [node, peer] : m_table.beacons()) {
+    for (const auto& [node, peer] : m_table.beacons())
         if (in_region(peer))
             (void)send_datagram(socket, peer.peers, near.data(), near.size());
-        else if (beacon.leaving || turn_of_other_regions())
+    if (now < m_next_far && !beacon.leaving)
+        return;
+    const bool many = m_table.beacons().size() > few_peers;
+    m_next_far = now + far_interval * (many ? 2 : 1);
+    if (many)
+        beacon.loads.clear();
+    const std::string far = encode_message(beacon);
+    for (const auto& [node, peer] : m_table.beacons())
+        if (!in_region(peer))
             (void)send_datagram(socket, peer.peers, far.data(), far.size());
-    }
 }
 
 void peer_exchange::send_relays(int socket)
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -22,10 +22,10 @@
 constexpr absl::Duration timeout_margin = absl::Milliseconds(40);
 // Less time than this doesn't carry a request to an endpoint and its answer back.
 constexpr absl::Duration least_time_left = absl::Milliseconds(10);
-// How long a silent endpoint keeps a request that another may run instead, in multiples of the
-// route's objective.
+// How long a silent endpoint keeps a request that another may run instead: this multiple of the
+// predicted time and a little more, at most this multiple of the route's objective.
 constexpr double attempt_patience = 3;
-constexpr absl::Duration least_patience = absl::Milliseconds(600);
+constexpr absl::Duration least_patience = absl::Milliseconds(300);
 // A pause in a stream that may be resumed, after which its endpoint counts as lost.
 constexpr absl::Duration stream_silence = absl::Milliseconds(1500);
 constexpr absl::Duration full_retry_after = absl::Milliseconds(400);
@@ -34,6 +34,7 @@
 constexpr std::size_t most_backlog = 256 * 1024;
 // Part of the platform's retry bound that the nodes use together.
 constexpr double budget_use = 0.8;
+constexpr double tolerance_use = 0.5;
 constexpr int lowest_priority = 9;
 // An answer slower than this multiple of the objective counts against a new version.
 constexpr double slow_factor = 3;
@@ -89,10 +90,23 @@
 void request_runner::set_config(std::shared_ptr<const route_index> index, absl::Time now)
 {
     m_index = std::move(index);
-    m_quota.set_workspaces(m_index->config().workspaces, now);
+    m_quota.set_workspaces(limits_with_tolerance(), now);
     m_callers.set_limits(m_index->config().limits);
 }
 
+// Part of the platform's tolerance goes into the limits, so that a workspace that keeps to its limit
+// isn't refused for what nodes know of each other too late. The rest covers their excess.
+std::vector<workspace_spec> request_runner::limits_with_tolerance() const
+{
+    std::vector<workspace_spec> workspaces = m_index->config().workspaces;
+    for (workspace_spec& one : workspaces) {
+        one.rate *= 1 + m_settings.quota_excess * tolerance_use;
+        if (one.counts_tokens)
+            one.burst += m_settings.quota_slack * tolerance_use;
+    }
+    return workspaces;
+}
+
 void request_runner::set_nodes(int nodes)
 {
     m_nodes = std::max(1, nodes);
@@ -172,12 +186,13 @@
         one.attempt = get_value(choice);
         one.attempt_sent = false;
         one.attempt_answered = false;
+        one.attempt_read = false;
         one.attempt_started = now;
         one.attempt_unread = one.head.prompt_tokens - one.attempt->cached_tokens;
         one.attempt_deadline = absl::InfiniteFuture();
         one.answer = {};
         one.body.clear();
-        m_pool.on_sent(one.attempt->id, one.query, one.attempt_unread);
+        m_pool.on_sent(one.attempt->id, one.attempt_unread, now);
         const std::uint64_t id = one.id;
         const bool sent = m_endpoints.send({.exchange = one.id,
                                             .endpoint = one.attempt->id,
@@ -192,7 +207,7 @@
             return;
         if (sent)
             break;
-        m_pool.on_ended(one.attempt->id, one.attempt_unread);
+        m_pool.on_ended(one.attempt->id);
         one.query.excluded.push_back(one.attempt->id);
         one.attempt.reset();
     }
@@ -238,9 +253,10 @@
     one->rule.on_sent();
     ++one->attempts;
     if (one->match.matched->may_repeat() && one->rule.sent() < one->match.matched->attempts) {
-        const absl::Duration patience =
-            std::max(least_patience, one->match.matched->goal * attempt_patience);
-        one->attempt_deadline = now + patience;
+        const absl::Duration expected =
+            one->attempt->predicted * attempt_patience + least_patience;
+        one->attempt_deadline =
+            now + std::min(expected, one->match.matched->goal * attempt_patience);
         schedule(*one);
     }
 }
@@ -277,8 +293,9 @@
 {
     if (one.first_byte == absl::InfiniteFuture())
         one.first_byte = now;
-    m_pool.on_first_byte(one.attempt->id, one.query, one.attempt_unread, now);
-    one.attempt_unread = 0;
+    const absl::Duration late = now - one.attempt_started - one.attempt->predicted;
+    m_pool.on_first_byte(one.attempt->id, one.query, late, now);
+    one.attempt_read = true;
     count_usage(one, now);
 }
 
@@ -291,7 +308,7 @@
         one->body.append(bytes);
         return;
     }
-    if (one->attempt_unread > 0 || one->first_byte == absl::InfiniteFuture())
+    if (!one->attempt_read)
         note_first_byte(*one, now);
     if (!one->match.matched->resumable) {
         m_callers.send_stream(one->connection, bytes, now);
@@ -480,7 +497,7 @@
 {
     if (!one.attempt)
         return;
-    m_pool.on_ended(one.attempt->id, one.attempt_unread);
+    m_pool.on_ended(one.attempt->id);
     one.attempt.reset();
 }
 
--- a/test/forward_endpoint_pool_test.cpp
+++ b/test/forward_endpoint_pool_test.cpp
@@ -39,10 +39,14 @@
     pool.update(make_record("e1"), start);
     pool.update(make_record("e2"), start);
     pool.update(make_record("e3", "b"), start);
-    pool.on_sent(endpoint_id("e1"), make_query(), 1000);
+    pool.on_sent(endpoint_id("e1"), 1000, start);
     EXPECT_EQ(chosen(pool, make_query()), "e2");
-    pool.set_peer_load(node_id("n2"), {{endpoint_id("e2"), 2, 9000}});
+    pool.set_peer_load(node_id("n2"), {{endpoint_id("e2"), 0, 1000}}, start);
+    pool.set_peer_load(node_id("n3"), {{endpoint_id("e1"), 1, 1000}}, start);
+    pool.set_peer_load(node_id("n2"), {{endpoint_id("e2"), 1, 9000}}, start);
     EXPECT_EQ(chosen(pool, make_query()), "e1");
+    // Prompts are read after a while; then only the requests under way count.
+    EXPECT_EQ(chosen(pool, make_query(), start + absl::Seconds(1)), "e2");
 }
 
 TEST(endpoint_pool, never_chooses_a_leaving_or_removed_endpoint)
@@ -79,7 +83,7 @@
     endpoint_query query = make_query();
     query.prefix = {{"shared", 900}, {"own", 100}};
     const std::string home = chosen(pool, query);
-    pool.on_sent(endpoint_id(home), query, 20000);
+    pool.on_sent(endpoint_id(home), 20000, start);
     EXPECT_NE(chosen(pool, query), home);
 }
 
@@ -107,9 +111,9 @@
     endpoint_pool pool = make_pool();
     pool.update(make_record("e1"), start);
     for (int i = 0; i < 5; ++i)
-        pool.on_sent(endpoint_id("e1"), make_query(), 0);
+        pool.on_sent(endpoint_id("e1"), 0, start);
     EXPECT_EQ(chosen(pool, make_query()), "shed");
-    pool.on_ended(endpoint_id("e1"), 0);
+    pool.on_ended(endpoint_id("e1"));
     EXPECT_EQ(chosen(pool, make_query()), "e1");
 }
 
@@ -132,8 +136,8 @@
     pool.update(make_record("e1"), start);
     endpoint_query query = make_query();
     query.prefix = {{"own", 1000}};
-    pool.on_sent(endpoint_id("e1"), query, 1000);
-    pool.on_first_byte(endpoint_id("e1"), query, 1000, start);
+    pool.on_sent(endpoint_id("e1"), 1000, start);
+    pool.on_first_byte(endpoint_id("e1"), query, absl::ZeroDuration(), start);
     EXPECT_EQ(get_value(pool.choose(query, 0.5, start)).cached_tokens, 1000);
     endpoint_record restarted = make_record("e1");
     restarted.born_ms = 5;
