Plan endpoints by asked prompt tokens and cover reclaims with on-demand ones

Change: demand_meter sums the prompt tokens that nodes were asked for; the planner holds a floor within the bounds and stands by with on-demand endpoints for ten seconds after a reclaim.

--- a/include/chivedeal/forward/control_duties.hpp
+++ b/include/chivedeal/forward/control_duties.hpp
@@ -3,6 +3,7 @@
 
 #include "chivedeal/core/duty.hpp"
 #include "chivedeal/forward/control_log.hpp"
+#include "chivedeal/forward/demand_meter.hpp"
 #include "chivedeal/forward/duty_fence.hpp"
 #include "chivedeal/forward/duty_lease.hpp"
 #include "chivedeal/forward/endpoint_record.hpp"
@@ -79,7 +80,7 @@
     void take_usage(const std::string& process, const std::vector<usage_report>& reports);
     void plan_fleets(absl::Time now);
     void send_order(fleet_planner& planner, const fleet_order& order, absl::Time now);
-    fleet_view view_of(const service_id& service, const scale_spec& spec) const;
+    fleet_view view_of(const service_id& service, const scale_spec& spec, absl::Time now) const;
     void report_usage(absl::Time now);
     bool report_window(std::int64_t window, absl::Time now);
     bool plan_report(const usage_report& report, absl::Time now);
@@ -110,7 +111,7 @@
     std::map<service_id, scale_spec> m_scales;
     std::map<service_id, fleet_planner> m_planners;
     std::map<endpoint_id, endpoint_record> m_endpoints;
-    std::map<node_id, std::map<service_id, int>> m_running;
+    demand_meter m_demand;
     bool m_endpoints_loaded = false;
     bool m_registered = false;
     absl::Time m_next_registration = absl::InfinitePast();
--- a/include/chivedeal/forward/endpoint_pool.hpp
+++ b/include/chivedeal/forward/endpoint_pool.hpp
@@ -70,9 +70,6 @@
     /// What this node has under way, for its peers.
     std::vector<endpoint_load> own_load() const;
 
-    /// Requests that this node has under way, by service.
-    std::map<service_id, int> own_requests() const;
-
     const endpoint_record* find(const endpoint_id& id) const;
     std::vector<endpoint_record> records() const;
 
--- a/include/chivedeal/forward/fleet_planner.hpp
+++ b/include/chivedeal/forward/fleet_planner.hpp
@@ -26,15 +26,18 @@
     struct options
     {
         service_id service;
-        /// Requests under way for which one endpoint is planned: engines slow each other's
-        /// requests down long before their batch is full.
-        double requests_per_endpoint = 9;
+        /// Prompt tokens a second for which one endpoint is planned. Engines read about twice as
+        /// many; queues grow long before that.
+        double tokens_per_endpoint = 33000;
         /// Endpoints beyond those, for bursts that are shorter than a boot.
         int spare = 2;
-        /// Never fewer in all zones together.
-        int floor = 16;
-        /// The mean of the load over this time counts.
-        absl::Duration load_memory = absl::Seconds(4);
+        /// Never fewer than this part of what the bounds allow: prompts of very different size
+        /// get in each other's way on few endpoints, also under little load.
+        double floor_share = 0.45;
+        /// Zones are often taken one after the other; for this long after the last sign of it
+        /// on-demand endpoints stand by for `cover` of the need.
+        absl::Duration reclaim_memory = absl::Seconds(10);
+        double cover = 0.7;
         /// An order that shows no effect this long after the boot time is given again.
         absl::Duration order_patience = absl::Seconds(3);
         /// A zone that had no endpoint to give is asked again after this.
@@ -64,7 +67,7 @@
         kind_state on_demand;
     };
 
-    int needed(int requests, absl::Time now);
+    int needed(const fleet_view& view, const scale_spec& spec) const;
     kind_state& state_of(const fleet_order& order);
     // Endpoints of the kind that serve, or will within the boot time.
     int expected(const kind_state& state, int serving, const scale_spec& spec,
@@ -76,7 +79,7 @@
 
     options m_options;
     std::map<zone_id, zone_state> m_zones;
-    std::map<absl::Time, int> m_loads;
+    absl::Time m_reclaimed = absl::InfinitePast();
 };
 
 } // namespace chivedeal::forward
--- a/include/chivedeal/forward/fleet_view.hpp
+++ b/include/chivedeal/forward/fleet_view.hpp
@@ -20,8 +20,10 @@
 
     /// Endpoints that take requests, by zone; zones without any are listed too.
     std::map<zone_id, zone_counts> zones;
-    /// Requests under way at all endpoints together.
-    int requests = 0;
+    /// Prompt tokens a second that callers ask for.
+    double tokens_per_second = 0;
+    /// Reclaimable endpoints are being taken away.
+    bool reclaiming = false;
 
     friend bool operator==(const fleet_view&, const fleet_view&) = default;
 };
--- a/include/chivedeal/forward/local_state.hpp
+++ b/include/chivedeal/forward/local_state.hpp
@@ -6,6 +6,7 @@
 #include "chivedeal/forward/usage_report.hpp"
 #include "chivedeal/forward/version_outcomes.hpp"
 
+#include <cstdint>
 #include <map>
 #include <vector>
 
@@ -18,7 +19,7 @@
     bool leaving = false;
     std::map<workspace_id, double> admitted;
     std::vector<endpoint_load> loads;
-    std::map<service_id, int> running;
+    std::map<service_id, std::int64_t> asked_tokens;
     std::vector<version_outcomes> outcomes;
     std::vector<usage_report> usage;
 
--- a/include/chivedeal/forward/node_beacon.hpp
+++ b/include/chivedeal/forward/node_beacon.hpp
@@ -33,8 +33,8 @@
     /// Cost admitted of each workspace since its start.
     std::map<workspace_id, double> admitted;
     std::vector<endpoint_load> loads;
-    /// Requests under way by service; also where the loads are left out.
-    std::map<service_id, int> running;
+    /// Prompt tokens that callers asked each service to read, since the node's start.
+    std::map<service_id, std::int64_t> asked_tokens;
     std::vector<version_outcomes> outcomes;
     /// Requests that began on it in the newest windows.
     std::vector<usage_report> usage;
--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -84,6 +84,9 @@
     void forget_rollout(const service_id& service);
     std::vector<version_outcomes> outcomes() const;
 
+    /// Prompt tokens that callers asked each service to read, since the start.
+    const std::map<service_id, std::int64_t>& asked_tokens() const { return m_asked_tokens; }
+
     std::size_t under_way() const { return m_exchanges.size(); }
 
 private:
@@ -130,6 +133,7 @@
     std::set<std::pair<absl::Time, std::uint64_t>> m_timers;
     std::map<service_id, std::unique_ptr<requests::retry_budget>> m_budgets;
     std::map<service_id, version_outcomes> m_outcomes;
+    std::map<service_id, std::int64_t> m_asked_tokens;
     absl::InsecureBitGen m_random;
     std::uint64_t m_next = 1;
 };
--- a/src/forward/control_duties.cpp
+++ b/src/forward/control_duties.cpp
@@ -74,15 +74,13 @@
         const node_beacon& beacon = heard->beacon;
         if (beacon.lease_token)
             m_lease.on_peer_holds(*beacon.lease_token, now);
-        m_running[beacon.node] = beacon.running;
-        take_usage(absl::StrCat(beacon.node.str(), "/", beacon.started_us), beacon.usage);
+        const std::string process = absl::StrCat(beacon.node.str(), "/", beacon.started_us);
+        m_demand.on_counts(process, beacon.asked_tokens, now);
+        take_usage(process, beacon.usage);
         take_outcomes(beacon.node, beacon.outcomes, now);
     }
-    else if (const auto* lost = std::get_if<node_event::peer_lost>(&event.value)) {
-        m_running.erase(lost->node);
-    }
     else if (const auto* own = std::get_if<node_event::local_counted>(&event.value)) {
-        m_running[m_settings.node] = own->state.running;
+        m_demand.on_counts(m_settings.node.str(), own->state.asked_tokens, now);
         take_usage(m_settings.node.str(), own->state.usage);
         take_outcomes(m_settings.node, own->state.outcomes, now);
     }
@@ -300,28 +298,30 @@
     for (const auto& [service, spec] : m_scales) {
         auto& planner = m_planners.try_emplace(service, fleet_planner::options{.service = service})
                             .first->second;
-        const fleet_view view = view_of(service, spec);
+        const fleet_view view = view_of(service, spec, now);
         for (const fleet_order& order : planner.plan(view, spec, now))
             send_order(planner, order, m_time.now());
     }
 }
 
-fleet_view control_duties::view_of(const service_id& service, const scale_spec& spec) const
+fleet_view control_duties::view_of(const service_id& service, const scale_spec& spec,
+                                   absl::Time now) const
 {
     fleet_view view;
     for (const auto& [zone, region] : m_settings.zones)
         if (spec.zone_prices.count(zone) > 0)
             view.zones[zone] = {};
     for (const auto& [id, record] : m_endpoints) {
-        if (record.service != service || record.leaving)
+        if (record.service != service)
+            continue;
+        if (record.leaving) {
+            view.reclaiming = view.reclaiming || (record.reclaimable && record.leaves_in);
             continue;
+        }
         fleet_view::zone_counts& counts = view.zones[record.zone];
         ++(record.reclaimable ? counts.reclaimable : counts.on_demand);
     }
-    for (const auto& [node, running] : m_running) {
-        const auto found = running.find(service);
-        view.requests += found == running.end() ? 0 : found->second;
-    }
+    view.tokens_per_second = m_demand.tokens_per_second(service, now);
     return view;
 }
 
--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -331,15 +331,6 @@
     return loads;
 }
 
-std::map<service_id, int> endpoint_pool::own_requests() const
-{
-    std::map<service_id, int> requests;
-    for (const auto& [id, one] : m_entries)
-        if (one.own_requests > 0)
-            requests[one.record.service] += one.own_requests;
-    return requests;
-}
-
 const endpoint_record* endpoint_pool::find(const endpoint_id& id) const
 {
     const auto found = m_entries.find(id);
--- a/src/forward/fleet_planner.cpp
+++ b/src/forward/fleet_planner.cpp
@@ -12,7 +12,9 @@
     if (view.zones.empty())
         return orders;
     const int zones = static_cast<int>(view.zones.size());
-    const int need = std::min(needed(view.requests, now), spec.max * zones);
+    if (view.reclaiming)
+        m_reclaimed = now;
+    const int need = needed(view, spec);
     // What is left after the loss of one zone's reclaimable endpoints is enough.
     const int left_zones = std::max(1, zones - 1);
     const int wanted = std::clamp((need + left_zones - 1) / left_zones, spec.min, spec.max);
@@ -28,8 +30,10 @@
     }
     // On-demand endpoints are ordered for what reclaimable ones can't give soon, and kept until
     // those serve.
-    const auto ordered = share_on_demand(view, spec, need - coming);
-    const auto kept = share_on_demand(view, spec, need - serving);
+    const bool at_risk = now - m_reclaimed < m_options.reclaim_memory;
+    const int cover = at_risk ? static_cast<int>(std::ceil(need * m_options.cover)) : 0;
+    const auto ordered = share_on_demand(view, spec, std::max(cover, need - coming));
+    const auto kept = share_on_demand(view, spec, std::max(cover, need - serving));
     for (const auto& [zone, counts] : view.zones) {
         const int have =
             std::max(counts.on_demand, m_zones[zone].on_demand.ordered.value_or(counts.on_demand));
@@ -42,17 +46,13 @@
     return orders;
 }
 
-int fleet_planner::needed(int requests, absl::Time now)
+int fleet_planner::needed(const fleet_view& view, const scale_spec& spec) const
 {
-    m_loads[now] = requests;
-    while (m_loads.begin()->first < now - m_options.load_memory)
-        m_loads.erase(m_loads.begin());
-    double sum = 0;
-    for (const auto& [at, load] : m_loads)
-        sum += load;
-    const double mean = sum / static_cast<double>(m_loads.size());
-    const int carrying = static_cast<int>(std::ceil(mean / m_options.requests_per_endpoint));
-    return std::max(m_options.floor, carrying + m_options.spare);
+    const int most = spec.max * static_cast<int>(view.zones.size());
+    const int carrying =
+        static_cast<int>(std::ceil(view.tokens_per_second / m_options.tokens_per_endpoint));
+    const int floor = static_cast<int>(std::ceil(m_options.floor_share * most));
+    return std::min(std::max(floor, carrying + m_options.spare), most);
 }
 
 int fleet_planner::expected(const kind_state& state, int serving, const scale_spec& spec,
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -221,7 +221,7 @@
             .leaving = m_drain_started != absl::InfiniteFuture(),
             .admitted = m_runner.quota().admitted(),
             .loads = m_pool.own_load(),
-            .running = m_pool.own_requests(),
+            .asked_tokens = m_runner.asked_tokens(),
             .outcomes = m_runner.outcomes(),
             .usage = m_runner.usage().recent()};
 }
--- a/src/forward/peer_codec.cpp
+++ b/src/forward/peer_codec.cpp
@@ -68,8 +68,8 @@
             report.counts[workspace_id(workspace)] = count.get<std::int64_t>();
         beacon.usage.push_back(std::move(report));
     }
-    for (const auto& [service, requests] : fields.at(15).items())
-        beacon.running[service_id(service)] = requests.get<int>();
+    for (const auto& [service, tokens] : fields.at(15).items())
+        beacon.asked_tokens[service_id(service)] = tokens.get<std::int64_t>();
     return beacon;
 }
 
@@ -115,9 +115,9 @@
     json admitted = json::object();
     for (const auto& [workspace, cost] : beacon.admitted)
         admitted[workspace.str()] = cost;
-    json running = json::object();
-    for (const auto& [service, requests] : beacon.running)
-        running[service.str()] = requests;
+    json asked = json::object();
+    for (const auto& [service, tokens] : beacon.asked_tokens)
+        asked[service.str()] = tokens;
     json peers = json::array();
     for (const address& one : beacon.known_peers)
         peers.push_back(to_string(one));
@@ -137,7 +137,7 @@
             encode_outcomes(beacon),
             std::move(peers),
             encode_usage(beacon),
-            std::move(running)};
+            std::move(asked)};
 }
 
 // Tell the kinds of messages apart.
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -135,7 +135,7 @@
                        .lease_token = *m_lease.load(),
                        .admitted = local->admitted,
                        .loads = local->loads,
-                       .running = local->running,
+                       .asked_tokens = local->asked_tokens,
                        .outcomes = local->outcomes,
                        .usage = local->usage};
     std::vector<address> known;
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -153,6 +153,7 @@
     if (!admit(one, now))
         return;
     budget_of(one.query.service).on_first_attempt(now);
+    m_asked_tokens[one.query.service] += one.head.prompt_tokens;
     try_endpoint(one, now);
 }
 
--- a/test/forward_fleet_planner_test.cpp
+++ b/test/forward_fleet_planner_test.cpp
@@ -22,10 +22,10 @@
             .zone_prices = {{a, 1.0}, {b, 0.8}, {c, 1.25}}};
 }
 
-fleet_view make_view(int reclaimable, int on_demand, int requests)
+fleet_view make_view(int reclaimable, int on_demand, double tokens)
 {
     const fleet_view::zone_counts counts{.reclaimable = reclaimable, .on_demand = on_demand};
-    return {.zones = {{a, counts}, {b, counts}, {c, counts}}, .requests = requests};
+    return {.zones = {{a, counts}, {b, counts}, {c, counts}}, .tokens_per_second = tokens};
 }
 
 int desired(const std::vector<fleet_order>& orders, bool reclaimable)
@@ -63,10 +63,11 @@
 {
     fleet_planner planner = make_planner();
     planner.plan(make_view(5, 0, 0), make_spec(), start);
-    fleet_view view = make_view(5, 0, 60);
+    fleet_view view = make_view(5, 0, 400000);
     view.zones[a].reclaimable = 0;
     view.zones[b].reclaimable = 0;
     auto orders = planner.plan(view, make_spec(), start + absl::Seconds(20));
+    EXPECT_EQ(desired(orders, false), 0);
     for (const fleet_order& one : orders)
         if (one.reclaimable)
             planner.on_refused(one, start + absl::Seconds(20));
@@ -74,6 +75,21 @@
     EXPECT_GT(desired(orders, false), 0);
 }
 
+// Zones are often reclaimed one after the other, faster than an endpoint boots.
+TEST(fleet_planner, covers_the_other_zones_when_one_is_reclaimed)
+{
+    fleet_planner planner = make_planner();
+    planner.plan(make_view(8, 0, 0), make_spec(), start);
+    fleet_view view = make_view(8, 0, 0);
+    view.zones[a].reclaimable = 0;
+    view.reclaiming = true;
+    EXPECT_GE(desired(planner.plan(view, make_spec(), start + absl::Seconds(20)), false), 10);
+    view = make_view(8, 4, 0);
+    const auto later = planner.plan(view, make_spec(), start + absl::Seconds(40));
+    EXPECT_EQ(desired(later, false), 0);
+    EXPECT_FALSE(later.empty());
+}
+
 TEST(fleet_planner, asks_a_dry_zone_again_only_after_a_pause)
 {
     fleet_planner planner = make_planner();
@@ -96,7 +112,8 @@
         for (const zone_id& zone : {a, b, c})
             view.zones[zone] = {.reclaimable = *rc::gen::inRange(0, 13),
                                 .on_demand = *rc::gen::inRange(0, 13)};
-        view.requests = *rc::gen::inRange(0, 500);
+        view.tokens_per_second = *rc::gen::inRange(0, 2000000);
+        view.reclaiming = *rc::gen::arbitrary<bool>();
         for (const fleet_order& one : planner.plan(view, spec, now)) {
             RC_ASSERT(one.desired >= 0 && one.desired <= spec.max);
             if (*rc::gen::arbitrary<bool>())
--- a/test/forward_peers_test.cpp
+++ b/test/forward_peers_test.cpp
@@ -35,7 +35,7 @@
     beacon.lease_token = 9;
     beacon.admitted[workspace_id("w")] = 12.5;
     beacon.loads = {{endpoint_id("e1"), 2, 500}};
-    beacon.running[service_id("s")] = 2;
+    beacon.asked_tokens[service_id("s")] = 2;
     beacon.outcomes = {{.service = service_id("s"), .target = version_id("v2"), .target_bad = 4}};
     beacon.usage = {{.window = 4, .counts = {{workspace_id("w"), 3}}}};
     beacon.known_peers = {{.host = "127.0.0.1", .port = 8}};
