Give large shared prompt parts one home in all regions

Usage of broken streams was counted only after their first event, two clock readings lay apart on a busy node, and the log line of a request did not name its endpoint. Change: a part of 2,000 tokens or more has one home over all regions; reading tokens again weighs twice; a broken stream counts as begun; the clocks are read within five milliseconds or not used; request_finished names workspace, endpoint and what the choice weighed.

--- a/include/chivedeal/forward/endpoint_pool.hpp
+++ b/include/chivedeal/forward/endpoint_pool.hpp
@@ -64,7 +64,8 @@
     void on_refused(const endpoint_id& id, absl::Time now);
 
     /// Replaces what a peer has under way; adds what it sent since its last report.
-    void set_peer_load(const node_id& peer, const std::vector<endpoint_load>& loads, absl::Time now);
+    void set_peer_load(const node_id& peer, const std::vector<endpoint_load>& loads,
+                       absl::Time now);
     void forget_peer(const node_id& peer);
 
     /// What this node has under way, for its peers.
--- a/include/chivedeal/forward/exchange.hpp
+++ b/include/chivedeal/forward/exchange.hpp
@@ -40,6 +40,8 @@
 
     /// The attempt under way.
     std::optional<endpoint_choice> attempt;
+    /// The last choice, for the log.
+    endpoint_choice chosen;
     bool attempt_sent = false;
     bool attempt_answered = false;
     /// Prompt tokens that the endpoint is expected to read.
--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -28,8 +28,11 @@
 constexpr double failure_smoothing = 0.1;
 // Requests an endpoint may have queued, in parts of its slots, before it counts as full.
 constexpr double full_factor = 1.25;
-// Endpoints on which a shared prompt part is at home in each region.
-constexpr int homes = 1;
+// A shared part of this many tokens has one home in all regions: to read it again costs more than
+// the way there. Smaller ones have a home in each region.
+constexpr std::int64_t worth_the_way = 2000;
+// Reading a token again takes the engine from others, too.
+constexpr double reread_ms = 0.02;
 constexpr absl::Duration part_lifetime = absl::Seconds(60);
 constexpr std::size_t most_parts = 512;
 constexpr absl::Duration full_pause = absl::Milliseconds(150);
@@ -52,6 +55,14 @@
     return query.prefix[query.prefix.size() - 2].id;
 }
 
+std::int64_t shared_tokens(const endpoint_query& query)
+{
+    std::int64_t tokens = 0;
+    for (std::size_t i = 0; i + 1 < query.prefix.size(); ++i)
+        tokens += query.prefix[i].tokens;
+    return tokens;
+}
+
 } // namespace
 
 void endpoint_pool::update(const endpoint_record& record, absl::Time now)
@@ -108,19 +119,21 @@
         return error{.code = result_code::no_endpoint, .message = "no endpoint can be used"};
 
     const std::string key = affinity_key(query);
-    std::vector<std::pair<std::uint64_t, const entry*>> ranked;
-    if (!key.empty()) {
-        for (const entry* one : candidates)
-            if (is_local(*one))
-                ranked.emplace_back(rendezvous(key, one->record.id), one);
-        std::sort(ranked.rbegin(), ranked.rend());
-        ranked.resize(std::min<std::size_t>(ranked.size(), homes));
+    const bool anywhere = shared_tokens(query) >= worth_the_way;
+    const entry* home = nullptr;
+    std::uint64_t best_rank = 0;
+    for (const entry* one : candidates) {
+        if (key.empty() || (!anywhere && !is_local(*one)))
+            continue;
+        const std::uint64_t rank = rendezvous(key, one->record.id);
+        if (home == nullptr || rank > best_rank) {
+            home = one;
+            best_rank = rank;
+        }
     }
     std::vector<scored> scores;
     for (const entry* one : candidates) {
-        const bool is_home = std::any_of(ranked.begin(), ranked.end(),
-                                         [one](const auto& home) { return home.second == one; });
-        const std::int64_t cached = cached_tokens(*one, query, is_home, now);
+        const std::int64_t cached = cached_tokens(*one, query, one == home, now);
         scores.push_back({one, predict_ms(*one, query, cached, now), cached});
     }
     const auto best =
@@ -191,8 +204,8 @@
     return std::min(cached, query.prompt_tokens);
 }
 
-double endpoint_pool::predict_ms(const entry& one, const endpoint_query& query,
-                                 std::int64_t cached, absl::Time now) const
+double endpoint_pool::predict_ms(const entry& one, const endpoint_query& query, std::int64_t cached,
+                                 absl::Time now) const
 {
     const absl::Duration busy = std::max(absl::ZeroDuration(), one.read_by - now);
     const int requests = one.own_requests + one.peer_requests;
@@ -200,6 +213,7 @@
     double milliseconds =
         absl::ToDoubleMilliseconds(busy) +
         static_cast<double>(query.prompt_tokens - cached) / prompt_tokens_per_ms +
+        static_cast<double>(std::max<std::int64_t>(0, shared_tokens(query) - cached)) * reread_ms +
         full_batch_ms * requests / std::max(one.record.slots, 1) + queued_request_ms * queued +
         failing_ms * one.failure_share;
     milliseconds += is_local(one) ? remote_zone_ms : remote_region_ms;
@@ -289,9 +303,10 @@
 {
     std::vector<endpoint_load>& known = m_peer_loads[peer];
     for (const endpoint_load& load : loads) {
-        const auto before = std::find_if(
-            known.begin(), known.end(),
-            [&load](const endpoint_load& one) { return one.endpoint == load.endpoint; });
+        const auto before =
+            std::find_if(known.begin(), known.end(), [&load](const endpoint_load& one) {
+                return one.endpoint == load.endpoint;
+            });
         const auto found = m_entries.find(load.endpoint);
         if (found != m_entries.end() && before != known.end() &&
             load.sent_tokens > before->sent_tokens)
--- a/src/forward/endpoint_watcher.cpp
+++ b/src/forward/endpoint_watcher.cpp
@@ -23,15 +23,15 @@
 
 void log_change(const endpoint_record& record)
 {
-    log_event(record.leaving ? event_id::endpoint_leaving : event_id::endpoint_listed,
-              {{"endpoint", record.id.str()},
-               {"service", record.service.str()},
-               {"zone", record.zone.str()},
-               {"version", record.version.str()},
-               {"reclaimable", record.reclaimable ? "yes" : "no"},
-               {"leaves_ms", record.leaves_in
-                                 ? absl::StrCat(absl::ToInt64Milliseconds(*record.leaves_in))
-                                 : "unknown"}});
+    log_event(
+        record.leaving ? event_id::endpoint_leaving : event_id::endpoint_listed,
+        {{"endpoint", record.id.str()},
+         {"service", record.service.str()},
+         {"zone", record.zone.str()},
+         {"version", record.version.str()},
+         {"reclaimable", record.reclaimable ? "yes" : "no"},
+         {"leaves_ms", record.leaves_in ? absl::StrCat(absl::ToInt64Milliseconds(*record.leaves_in))
+                                        : "unknown"}});
 }
 
 } // namespace
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -35,6 +35,7 @@
 // Peers named in each beacon, in turn, so that each node hears of all others.
 constexpr std::size_t named_peers = 4;
 constexpr absl::Duration offset_step = absl::Milliseconds(20);
+constexpr absl::Duration longest_reading = absl::Milliseconds(5);
 
 } // namespace
 
@@ -227,7 +228,13 @@
         log_event(event_id::peer_dead, {{"peer", node.str()}});
         tell({node_event::peer_lost{node}});
     }
-    const absl::Duration offset = m_clocks.true_time(m_time.wall_now(), now) - now;
+    // The two clocks are read within a moment, or not used: a thread may lose its turn in between.
+    const absl::Time before = m_time.now();
+    const absl::Time wall = m_time.wall_now();
+    const absl::Time after = m_time.now();
+    if (after - before > longest_reading)
+        return;
+    const absl::Duration offset = m_clocks.true_time(wall, after) - after;
     const absl::Duration change = offset > m_offset ? offset - m_offset : m_offset - offset;
     if (change < offset_step)
         return;
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -185,6 +185,7 @@
         if (!is_ok(choice))
             return finish_failed(one, to_string(get_error(choice).code).c_str(), now);
         one.attempt = get_value(choice);
+        one.chosen = *one.attempt;
         one.attempt_sent = false;
         one.attempt_answered = false;
         one.attempt_read = false;
@@ -254,8 +255,7 @@
     one->rule.on_sent();
     ++one->attempts;
     if (one->match.matched->may_repeat() && one->rule.sent() < one->match.matched->attempts) {
-        const absl::Duration expected =
-            one->attempt->predicted * attempt_patience + least_patience;
+        const absl::Duration expected = one->attempt->predicted * attempt_patience + least_patience;
         one->attempt_deadline =
             now + std::min(expected, one->match.matched->goal * attempt_patience);
         schedule(*one);
@@ -412,8 +412,9 @@
     case attempt_outcome::failed:
         m_pool.on_failure(endpoint, now);
         count_outcome(one, false);
-        // It probably ran, unless a stream had not begun.
-        if (one.match.matched->kind != route_kind::streaming)
+        // It probably ran. A silent stream more likely waits.
+        if (outcome != attempt_outcome::timed_out ||
+            one.match.matched->kind != route_kind::streaming)
             count_usage(one, now);
         break;
     }
@@ -539,6 +540,11 @@
     log_event(event_id::request_finished,
               {{"request", one.head.id.str()},
                {"route", one.match.matched->name},
+               {"workspace", one.match.workspace == nullptr ? "" : one.match.workspace->name.str()},
+               {"endpoint", one.chosen.id.str()},
+               {"predicted_ms", milliseconds(one.chosen.predicted)},
+               {"cached_tokens", absl::StrCat(one.chosen.cached_tokens)},
+               {"candidates", absl::StrCat(one.chosen.candidates)},
                {"status", absl::StrCat(status)},
                {"reason", reason},
                {"attempts", absl::StrCat(one.attempts)},
