Expect nothing of an order for endpoints that were reclaimed since

Ruled out: a stale view of the lease holder, which was cut off from the store: it saw the reclaim 0.5 s later through its region's relay. Change: a reclaim of a zone drops what was ordered there.

--- a/include/chivedeal/forward/fleet_planner.hpp
+++ b/include/chivedeal/forward/fleet_planner.hpp
@@ -68,6 +68,7 @@
     {
         kind_state reclaimable;
         kind_state on_demand;
+        int leaving = 0;
     };
 
     // Endpoints that the load takes.
--- a/src/forward/fleet_planner.cpp
+++ b/src/forward/fleet_planner.cpp
@@ -52,9 +52,17 @@
 // The cloud takes a zone's reclaimable endpoints all at once; a plan gives up a few at a time.
 void fleet_planner::note_reclaims(const fleet_view& view, absl::Time now)
 {
-    for (const auto& [zone, counts] : view.zones)
-        if (counts.reclaimable_leaving >= 2 && counts.reclaimable_leaving >= counts.reclaimable)
-            m_reclaimed = now;
+    for (const auto& [zone, counts] : view.zones) {
+        zone_state& state = m_zones[zone];
+        const bool more = counts.reclaimable_leaving > state.leaving;
+        state.leaving = counts.reclaimable_leaving;
+        if (counts.reclaimable_leaving < 2 || counts.reclaimable_leaving < counts.reclaimable)
+            continue;
+        m_reclaimed = now;
+        // What was ordered before doesn't come any more.
+        if (more)
+            state.reclaimable = {.dry_until = state.reclaimable.dry_until};
+    }
 }
 
 int fleet_planner::carrying(const fleet_view& view) const
