Split the request runner and remove what nothing uses

Change: request_format, outcome_counter and reachability_log are classes and files of their own; unused fields, a declared but missing function and two unused lookups are gone. Conclusion: no change of behaviour.

--- a/include/chivedeal/forward/config_watcher.hpp
+++ b/include/chivedeal/forward/config_watcher.hpp
@@ -3,6 +3,7 @@
 
 #include "chivedeal/core/bounded_ring.hpp"
 #include "chivedeal/core/duty.hpp"
+#include "chivedeal/forward/reachability_log.hpp"
 #include "chivedeal/forward/relay_listener.hpp"
 #include "chivedeal/forward/relayed_batch.hpp"
 #include "chivedeal/forward/topic_tail.hpp"
@@ -51,7 +52,6 @@
     bool follow();
     void take(const record_batch& batch);
     void take(const stored_record& record);
-    void note_reachable(bool reachable, const std::string& reason);
 
     record_store& m_store;
     const wire_format& m_format;
@@ -65,7 +65,7 @@
     std::int64_t m_version = -1;
     // The newest order of each service; one past its record's offset.
     std::map<std::string, std::uint64_t> m_rollouts;
-    bool m_reachable = true;
+    reachability_log m_reachability{"configuration"};
 };
 
 } // namespace chivedeal::forward
--- a/include/chivedeal/forward/endpoint_pool.hpp
+++ b/include/chivedeal/forward/endpoint_pool.hpp
@@ -71,15 +71,7 @@
     /// What this node has under way, for its peers.
     std::vector<endpoint_load> own_load() const;
 
-    const endpoint_record* find(const endpoint_id& id) const;
-    std::vector<endpoint_record> records() const;
-
 private:
-    struct known_part
-    {
-        absl::Time used;
-    };
-
     struct entry
     {
         endpoint_record record;
@@ -91,8 +83,8 @@
         int failures_in_row = 0;
         double failure_share = 0;
         absl::Time unusable_until = absl::InfinitePast();
-        // Shared prompt parts that this node's requests left in the endpoint's memory.
-        absl::flat_hash_map<std::string, known_part> parts;
+        // Prompt parts that this node's requests left in the endpoint's memory, by last use.
+        absl::flat_hash_map<std::string, absl::Time> parts;
     };
 
     struct scored
--- a/include/chivedeal/forward/endpoint_watcher.hpp
+++ b/include/chivedeal/forward/endpoint_watcher.hpp
@@ -4,6 +4,7 @@
 #include "chivedeal/core/bounded_ring.hpp"
 #include "chivedeal/core/duty.hpp"
 #include "chivedeal/forward/endpoint_directory.hpp"
+#include "chivedeal/forward/reachability_log.hpp"
 #include "chivedeal/forward/relay_listener.hpp"
 #include "chivedeal/forward/relayed_batch.hpp"
 #include "chivedeal/forward/topic_tail.hpp"
@@ -52,7 +53,6 @@
     // Returns whether the record changed what is known.
     bool take(const stored_record& record);
     void tell(const std::vector<node_event>& events) const;
-    void note_reachable(bool reachable, const std::string& reason);
 
     record_store& m_store;
     const wire_format& m_format;
@@ -66,7 +66,7 @@
     topic_tail m_tail;
     endpoint_directory m_directory;
     bool m_loaded = false;
-    bool m_reachable = true;
+    reachability_log m_reachability{"endpoints"};
 };
 
 } // namespace chivedeal::forward
--- a/include/chivedeal/forward/exchange.hpp
+++ b/include/chivedeal/forward/exchange.hpp
@@ -55,8 +55,6 @@
     std::string body;
     /// The caller has got the head of a streamed answer.
     bool relaying = false;
-    /// The stream goes on at another endpoint; its head isn't passed on.
-    bool resuming = false;
     event_splitter events;
     absl::Time first_byte = absl::InfiniteFuture();
     bool usage_counted = false;
--- a/include/chivedeal/forward/header_names.hpp
+++ b/include/chivedeal/forward/header_names.hpp
@@ -22,8 +22,6 @@
     std::string priority = "Chivedeal-Priority";
     /// On an answer: the endpoint did not run the request.
     std::string not_run = "Chivedeal-Not-Run";
-    /// On an answer: running, waiting and slots, separated by commas.
-    std::string load = "Chivedeal-Load";
     /// A 2xx without this header isn't the endpoint's answer; empty when answers aren't signed.
     std::string signature;
     /// Further headers that only the system may set; dropped from callers' requests.
--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -7,10 +7,9 @@
 #include "chivedeal/forward/exchange.hpp"
 #include "chivedeal/forward/header_names.hpp"
 #include "chivedeal/forward/node_settings.hpp"
-#include "chivedeal/forward/rollout_order.hpp"
+#include "chivedeal/forward/outcome_counter.hpp"
 #include "chivedeal/forward/token_quota.hpp"
 #include "chivedeal/forward/usage_ledger.hpp"
-#include "chivedeal/forward/version_outcomes.hpp"
 #include "chivedeal/requests/retry_budget.hpp"
 
 #include "absl/container/flat_hash_map.h"
@@ -79,11 +78,8 @@
     /// True time minus the steady clock, for the windows of usage.
     void set_true_time_offset(absl::Duration offset) { m_true_time_offset = offset; }
 
-    /// Counts outcomes by version from now on.
-    void watch_rollout(const rollout_order& order);
-    void forget_rollout(const service_id& service);
-    std::vector<version_outcomes> outcomes() const;
-
+    outcome_counter& outcomes() { return m_outcomes; }
+    const outcome_counter& outcomes() const { return m_outcomes; }
     /// Prompt tokens that callers asked each service to read, since the start.
     const std::map<service_id, std::int64_t>& asked_tokens() const { return m_asked_tokens; }
 
@@ -93,8 +89,6 @@
     std::vector<workspace_spec> limits_with_tolerance() const;
     bool admit(exchange& one, absl::Time now);
     void try_endpoint(exchange& one, absl::Time now);
-    bool may_repeat_now(exchange& one, absl::Time now);
-    std::string format_request(const exchange& one, absl::Time now) const;
     void end_attempt(exchange& one, attempt_outcome outcome, const char* reason, absl::Time now);
     void after_failure(exchange& one, attempt_outcome outcome, absl::Time now);
     void begin_relay(exchange& one, const http_response_head& head, absl::Time now);
@@ -122,7 +116,6 @@
     endpoint_side& m_endpoints;
     endpoint_pool& m_pool;
     metrics& m_counters;
-    std::vector<std::string> m_dropped_fields;
     std::shared_ptr<const route_index> m_index;
     int m_nodes = 1;
     token_quota m_quota;
@@ -132,7 +125,7 @@
     absl::flat_hash_map<std::uint64_t, std::uint64_t> m_by_connection;
     std::set<std::pair<absl::Time, std::uint64_t>> m_timers;
     std::map<service_id, std::unique_ptr<requests::retry_budget>> m_budgets;
-    std::map<service_id, version_outcomes> m_outcomes;
+    outcome_counter m_outcomes;
     std::map<service_id, std::int64_t> m_asked_tokens;
     absl::InsecureBitGen m_random;
     std::uint64_t m_next = 1;
--- a/src/forward/config_watcher.cpp
+++ b/src/forward/config_watcher.cpp
@@ -63,9 +63,11 @@
 bool config_watcher::load()
 {
     const auto batch = m_store.newest(topic::configuration);
-    note_reachable(is_ok(batch), is_ok(batch) ? "" : get_error(batch).message);
-    if (!is_ok(batch))
+    if (!is_ok(batch)) {
+        m_reachability.note_failed(get_error(batch).message);
         return false;
+    }
+    m_reachability.note_reached();
     take(get_value(batch));
     m_tail.on_own_read(get_value(batch).next);
     return true;
@@ -75,9 +77,11 @@
 {
     const std::uint64_t begin = *m_tail.next();
     const auto batch = m_store.read(topic::configuration, begin, poll_wait);
-    note_reachable(is_ok(batch), is_ok(batch) ? "" : get_error(batch).message);
-    if (!is_ok(batch))
+    if (!is_ok(batch)) {
+        m_reachability.note_failed(get_error(batch).message);
         return false;
+    }
+    m_reachability.note_reached();
     take(get_value(batch));
     m_tail.on_own_read(get_value(batch).next);
     if (get_value(batch).truncated) {
@@ -133,15 +137,4 @@
         one->on_event({node_event::config_changed{index}});
 }
 
-void config_watcher::note_reachable(bool reachable, const std::string& reason)
-{
-    if (reachable == m_reachable)
-        return;
-    m_reachable = reachable;
-    if (reachable)
-        log_event(event_id::store_recovered, {{"topic", "configuration"}});
-    else
-        log_event(event_id::store_unreachable, {{"topic", "configuration"}, {"reason", reason}});
-}
-
 } // namespace chivedeal::forward
--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -194,7 +194,7 @@
     std::int64_t cached = 0;
     for (const prompt_part& part : query.prefix) {
         const auto known = one.parts.find(part.id);
-        const bool held = known != one.parts.end() && now - known->second.used < part_lifetime;
+        const bool held = known != one.parts.end() && now - known->second < part_lifetime;
         const bool shared = &part != &query.prefix.back();
         // A part that is at home here was probably left by a peer's requests.
         if (!held && !(is_home && shared))
@@ -250,7 +250,7 @@
     if (one.parts.size() > most_parts)
         one.parts.clear();
     for (const prompt_part& part : query.prefix)
-        one.parts[part.id] = {.used = now};
+        one.parts[part.id] = now;
 }
 
 void endpoint_pool::on_ended(const endpoint_id& id)
@@ -346,18 +346,4 @@
     return loads;
 }
 
-const endpoint_record* endpoint_pool::find(const endpoint_id& id) const
-{
-    const auto found = m_entries.find(id);
-    return found == m_entries.end() ? nullptr : &found->second.record;
-}
-
-std::vector<endpoint_record> endpoint_pool::records() const
-{
-    std::vector<endpoint_record> all;
-    for (const auto& [id, one] : m_entries)
-        all.push_back(one.record);
-    return all;
-}
-
 } // namespace chivedeal::forward
--- a/src/forward/endpoint_watcher.cpp
+++ b/src/forward/endpoint_watcher.cpp
@@ -74,9 +74,12 @@
 bool endpoint_watcher::load()
 {
     const auto batch = m_store.newest(topic::endpoints);
-    note_reachable(is_ok(batch), is_ok(batch) ? "" : get_error(batch).message);
-    if (!is_ok(batch))
+    if (!is_ok(batch)) {
+        m_directory.on_store_failed(m_time.now());
+        m_reachability.note_failed(get_error(batch).message);
         return false;
+    }
+    m_reachability.note_reached();
     std::vector<endpoint_record> records;
     for (const stored_record& record : get_value(batch).records) {
         if (record.removed)
@@ -102,9 +105,12 @@
 {
     const std::uint64_t begin = *m_tail.next();
     const auto batch = m_store.read(topic::endpoints, begin, absl::ZeroDuration());
-    note_reachable(is_ok(batch), is_ok(batch) ? "" : get_error(batch).message);
-    if (!is_ok(batch))
+    if (!is_ok(batch)) {
+        m_directory.on_store_failed(m_time.now());
+        m_reachability.note_failed(get_error(batch).message);
         return false;
+    }
+    m_reachability.note_reached();
     if (get_value(batch).truncated) {
         m_tail.reset();
         return true;
@@ -162,17 +168,4 @@
     }
 }
 
-void endpoint_watcher::note_reachable(bool reachable, const std::string& reason)
-{
-    if (!reachable)
-        m_directory.on_store_failed(m_time.now());
-    if (reachable == m_reachable)
-        return;
-    m_reachable = reachable;
-    if (reachable)
-        log_event(event_id::store_recovered, {{"topic", "endpoints"}});
-    else
-        log_event(event_id::store_unreachable, {{"topic", "endpoints"}, {"reason", reason}});
-}
-
 } // namespace chivedeal::forward
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -162,7 +162,7 @@
         m_runner.set_nodes(m_book.ready_count() + 1);
     }
     else if (const auto* order = std::get_if<node_event::rollout_ordered>(&event.value)) {
-        m_runner.watch_rollout(order->order);
+        m_runner.outcomes().watch(order->order);
     }
     else if (const auto* share = std::get_if<node_event::version_decided>(&event.value)) {
         if (share->share)
@@ -222,7 +222,7 @@
             .admitted = m_runner.quota().admitted(),
             .loads = m_pool.own_load(),
             .asked_tokens = m_runner.asked_tokens(),
-            .outcomes = m_runner.outcomes(),
+            .outcomes = m_runner.outcomes().all(),
             .usage = m_runner.usage().recent()};
 }
 
--- /dev/null
+++ b/src/forward/outcome_counter.cpp
@@ -0,0 +1,31 @@
+#include "chivedeal/forward/outcome_counter.hpp"
+
+namespace chivedeal::forward {
+
+void outcome_counter::watch(const rollout_order& order)
+{
+    m_counts[order.service] = {
+        .service = order.service, .target = order.target, .order_offset = order.offset};
+}
+
+void outcome_counter::count(const service_id& service, const version_id& version, bool good)
+{
+    const auto watched = m_counts.find(service);
+    if (watched == m_counts.end())
+        return;
+    version_outcomes& counts = watched->second;
+    if (version == counts.target)
+        ++(good ? counts.target_good : counts.target_bad);
+    else
+        ++(good ? counts.other_good : counts.other_bad);
+}
+
+std::vector<version_outcomes> outcome_counter::all() const
+{
+    std::vector<version_outcomes> counts;
+    for (const auto& [service, one] : m_counts)
+        counts.push_back(one);
+    return counts;
+}
+
+} // namespace chivedeal::forward
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -6,6 +6,7 @@
 #include "chivedeal/forward/endpoint_side.hpp"
 #include "chivedeal/forward/head_parser.hpp"
 #include "chivedeal/forward/http_fields.hpp"
+#include "chivedeal/forward/request_format.hpp"
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
@@ -35,11 +36,11 @@
 // Part of the platform's retry bound that the nodes use together.
 constexpr double budget_use = 0.8;
 constexpr double tolerance_use = 0.5;
-constexpr int lowest_priority = 9;
 // An answer slower than this multiple of the objective counts against a new version.
 constexpr double slow_factor = 3;
 
-bool is_final_server_refusal(int status)
+// Callers take these for "not run, and never will be".
+bool promises_not_run(int status)
 {
     return status == 503 || status == 429 || status == 408 || status == 421;
 }
@@ -77,13 +78,8 @@
       m_endpoints(parts.endpoints),
       m_pool(parts.pool),
       m_counters(parts.counters),
-      m_dropped_fields(parts.names.reserved),
       m_usage(parts.settings.usage_window)
-{
-    for (const std::string& name : {m_names.workspace, m_names.expected_endpoint, m_names.priority,
-                                    m_names.deadline_ms, std::string("Authorization")})
-        m_dropped_fields.push_back(name);
-}
+{}
 
 request_runner::~request_runner() = default;
 
@@ -199,7 +195,7 @@
         const bool sent = m_endpoints.send({.exchange = one.id,
                                             .endpoint = one.attempt->id,
                                             .address = one.attempt->address,
-                                            .bytes = format_request(one, now),
+                                            .bytes = format_request(one, m_names, now),
                                             .expected_id = one.head.id,
                                             .is_head_request = one.head.method == "HEAD",
                                             .max_connections = connection_limit(one.query.service)},
@@ -216,36 +212,6 @@
     schedule(one);
 }
 
-std::string request_runner::format_request(const exchange& one, absl::Time now) const
-{
-    std::string out = absl::StrCat(one.request.method, " ", one.request.target, " HTTP/1.1\r\n");
-    std::vector<http_field> fields = end_to_end_fields(one.request.fields, m_dropped_fields);
-    if (one.match.matched->resumable && !one.events.last_id().empty()) {
-        fields.erase(std::remove_if(fields.begin(), fields.end(),
-                                    [this](const http_field& field) {
-                                        return absl::EqualsIgnoreCase(field.name,
-                                                                      m_names.last_event_id);
-                                    }),
-                     fields.end());
-        fields.push_back({m_names.last_event_id, one.events.last_id()});
-    }
-    fields.push_back({m_names.expected_endpoint, one.attempt->id.str()});
-    const auto left = absl::ToInt64Milliseconds(one.give_up_at - now);
-    fields.push_back({m_names.deadline_ms, absl::StrCat(std::max<std::int64_t>(left, 1))});
-    int priority = one.match.matched->priority;
-    if (one.match.workspace != nullptr) {
-        fields.push_back({m_names.workspace, one.match.workspace->name.str()});
-        priority = one.match.workspace->priority.value_or(priority);
-    }
-    fields.push_back({m_names.priority, absl::StrCat(std::clamp(priority, 0, lowest_priority))});
-    append_fields(out, fields);
-    if (!one.request.body.empty() || one.request.method == "POST" || one.request.method == "PUT")
-        absl::StrAppend(&out, "Content-Length: ", one.request.body.size(), "\r\n");
-    out += "\r\n";
-    out += one.request.body;
-    return out;
-}
-
 void request_runner::on_request_sent(std::uint64_t id, absl::Time now)
 {
     exchange* one = find(id);
@@ -363,7 +329,7 @@
                                   find_field(one.answer.fields, m_names.signature) == nullptr;
     if (unsigned_success || find_field(one.answer.fields, "Content-Encoding") != nullptr)
         return end_attempt(one, attempt_outcome::broken, "not the endpoint's answer", now);
-    if (status / 100 == 5 || is_final_server_refusal(status))
+    if (status / 100 == 5 || promises_not_run(status))
         return end_attempt(one, attempt_outcome::failed, "failed by the endpoint", now);
     deliver(one, now);
 }
@@ -437,7 +403,6 @@
         release_attempt(one);
         one.query.excluded.push_back(failed.id);
         one.events.drop_partial();
-        one.resuming = one.relaying;
         m_counters.add("chivedeal_attempts_retried_total", 1);
         return try_endpoint(one, now);
     }
@@ -448,7 +413,7 @@
     }
     // A failure that the endpoint answered itself is passed on, unless its status would promise
     // that the request did not run.
-    if (outcome == attempt_outcome::failed && !is_final_server_refusal(one.answer.status))
+    if (outcome == attempt_outcome::failed && !promises_not_run(one.answer.status))
         return deliver(one, now);
     release_attempt(one);
     finish_failed(one, "attempts used up", now);
@@ -568,30 +533,8 @@
 
 void request_runner::count_outcome(const exchange& one, bool good)
 {
-    const auto watched = m_outcomes.find(one.query.service);
-    if (watched == m_outcomes.end() || !one.attempt)
-        return;
-    version_outcomes& counts = watched->second;
-    if (one.attempt->version == counts.target)
-        ++(good ? counts.target_good : counts.target_bad);
-    else
-        ++(good ? counts.other_good : counts.other_bad);
-}
-
-void request_runner::watch_rollout(const rollout_order& order)
-{
-    m_outcomes[order.service] = {
-        .service = order.service, .target = order.target, .order_offset = order.offset};
-}
-
-void request_runner::forget_rollout(const service_id& service) { m_outcomes.erase(service); }
-
-std::vector<version_outcomes> request_runner::outcomes() const
-{
-    std::vector<version_outcomes> all;
-    for (const auto& [service, counts] : m_outcomes)
-        all.push_back(counts);
-    return all;
+    if (one.attempt)
+        m_outcomes.count(one.query.service, one.attempt->version, good);
 }
 
 void request_runner::schedule(exchange& one)
