Drive a whole forwarding node in tests, with fakes of the platform

Change: hand-written fakes of the store and the duty calls; ten tests over a running node: 503 before a configuration, fields, 401 and 404, not run only when true, answers of other requests, leaving endpoints, configurations that never go back, usage once a window, drain, directory.

--- /dev/null
+++ b/test/forward_node_test.cpp
@@ -0,0 +1,330 @@
+#include "chivedeal/core/posix_thread.hpp"
+#include "chivedeal/forward/forwarding_node.hpp"
+#include "fakes/fake_duty_api.hpp"
+#include "fakes/fake_record_store.hpp"
+#include "fakes/free_address.hpp"
+#include "platform/json_wire_format.hpp"
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+
+#include <gtest/gtest.h>
+#include <httplib.h>
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace chivedeal::forward {
+namespace {
+
+constexpr absl::Duration patience = absl::Seconds(30);
+
+bool wait_until(const std::function<bool()>& condition)
+{
+    const absl::Time deadline = absl::Now() + patience;
+    while (absl::Now() < deadline) {
+        if (condition())
+            return true;
+        absl::SleepFor(absl::Milliseconds(20));
+    }
+    return false;
+}
+
+/// An endpoint that answers by path and counts what it ran.
+class test_endpoint
+{
+public:
+    test_endpoint() : m_address(fakes::free_address())
+    {
+        m_server.Post("/app/echo", [this](const httplib::Request& request, httplib::Response& out) {
+            ++m_runs;
+            m_last = request;
+            out.set_header("Chivedeal-Request-Id",
+                           request.get_header_value("Chivedeal-Request-Id"));
+            out.set_content(request.body, "text/plain");
+        });
+        m_server.Post("/app/full", [](const httplib::Request& /*request*/, httplib::Response& out) {
+            out.status = 503;
+            out.set_header("Chivedeal-Not-Run", "1");
+        });
+        m_server.Post("/app/late",
+                      [this](const httplib::Request& /*request*/, httplib::Response& out) {
+                          ++m_runs;
+                          out.set_header("Chivedeal-Request-Id", "of-another-request");
+                          out.set_content("not yours", "text/plain");
+                      });
+        m_server.Post("/app/busy",
+                      [this](const httplib::Request& /*request*/, httplib::Response& out) {
+                          ++m_runs;
+                          out.status = 503;
+                      });
+        m_thread = std::make_unique<posix_thread>(
+            "endpoint", [this] { m_server.listen(m_address.host, m_address.port); });
+        wait_until([this] { return m_server.is_running(); });
+    }
+
+    ~test_endpoint()
+    {
+        m_server.stop();
+        m_thread.reset();
+    }
+
+    const address& at() const { return m_address; }
+    int runs() const { return m_runs; }
+    const httplib::Request& last() const { return m_last; }
+
+private:
+    address m_address;
+    httplib::Server m_server;
+    std::atomic<int> m_runs = 0;
+    httplib::Request m_last;
+    std::unique_ptr<posix_thread> m_thread;
+};
+
+/// A node with fakes of the platform, and callers' requests to it.
+class forwarding_node_test : public ::testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        m_settings = {.node = node_id("n1"),
+                      .zone = zone_id("z"),
+                      .region = region_id("r"),
+                      .zones = {{zone_id("z"), region_id("r")}},
+                      .front = fakes::free_address(),
+                      .ready = fakes::free_address(),
+                      .directory = fakes::free_address(),
+                      .peers = fakes::free_address(),
+                      .metrics = fakes::free_address(),
+                      .address_ttl = absl::Milliseconds(100),
+                      .grace = absl::Seconds(2),
+                      .lease_term = absl::Milliseconds(500),
+                      .usage_window = absl::Seconds(1),
+                      .reports_usage = true};
+    }
+
+    void start()
+    {
+        m_node = std::make_unique<forwarding_node>(forwarding_node::options{
+            .settings = m_settings,
+            .names = {},
+            .format = std::make_unique<platform::json_wire_format>(),
+            .make_store = [this] { return std::make_unique<fakes::fake_record_store>(m_topics); },
+            .platform = std::make_unique<fakes::fake_duty_api>(m_calls)});
+        m_thread = std::make_unique<posix_thread>("node", [this] { m_node->run(); });
+    }
+
+    void TearDown() override
+    {
+        if (m_node)
+            m_node->request_stop();
+        m_thread.reset();
+        m_node.reset();
+    }
+
+    void configure(int version)
+    {
+        m_topics->put(
+            topic::configuration, "config",
+            absl::StrCat(R"({"version":)", version,
+                         R"(,"routes":[{"name":"app","host":"h","path_prefix":"/app/",)"
+                         R"("kind":"unsafe","timeout_ms":5000,"goal_ms":200,"attempts":1,)"
+                         R"("service":"s"}],"services":[{"name":"s","max_conns":20}],)"
+                         R"("tenants":[{"name":"w","api_keys":["key"]}]})"));
+    }
+
+    void list_endpoint(const test_endpoint& endpoint, const char* state = "ready")
+    {
+        m_topics->put(topic::endpoints, "e1",
+                      absl::StrCat(R"({"service":"s","addr":")", to_string(endpoint.at()),
+                                   R"(","zone":"z","version":"v1","slots":4,"state":")", state,
+                                   R"("})"));
+    }
+
+    bool ready()
+    {
+        httplib::Client client(m_settings.ready->host, m_settings.ready->port);
+        const auto answer = client.Get("/v1/ready");
+        return answer && answer->status == 200;
+    }
+
+    httplib::Result post(const std::string& path, const std::string& key = "key")
+    {
+        httplib::Client client(m_settings.front.host, m_settings.front.port);
+        return client.Post(path,
+                           {{"Host", "h"},
+                            {"Chivedeal-Request-Id", "id-1"},
+                            {"Chivedeal-Deadline-Ms", "4000"},
+                            {"Chivedeal-Workspace", "forged"},
+                            {"Authorization", "Bearer " + key}},
+                           "body", "text/plain");
+    }
+
+    node_settings m_settings;
+    std::shared_ptr<fakes::fake_topics> m_topics = std::make_shared<fakes::fake_topics>();
+    std::shared_ptr<fakes::fake_duty_calls> m_calls = std::make_shared<fakes::fake_duty_calls>();
+    std::unique_ptr<forwarding_node> m_node;
+    std::unique_ptr<posix_thread> m_thread;
+};
+
+// A node that knows no configuration must not say 404 for what it merely doesn't know yet.
+TEST_F(forwarding_node_test, answers_503_before_any_configuration)
+{
+    start();
+    ASSERT_TRUE(wait_until([this] { return static_cast<bool>(post("/app/echo")); }));
+    const auto answer = post("/app/echo");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 503);
+    EXPECT_TRUE(answer->has_header("Retry-After"));
+    EXPECT_FALSE(ready());
+}
+
+TEST_F(forwarding_node_test, forwards_a_request_with_the_systems_own_fields)
+{
+    const test_endpoint endpoint;
+    configure(1);
+    list_endpoint(endpoint);
+    start();
+    ASSERT_TRUE(wait_until([this] { return ready(); }));
+    const auto answer = post("/app/echo");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200);
+    EXPECT_EQ(answer->body, "body");
+    const httplib::Request& seen = endpoint.last();
+    EXPECT_EQ(seen.get_header_value("Chivedeal-Request-Id"), "id-1");
+    EXPECT_EQ(seen.get_header_value("Chivedeal-Endpoint"), "e1");
+    // The caller's key stays here, and it can't choose its workspace.
+    EXPECT_EQ(seen.get_header_value("Chivedeal-Workspace"), "w");
+    EXPECT_FALSE(seen.has_header("Authorization"));
+    EXPECT_LE(std::stoi(seen.get_header_value("Chivedeal-Deadline-Ms")), 4000);
+}
+
+TEST_F(forwarding_node_test, refuses_what_the_configuration_does_not_allow)
+{
+    const test_endpoint endpoint;
+    configure(1);
+    list_endpoint(endpoint);
+    start();
+    ASSERT_TRUE(wait_until([this] { return ready(); }));
+    EXPECT_EQ(post("/app/echo", "other")->status, 401);
+    EXPECT_EQ(post("/elsewhere")->status, 404);
+    EXPECT_EQ(endpoint.runs(), 0);
+}
+
+// "Not run" is only said where the endpoint said it; a bare 503 of an endpoint proves nothing.
+TEST_F(forwarding_node_test, says_not_run_only_when_it_is_true)
+{
+    const test_endpoint endpoint;
+    configure(1);
+    list_endpoint(endpoint);
+    start();
+    ASSERT_TRUE(wait_until([this] { return ready(); }));
+    EXPECT_EQ(post("/app/full")->status, 503);
+    EXPECT_EQ(endpoint.runs(), 0);
+    EXPECT_EQ(post("/app/busy")->status, 502);
+    EXPECT_EQ(endpoint.runs(), 1);
+}
+
+// An answer to another request must not reach this caller, and the request must not run again.
+TEST_F(forwarding_node_test, passes_on_no_answer_of_another_request)
+{
+    const test_endpoint endpoint;
+    configure(1);
+    list_endpoint(endpoint);
+    start();
+    ASSERT_TRUE(wait_until([this] { return ready(); }));
+    const auto answer = post("/app/late");
+    ASSERT_TRUE(answer);
+    EXPECT_GE(answer->status, 502);
+    EXPECT_NE(answer->status, 503);
+    EXPECT_EQ(answer->body.find("not yours"), std::string::npos);
+    EXPECT_EQ(endpoint.runs(), 1);
+}
+
+TEST_F(forwarding_node_test, sends_nothing_to_a_leaving_endpoint)
+{
+    const test_endpoint endpoint;
+    configure(1);
+    list_endpoint(endpoint);
+    start();
+    ASSERT_TRUE(wait_until([this] { return ready(); }));
+    list_endpoint(endpoint, "draining");
+    EXPECT_TRUE(wait_until([this] { return post("/app/echo")->status == 503; }));
+    const int runs = endpoint.runs();
+    EXPECT_EQ(post("/app/echo")->status, 503);
+    EXPECT_EQ(endpoint.runs(), runs);
+}
+
+// A version that isn't newer, read from a replica that lags, changes nothing.
+TEST_F(forwarding_node_test, never_goes_back_to_an_older_configuration)
+{
+    const test_endpoint endpoint;
+    configure(5);
+    list_endpoint(endpoint);
+    start();
+    ASSERT_TRUE(wait_until([this] { return ready(); }));
+    m_topics->put(topic::configuration, "config",
+                  R"({"version":4,"routes":[],"services":[],"tenants":[]})");
+    absl::SleepFor(absl::Seconds(1));
+    EXPECT_EQ(post("/app/echo")->status, 200);
+}
+
+TEST_F(forwarding_node_test, reports_each_window_of_usage_once)
+{
+    const test_endpoint endpoint;
+    configure(1);
+    list_endpoint(endpoint);
+    start();
+    ASSERT_TRUE(wait_until([this] { return ready(); }));
+    for (int i = 0; i < 5; ++i)
+        EXPECT_EQ(post("/app/echo")->status, 200);
+    ASSERT_TRUE(wait_until([this] {
+        const std::lock_guard<mutex> lock(m_calls->guard);
+        std::int64_t total = 0;
+        for (const auto& [report, fence] : m_calls->reports)
+            for (const auto& [workspace, count] : report.counts)
+                total += count;
+        return total >= 5;
+    }));
+    const std::lock_guard<mutex> lock(m_calls->guard);
+    std::set<std::int64_t> windows;
+    for (const auto& [report, fence] : m_calls->reports)
+        EXPECT_TRUE(windows.insert(report.window).second) << report.window;
+}
+
+TEST_F(forwarding_node_test, leaves_gracefully_after_a_drain_request)
+{
+    const test_endpoint endpoint;
+    configure(1);
+    list_endpoint(endpoint);
+    start();
+    ASSERT_TRUE(wait_until([this] { return ready(); }));
+    m_node->request_drain();
+    EXPECT_TRUE(wait_until([this] { return !ready(); }));
+    // `run` returns by itself.
+    m_thread->join();
+}
+
+TEST_F(forwarding_node_test, names_itself_to_callers_and_serves_metrics)
+{
+    const test_endpoint endpoint;
+    configure(1);
+    list_endpoint(endpoint);
+    start();
+    ASSERT_TRUE(wait_until([this] { return ready(); }));
+    httplib::Client directory(m_settings.directory->host, m_settings.directory->port);
+    const auto addresses = directory.Get("/v1/resolve?region=r");
+    ASSERT_TRUE(addresses);
+    EXPECT_NE(addresses->body.find(to_string(m_settings.front)), std::string::npos);
+    httplib::Client metrics(m_settings.metrics->host, m_settings.metrics->port);
+    const auto page = metrics.Get("/metrics");
+    ASSERT_TRUE(page);
+    EXPECT_NE(page->body.find("chivedeal_requests_under_way"), std::string::npos);
+}
+
+} // namespace
+} // namespace chivedeal::forward
