Wait longer after failed reads of the store and trust a peer's read for longer

Cause: calls that the store refuses are paid as well; while it is away each node asked it ten times a second. Change: reads pause 0.2, 0.4, then 0.8 s after failures; a peer's read counts for 1.4 s, so that a late reader doesn't make its whole region read; nodes look for others each 30 s. Test: waits_longer_after_each_failed_read.

--- a/include/chivedeal/forward/topic_tail.hpp
+++ b/include/chivedeal/forward/topic_tail.hpp
@@ -22,8 +22,12 @@
     struct options
     {
         node_id self;
-        /// A peer's read stands in for an own one for this long.
-        absl::Duration trust = absl::Milliseconds(1100);
+        /// A peer's read stands in for an own one for this long. Peers read every 600 ms, later on
+        /// busy machines; what changed has to be known everywhere within 2.5 s.
+        absl::Duration trust = absl::Milliseconds(1400);
+        /// Pause after a failed read; doubled with each further one up to the longest.
+        absl::Duration first_pause = absl::Milliseconds(200);
+        absl::Duration longest_pause = absl::Milliseconds(800);
     };
 
     explicit topic_tail(options settings) : m_options(std::move(settings)) {}
@@ -35,7 +39,11 @@
     {
         m_next = next;
         m_behind = false;
+        m_failures = 0;
     }
+    /// Returns how long to wait before the next own read.
+    absl::Duration on_failed_read();
+
     /// The whole topic has to be read anew.
     void reset() { m_next.reset(); }
 
@@ -48,6 +56,7 @@
     options m_options;
     std::optional<std::uint64_t> m_next;
     bool m_behind = false;
+    int m_failures = 0;
     absl::Time m_trusted_until = absl::InfinitePast();
 };
 
--- a/src/forward/config_watcher.cpp
+++ b/src/forward/config_watcher.cpp
@@ -20,7 +20,8 @@
 // Short enough that a node which follows a peer's reads, and the peer's end, has a configuration
 // in force in time.
 constexpr absl::Duration poll_wait = absl::Milliseconds(600);
-constexpr absl::Duration retry_pause = absl::Milliseconds(200);
+// A read that the store answers at once, or that a peer does, must not be repeated at once.
+constexpr absl::Duration least_pause = absl::Milliseconds(200);
 constexpr std::size_t most_relays = 64;
 
 } // namespace
@@ -44,8 +45,10 @@
         if (m_tail.must_read(begin))
             ok = m_tail.next() ? follow() : load();
         // A read normally waits at the store; otherwise this is where the duty sleeps.
-        const bool waited = ok && m_time.now() - begin > retry_pause;
-        const absl::Duration pause = waited ? absl::ZeroDuration() : retry_pause;
+        const bool waited = m_time.now() - begin > least_pause;
+        const absl::Duration pause = !ok      ? m_tail.on_failed_read()
+                                     : waited ? absl::ZeroDuration()
+                                              : least_pause;
         while (const auto batch = m_relays.pop(pause)) {
             (void)m_tail.on_relay(*batch, m_time.now());
             if (m_tail.must_read(m_time.now()))
--- a/src/forward/control_duties.cpp
+++ b/src/forward/control_duties.cpp
@@ -22,7 +22,7 @@
 // After this all nodes have told their counts of a window, also those that beacon only each second.
 constexpr absl::Duration report_delay = absl::Milliseconds(1800);
 constexpr absl::Duration report_retry = absl::Milliseconds(500);
-constexpr absl::Duration registration_interval = absl::Seconds(10);
+constexpr absl::Duration registration_interval = absl::Seconds(30);
 constexpr absl::Duration registration_retry = absl::Seconds(1);
 // Old endpoints have stopped by then, and the version split has no use any more.
 constexpr absl::Duration forget_done_after = absl::Seconds(8);
--- a/src/forward/endpoint_watcher.cpp
+++ b/src/forward/endpoint_watcher.cpp
@@ -16,7 +16,6 @@
 
 namespace {
 
-constexpr absl::Duration retry_pause = absl::Milliseconds(200);
 constexpr std::size_t most_relays = 64;
 // More than this doesn't go into one datagram; peers then read the topic themselves.
 constexpr std::size_t most_relayed_bytes = 8 * 1024;
@@ -55,7 +54,7 @@
         if (m_tail.must_read(m_time.now()))
             ok = m_tail.next() ? follow() : load();
         tell(m_directory.tick(m_time.now()));
-        const absl::Time until = m_time.now() + (ok ? m_poll_interval : retry_pause);
+        const absl::Time until = m_time.now() + (ok ? m_poll_interval : m_tail.on_failed_read());
         while (const auto batch =
                    m_relays.pop(std::max(absl::ZeroDuration(), until - m_time.now()))) {
             if (m_tail.on_relay(*batch, m_time.now()))
--- a/src/forward/topic_tail.cpp
+++ b/src/forward/topic_tail.cpp
@@ -1,7 +1,15 @@
 #include "chivedeal/forward/topic_tail.hpp"
 
+#include <algorithm>
+#include <cmath>
+
 namespace chivedeal::forward {
 
+absl::Duration topic_tail::on_failed_read()
+{
+    return std::min(m_options.longest_pause, m_options.first_pause * std::exp2(m_failures++));
+}
+
 bool topic_tail::on_relay(const relayed_batch& batch, absl::Time now)
 {
     if (!m_next || batch.next < *m_next)
--- a/test/forward_topic_tail_test.cpp
+++ b/test/forward_topic_tail_test.cpp
@@ -58,6 +58,18 @@
     EXPECT_EQ(tail.next(), 10U);
 }
 
+// Calls that fail are paid as well: many nodes that ask a store that is down must not hammer it.
+TEST(topic_tail, waits_longer_after_each_failed_read)
+{
+    topic_tail tail = make_tail();
+    EXPECT_EQ(tail.on_failed_read(), absl::Milliseconds(200));
+    EXPECT_EQ(tail.on_failed_read(), absl::Milliseconds(400));
+    EXPECT_EQ(tail.on_failed_read(), absl::Milliseconds(800));
+    EXPECT_EQ(tail.on_failed_read(), absl::Milliseconds(800));
+    tail.on_own_read(11);
+    EXPECT_EQ(tail.on_failed_read(), absl::Milliseconds(200));
+}
+
 // A peer that reads an old state of the store must not take this node back.
 TEST(topic_tail, never_goes_back)
 {
