Split a service's requests by its newest roll-out alone

Cause: found while reading: shares were kept by version, and the first one in the map was taken for the target's. Change: one split for each service; a side without a usable endpoint leaves its requests to the other, but a version that was rolled back gets none. Figures: two tests fail before and pass after.

--- a/include/chivedeal/forward/endpoint_pool.hpp
+++ b/include/chivedeal/forward/endpoint_pool.hpp
@@ -40,9 +40,10 @@
 
     void remove(const endpoint_id& id);
 
-    /// Endpoints of a version take part only while this allows it; 1 for all.
+    /// Splits a service's requests between one version and all others. A version without share gets
+    /// none at all; otherwise a side without a usable endpoint leaves its requests to the other.
     void set_version_share(const service_id& service, const version_id& version, double share);
-    void clear_version_shares(const service_id& service);
+    void clear_version_share(const service_id& service);
 
     /// Errors: `unknown_service` without any endpoint, `no_endpoint` when all are out of use,
     /// `shed` when all are full.
@@ -94,7 +95,14 @@
         std::int64_t cached_tokens;
     };
 
+    struct version_split
+    {
+        version_id version;
+        double share = 1;
+    };
+
     bool allows_version(const entry& one, double random) const;
+    bool is_rolled_back(const entry& one) const;
     std::int64_t cached_tokens(const entry& one, const endpoint_query& query, bool is_home,
                                absl::Time now) const;
     double predict_ms(const entry& one, const endpoint_query& query, std::int64_t cached,
@@ -108,7 +116,7 @@
     options m_options;
     absl::flat_hash_map<endpoint_id, entry> m_entries;
     std::map<service_id, std::vector<endpoint_id>> m_by_service;
-    std::map<service_id, std::map<version_id, double>> m_version_shares;
+    std::map<service_id, version_split> m_splits;
     std::map<node_id, std::vector<endpoint_load>> m_peer_loads;
 };
 
--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -99,13 +99,10 @@
 void endpoint_pool::set_version_share(const service_id& service, const version_id& version,
                                       double share)
 {
-    m_version_shares[service][version] = share;
+    m_splits[service] = {.version = version, .share = share};
 }
 
-void endpoint_pool::clear_version_shares(const service_id& service)
-{
-    m_version_shares.erase(service);
-}
+void endpoint_pool::clear_version_share(const service_id& service) { m_splits.erase(service); }
 
 result<endpoint_choice> endpoint_pool::choose(const endpoint_query& query, double random,
                                               absl::Time now) const
@@ -155,31 +152,40 @@
                                                                double random, absl::Time now) const
 {
     std::vector<const entry*> allowed;
+    std::vector<const entry*> other_version;
     std::vector<const entry*> paused;
     for (const endpoint_id& id : m_by_service.at(query.service)) {
         const entry& one = m_entries.at(id);
         const bool excluded =
             std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end();
-        if (one.record.leaving || excluded || !allows_version(one, random))
+        if (one.record.leaving || excluded || is_rolled_back(one))
             continue;
         if (now < one.unusable_until)
             paused.push_back(&one);
         else
-            allowed.push_back(&one);
+            (allows_version(one, random) ? allowed : other_version).push_back(&one);
     }
+    if (allowed.empty())
+        allowed.swap(other_version);
     // With every endpoint paused, trying one beats refusing: the pauses are guesses.
     return allowed.empty() ? paused : allowed;
 }
 
 bool endpoint_pool::allows_version(const entry& one, double random) const
 {
-    const auto shares = m_version_shares.find(one.record.service);
-    if (shares == m_version_shares.end())
+    const auto split = m_splits.find(one.record.service);
+    if (split == m_splits.end())
         return true;
-    // `random` decides once for a request whether the target version takes it.
-    const auto target = shares->second.find(one.record.version);
-    const double target_share = shares->second.begin()->second;
-    return target != shares->second.end() ? random < target_share : random >= target_share;
+    // `random` decides once for a request whether the version takes it.
+    const bool takes = random < split->second.share;
+    return takes == (one.record.version == split->second.version);
+}
+
+bool endpoint_pool::is_rolled_back(const entry& one) const
+{
+    const auto split = m_splits.find(one.record.service);
+    return split != m_splits.end() && split->second.share <= 0 &&
+           one.record.version == split->second.version;
 }
 
 bool endpoint_pool::is_local(const entry& one) const
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -168,7 +168,7 @@
         if (share->share)
             m_pool.set_version_share(share->service, share->version, *share->share);
         else
-            m_pool.clear_version_shares(share->service);
+            m_pool.clear_version_share(share->service);
     }
     else if (const auto* offset = std::get_if<node_event::true_time_changed>(&event.value)) {
         m_true_time_offset = offset->offset;
--- a/test/forward_endpoint_pool_test.cpp
+++ b/test/forward_endpoint_pool_test.cpp
@@ -129,6 +129,29 @@
     EXPECT_EQ(get_value(pool.choose(make_query(), 0.0, start)).id, endpoint_id("e1"));
 }
 
+// The share of an earlier version's roll-out was taken for that of the next one.
+TEST(endpoint_pool, splits_by_the_newest_rollout_alone)
+{
+    endpoint_pool pool = make_pool();
+    pool.update(make_record("e1"), start);
+    pool.update(make_record("e2", "a", "v2"), start);
+    pool.set_version_share(drafts, version_id("v1"), 1);
+    pool.set_version_share(drafts, version_id("v2"), 0.05);
+    EXPECT_EQ(get_value(pool.choose(make_query(), 0.5, start)).id, endpoint_id("e1"));
+}
+
+// Requests of a version whose endpoints are not there yet go to the other; a version that was
+// rolled back gets none even then.
+TEST(endpoint_pool, leaves_requests_to_the_other_version_unless_it_is_rolled_back)
+{
+    endpoint_pool pool = make_pool();
+    pool.update(make_record("e1"), start);
+    pool.set_version_share(drafts, version_id("v2"), 0.05);
+    EXPECT_EQ(get_value(pool.choose(make_query(), 0.01, start)).id, endpoint_id("e1"));
+    pool.set_version_share(drafts, version_id("v1"), 0);
+    EXPECT_EQ(chosen(pool, make_query()), "no_endpoint");
+}
+
 // The same identifier with a new start time is an endpoint that holds nothing of before.
 TEST(endpoint_pool, forgets_what_a_restarted_endpoint_held)
 {
