Make the tests of the newest roll-out's split fail on the code before

Change: the old version's endpoint is busy, so that only the split keeps requests on it; the other test reads the error instead of a value.

--- a/test/forward_endpoint_pool_test.cpp
+++ b/test/forward_endpoint_pool_test.cpp
@@ -27,9 +27,10 @@
 
 endpoint_query make_query() { return {.service = drafts, .prompt_tokens = 1000}; }
 
-std::string chosen(const endpoint_pool& pool, const endpoint_query& query, absl::Time now = start)
+std::string chosen(const endpoint_pool& pool, const endpoint_query& query, absl::Time now = start,
+                   double random = 0.5)
 {
-    const auto choice = pool.choose(query, 0.5, now);
+    const auto choice = pool.choose(query, random, now);
     return is_ok(choice) ? get_value(choice).id.str() : to_string(get_error(choice).code);
 }
 
@@ -137,6 +138,8 @@
     pool.update(make_record("e2", "a", "v2"), start);
     pool.set_version_share(drafts, version_id("v1"), 1);
     pool.set_version_share(drafts, version_id("v2"), 0.05);
+    // Without the split the idle endpoint of the new version would be chosen.
+    pool.on_sent(endpoint_id("e1"), 50000, start);
     EXPECT_EQ(get_value(pool.choose(make_query(), 0.5, start)).id, endpoint_id("e1"));
 }
 
@@ -147,7 +150,7 @@
     endpoint_pool pool = make_pool();
     pool.update(make_record("e1"), start);
     pool.set_version_share(drafts, version_id("v2"), 0.05);
-    EXPECT_EQ(get_value(pool.choose(make_query(), 0.01, start)).id, endpoint_id("e1"));
+    EXPECT_EQ(chosen(pool, make_query(), start, 0.01), "e1");
     pool.set_version_share(drafts, version_id("v1"), 0);
     EXPECT_EQ(chosen(pool, make_query()), "no_endpoint");
 }
