Bind the test endpoint before its thread starts

Cause: the thread sanitizer reported a race inside the test's own HTTP server: its socket was made by the listening thread and closed by stop() without an order between them. Ruled out: the product; the report names no frame of it. Change: the socket is bound in the constructor, as other tests do.

--- a/test/forward_node_test.cpp
+++ b/test/forward_node_test.cpp
@@ -62,8 +62,10 @@
                           ++m_runs;
                           out.status = 503;
                       });
-        m_thread = std::make_unique<posix_thread>(
-            "endpoint", [this] { m_server.listen(m_address.host, m_address.port); });
+        // Bound here, so that the socket exists before the thread that `stop` races with.
+        m_server.bind_to_port(m_address.host, m_address.port);
+        m_thread =
+            std::make_unique<posix_thread>("endpoint", [this] { m_server.listen_after_bind(); });
         wait_until([this] { return m_server.is_running(); });
     }
 
