Hold the ports that tests listen on

Cause: free_address looked up a free port in the kernel's range for outgoing connections and gave it up. Until the node listened on it, an outgoing connection or another look-up could be given the same port.

Ruled out: a listener of an earlier node that is left open; all are closed with the forwarder, and SO_REUSEADDR covers connections in TIME_WAIT. The product itself ends with a message and code 1 in this case; only the test's thread lets the exception out.

Change: the port stays bound, without listening, until the process ends. A listener with SO_REUSEADDR or SO_REUSEPORT may still take it.

Before: free_address_test.holds_its_port_until_a_listener_takes_it fails, the port can be bound by others.

Conclusion: the race is closed for listeners of this process and its children.

--- a/fakes/free_address.hpp
+++ b/fakes/free_address.hpp
@@ -6,23 +6,28 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 namespace chivedeal::fakes {
 
 /// Returns a loopback address whose port the kernel found free, so that test runs side by side do
 /// not meet on one port.
+///
+/// The port stays bound until the process ends: the kernel gives it neither to another call nor to
+/// an outgoing connection, while a listener with SO_REUSEADDR or SO_REUSEPORT may take it.
 inline address free_address()
 {
-    const int probe = socket(AF_INET, SOCK_STREAM, 0);
+    const int reserved = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in bound{};
     bound.sin_family = AF_INET;
     bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof bound;
     auto* generic = reinterpret_cast<sockaddr*>(&bound);
-    if (bind(probe, generic, size) != 0 || getsockname(probe, generic, &size) != 0)
+    if (bind(reserved, generic, size) != 0 || getsockname(reserved, generic, &size) != 0)
         bound.sin_port = 0;
-    close(probe);
+    // Set after `bind`: a socket that allows reuse may be given a port that another one holds.
+    const int on = 1;
+    setsockopt(reserved, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    setsockopt(reserved, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
     return {.host = "127.0.0.1", .port = ntohs(bound.sin_port)};
 }
 
