Relay the return of records that lapsed in an outage of the store

Cause: a node that reads the endpoints' topic relays only records that change what it knows. A record that ends a removal which is held back changes nothing, and was not relayed. Peers had the removal by relay, held it back as well and carried it out 2.3 s later.

Ruled out: the store's lapse itself; the reading nodes had the records back at 36.4 s.

Change: a record of an endpoint whose removal is held back is news to peers.

Test: endpoint_watcher_test.relays_the_return_of_a_record_that_lapsed_in_an_outage fails on the code before (no relay within 10 s) and passes after.

--- a/include/chivedeal/forward/endpoint_directory.hpp
+++ b/include/chivedeal/forward/endpoint_directory.hpp
@@ -34,6 +34,8 @@
     /// The whole list was read anew: what isn't in it is removed.
     std::vector<node_event> on_list(const std::vector<endpoint_record>& records, absl::Time now);
     void on_store_failed(absl::Time now) { m_last_failure = now; }
+    /// Whether a removal of the endpoint is held back.
+    bool holds_back(const endpoint_id& id) const { return m_removed.count(id) > 0; }
     /// Carries out removals that are due.
     std::vector<node_event> tick(absl::Time now);
 
--- a/include/chivedeal/forward/endpoint_watcher.hpp
+++ b/include/chivedeal/forward/endpoint_watcher.hpp
@@ -50,7 +50,7 @@
 private:
     bool load();
     bool follow();
-    // Returns whether the record changed what is known.
+    // Returns whether the record is news to peers.
     bool take(const stored_record& record);
     void tell(const std::vector<node_event>& events) const;
 
--- a/src/forward/endpoint_watcher.cpp
+++ b/src/forward/endpoint_watcher.cpp
@@ -144,9 +144,12 @@
     }
     const auto decoded = m_format.decode_endpoint(record);
     if (is_ok(decoded)) {
+        // Peers were told of the removal and hold it back, too: without the record that ends it
+        // they would carry it out.
+        const bool returned = m_directory.holds_back(get_value(decoded).id);
         events = m_directory.on_record(get_value(decoded));
         tell(events);
-        return !events.empty();
+        return returned || !events.empty();
     }
     log_event(event_id::record_rejected, {{"topic", "endpoints"},
                                           {"key", record.key},
--- /dev/null
+++ b/test/forward_endpoint_watcher_test.cpp
@@ -0,0 +1,104 @@
+#include "chivedeal/core/posix_thread.hpp"
+#include "chivedeal/core/system_clock.hpp"
+#include "chivedeal/forward/endpoint_watcher.hpp"
+#include "fakes/fake_record_store.hpp"
+#include "fakes/fake_relay_port.hpp"
+#include "platform/json_wire_format.hpp"
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace chivedeal::forward {
+namespace {
+
+constexpr absl::Duration patience = absl::Seconds(10);
+const std::string ready_endpoint =
+    R"({"service":"s","addr":"127.0.0.1:9000","zone":"z","version":"v1","slots":4,"state":"ready"})";
+
+bool wait_until(const std::function<bool()>& condition)
+{
+    const absl::Time deadline = absl::Now() + patience;
+    while (absl::Now() < deadline) {
+        if (condition())
+            return true;
+        absl::SleepFor(absl::Milliseconds(10));
+    }
+    return false;
+}
+
+/// A watcher that reads the topic and tells its peers.
+class endpoint_watcher_test : public ::testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        m_topics->put(topic::endpoints, "e1", ready_endpoint);
+        m_thread = std::make_unique<posix_thread>("watcher", [this] { m_watcher.run(); });
+        // The first news that is relayed shows that the list was read.
+        int tried = 0;
+        ASSERT_TRUE(wait_until([&] {
+            m_topics->put(topic::endpoints, absl::StrCat("new", ++tried), ready_endpoint);
+            return !m_relays.records().empty();
+        }));
+    }
+
+    void TearDown() override
+    {
+        m_watcher.request_stop();
+        m_thread.reset();
+    }
+
+    std::ptrdiff_t relays(const std::string& key, bool removed) const
+    {
+        const auto records = m_relays.records();
+        return std::count_if(records.begin(), records.end(), [&](const stored_record& one) {
+            return one.key == key && one.removed == removed;
+        });
+    }
+
+    std::shared_ptr<fakes::fake_topics> m_topics = std::make_shared<fakes::fake_topics>();
+    fakes::fake_record_store m_store{m_topics};
+    fakes::fake_relay_port m_relays;
+    platform::json_wire_format m_format;
+    system_clock m_clock;
+    endpoint_watcher m_watcher{{.self = node_id("n1"),
+                                .store = m_store,
+                                .format = m_format,
+                                .time = m_clock,
+                                .peers = m_relays,
+                                .listeners = {},
+                                .poll_interval = absl::Milliseconds(20)}};
+    std::unique_ptr<posix_thread> m_thread;
+};
+
+// Heartbeats would fill the links between nodes.
+TEST_F(endpoint_watcher_test, relays_no_record_without_news)
+{
+    m_topics->put(topic::endpoints, "e1", ready_endpoint);
+    m_topics->put(topic::endpoints, "e2", ready_endpoint);
+    ASSERT_TRUE(wait_until([this] { return relays("e2", false) == 1; }));
+    EXPECT_EQ(relays("e1", false), 0);
+}
+
+// Peers held the relayed removals back, were not told that the records had returned after the
+// store's outage, and refused all requests from then on.
+TEST_F(endpoint_watcher_test, relays_the_return_of_a_record_that_lapsed_in_an_outage)
+{
+    m_topics->set_down(true);
+    absl::SleepFor(absl::Milliseconds(400));
+    m_topics->set_down(false);
+    m_topics->put(topic::endpoints, "e1", "");
+    ASSERT_TRUE(wait_until([this] { return relays("e1", true) == 1; }));
+    m_topics->put(topic::endpoints, "e1", ready_endpoint);
+    EXPECT_TRUE(wait_until([this] { return relays("e1", false) == 1; }));
+}
+
+} // namespace
+} // namespace chivedeal::forward
