Read the calendar clock itself instead of Abseil's extrapolation

Cause: absl::Now reads the system's clock about every two seconds and extrapolates between by the processor's cycle counter. Where the counter's pace differs from the clock's, as on a busy or throttled machine, it is up to 1.4 s behind and jumps forward at the next reading. The clock's lag shows in the log's stamps, which went 1.36 s forward within 0.2 s.

Change: system_clock::wall_now and the log's stamp read CLOCK_REALTIME.

--- a/src/core/log_writer.cpp
+++ b/src/core/log_writer.cpp
@@ -1,6 +1,7 @@
 #include "chivedeal/core/log_writer.hpp"
 
 #include "chivedeal/core/log_event.hpp"
+#include "chivedeal/core/system_clock.hpp"
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
@@ -23,8 +24,9 @@
 
 std::string stamp(const std::string& line)
 {
-    return absl::StrCat(absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ ", absl::Now(), absl::UTCTimeZone()),
-                        line, "\n");
+    return absl::StrCat(
+        absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ ", system_clock().wall_now(), absl::UTCTimeZone()),
+        line, "\n");
 }
 
 } // namespace
--- a/src/core/system_clock.cpp
+++ b/src/core/system_clock.cpp
@@ -1,18 +1,24 @@
 #include "chivedeal/core/system_clock.hpp"
 
-#include "absl/time/clock.h"
-
 #include <ctime>
 
 namespace chivedeal {
 
-absl::Time system_clock::now() const
+namespace {
+
+absl::Time read_clock(clockid_t clock)
 {
     timespec time{};
-    clock_gettime(CLOCK_BOOTTIME, &time);
+    clock_gettime(clock, &time);
     return absl::TimeFromTimespec(time);
 }
 
-absl::Time system_clock::wall_now() const { return absl::Now(); }
+} // namespace
+
+absl::Time system_clock::now() const { return read_clock(CLOCK_BOOTTIME); }
+
+// `absl::Now` extrapolates from the processor's cycle counter for up to two seconds: it misses a
+// step of the clock, and is off where the counter runs at another speed than the clock.
+absl::Time system_clock::wall_now() const { return read_clock(CLOCK_REALTIME); }
 
 } // namespace chivedeal
