Expect long prompts to take more than their length

Cause: the time to read a prompt was taken as proportional to its tokens.

Change: reading time grows by 1.4e-5 of itself a token before; loads are told in tokens of a short prompt.

Test: endpoint_pool.expects_a_long_prompt_to_take_more_than_its_length (the field it reads is new; the code before expected 40,000 for 48,000).

--- a/include/chivedeal/forward/endpoint_choice.hpp
+++ b/include/chivedeal/forward/endpoint_choice.hpp
@@ -20,6 +20,8 @@
     absl::Duration predicted;
     /// Prompt tokens that the endpoint is expected to hold already.
     std::int64_t cached_tokens = 0;
+    /// What the endpoint has to read, in tokens of a short prompt: later ones take longer.
+    std::int64_t reading_tokens = 0;
     /// Endpoints that could have been chosen.
     int candidates = 0;
 
--- a/include/chivedeal/forward/endpoint_load.hpp
+++ b/include/chivedeal/forward/endpoint_load.hpp
@@ -12,7 +12,7 @@
 {
     endpoint_id endpoint;
     int requests = 0;
-    /// Prompt tokens that the node gave the endpoint to read, since the node's start.
+    /// What the node gave the endpoint to read since the node's start, in tokens of a short prompt.
     std::int64_t sent_tokens = 0;
 
     friend bool operator==(const endpoint_load&, const endpoint_load&) = default;
--- a/include/chivedeal/forward/endpoint_pool.hpp
+++ b/include/chivedeal/forward/endpoint_pool.hpp
@@ -50,7 +50,8 @@
     result<endpoint_choice> choose(const endpoint_query& query, double random,
                                    absl::Time now) const;
 
-    void on_sent(const endpoint_id& id, std::int64_t unread_tokens, absl::Time now);
+    /// `reading` is the choice's `reading_tokens`.
+    void on_sent(const endpoint_id& id, std::int64_t reading, absl::Time now);
     /// The answer began: its prompt has been read, `late` after the predicted time.
     void on_first_byte(const endpoint_id& id, const endpoint_query& query, absl::Duration late,
                        absl::Time now);
--- a/include/chivedeal/forward/exchange.hpp
+++ b/include/chivedeal/forward/exchange.hpp
@@ -45,7 +45,6 @@
     bool attempt_sent = false;
     bool attempt_answered = false;
     /// Prompt tokens that the endpoint is expected to read.
-    std::int64_t attempt_unread = 0;
     bool attempt_read = false;
     absl::Time attempt_started;
     absl::Time attempt_deadline = absl::InfiniteFuture();
--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -12,6 +12,9 @@
 
 // A cautious estimate of how fast an engine reads a prompt; engines report no speed.
 constexpr double prompt_tokens_per_ms = 50;
+// A token takes longer by this part for each token before it: attention looks at all of them. Without
+// it prompts of 40,000 tokens were expected to be read in two thirds of their time.
+constexpr double attention_share = 1.4e-5;
 // Cost of the link to another region: two ways of about a dozen milliseconds, and traffic between
 // regions is paid by volume.
 constexpr double remote_region_ms = 120;
@@ -40,6 +43,13 @@
 constexpr absl::Duration longest_pause = absl::Seconds(4);
 constexpr int failures_to_pause = 3;
 
+// Tokens that take as long to read without any before them.
+double reading_tokens(std::int64_t unread, std::int64_t cached)
+{
+    const auto tokens = static_cast<double>(unread);
+    return tokens * (1 + attention_share * (static_cast<double>(cached) + tokens / 2));
+}
+
 std::uint64_t rendezvous(const std::string& part, const endpoint_id& endpoint)
 {
     const std::string joined = part + "\n" + endpoint.str();
@@ -145,6 +155,8 @@
                            .version = chosen.record.version,
                            .predicted = absl::Milliseconds(best->milliseconds),
                            .cached_tokens = best->cached_tokens,
+                           .reading_tokens = static_cast<std::int64_t>(reading_tokens(
+                               query.prompt_tokens - best->cached_tokens, best->cached_tokens)),
                            .candidates = static_cast<int>(candidates.size())};
 }
 
@@ -218,7 +230,7 @@
     const int queued = std::max(0, requests + 1 - one.record.slots);
     double milliseconds =
         absl::ToDoubleMilliseconds(busy) +
-        static_cast<double>(query.prompt_tokens - cached) / prompt_tokens_per_ms +
+        reading_tokens(query.prompt_tokens - cached, cached) / prompt_tokens_per_ms +
         static_cast<double>(std::max<std::int64_t>(0, shared_tokens(query) - cached)) * reread_ms +
         full_batch_ms * requests / std::max(one.record.slots, 1) + queued_request_ms * queued +
         failing_ms * one.failure_share;
@@ -232,15 +244,15 @@
                   absl::Milliseconds(static_cast<double>(tokens) / prompt_tokens_per_ms);
 }
 
-void endpoint_pool::on_sent(const endpoint_id& id, std::int64_t unread_tokens, absl::Time now)
+void endpoint_pool::on_sent(const endpoint_id& id, std::int64_t reading, absl::Time now)
 {
     const auto found = m_entries.find(id);
     if (found == m_entries.end())
         return;
     entry& one = found->second;
     ++one.own_requests;
-    one.own_sent_tokens += unread_tokens;
-    add_prompt(one, unread_tokens, now);
+    one.own_sent_tokens += reading;
+    add_prompt(one, reading, now);
 }
 
 void endpoint_pool::on_first_byte(const endpoint_id& id, const endpoint_query& query,
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -186,11 +186,10 @@
         one.attempt_answered = false;
         one.attempt_read = false;
         one.attempt_started = now;
-        one.attempt_unread = one.head.prompt_tokens - one.attempt->cached_tokens;
         one.attempt_deadline = absl::InfiniteFuture();
         one.answer = {};
         one.body.clear();
-        m_pool.on_sent(one.attempt->id, one.attempt_unread, now);
+        m_pool.on_sent(one.attempt->id, one.attempt->reading_tokens, now);
         const std::uint64_t id = one.id;
         const bool sent = m_endpoints.send({.exchange = one.id,
                                             .endpoint = one.attempt->id,
--- a/test/forward_endpoint_pool_test.cpp
+++ b/test/forward_endpoint_pool_test.cpp
@@ -88,6 +88,24 @@
     EXPECT_NE(chosen(pool, query), home);
 }
 
+// Very long prompts were expected to be read in two thirds of their time, and short ones were sent
+// to wait behind them.
+TEST(endpoint_pool, expects_a_long_prompt_to_take_more_than_its_length)
+{
+    endpoint_pool pool = make_pool();
+    pool.update(make_record("e1"), start);
+    endpoint_query query = make_query();
+    query.prompt_tokens = 1000;
+    const auto small = get_value(pool.choose(query, 0.5, start));
+    query.prompt_tokens = 40000;
+    const auto large = get_value(pool.choose(query, 0.5, start));
+    EXPECT_LT(small.reading_tokens, 1020);
+    EXPECT_GT(large.reading_tokens, 48000);
+    pool.on_sent(endpoint_id("e1"), large.reading_tokens, start);
+    query.prompt_tokens = 1000;
+    EXPECT_GT(get_value(pool.choose(query, 0.5, start)).predicted, absl::Milliseconds(1000));
+}
+
 TEST(endpoint_pool, pauses_an_endpoint_that_cannot_be_reached)
 {
     endpoint_pool pool = make_pool();
