Wait for the usage counts of nodes that fell silent

Cause: a usage window was reported 1.8 s after its end from the counts that had come by then.

Ruled out: the clock (the window is short, and its neighbours are right).

Change: a process that was heard in the window but not since its end is waited for until seven tenths of the time that the report has. The sums move out of control_duties into usage_collector.

--- a/include/chivedeal/forward/control_duties.hpp
+++ b/include/chivedeal/forward/control_duties.hpp
@@ -11,6 +11,7 @@
 #include "chivedeal/forward/fleet_planner.hpp"
 #include "chivedeal/forward/node_settings.hpp"
 #include "chivedeal/forward/rollout_judge.hpp"
+#include "chivedeal/forward/usage_collector.hpp"
 #include "chivedeal/forward/usage_ledger.hpp"
 
 #include "absl/time/time.h"
@@ -77,7 +78,6 @@
     bool read_control_log(absl::Time now);
     void append_grant(absl::Time now);
     void register_node(absl::Time now);
-    void take_usage(const std::string& process, const std::vector<usage_report>& reports);
     void plan_fleets(absl::Time now);
     void send_order(fleet_planner& planner, const fleet_order& order, absl::Time now);
     fleet_view view_of(const service_id& service, const scale_spec& spec, absl::Time now) const;
@@ -103,8 +103,7 @@
     control_log m_log;
     usage_ledger m_windows;
     absl::Duration m_true_time_offset;
-    // By window and process: a restarted node counts from zero again.
-    std::map<std::int64_t, std::map<std::string, usage_report>> m_counts;
+    usage_collector m_usage;
     std::int64_t m_next_window = 0;
     absl::Time m_next_report_try = absl::InfinitePast();
     std::map<service_id, rollout> m_rollouts;
--- a/src/forward/control_duties.cpp
+++ b/src/forward/control_duties.cpp
@@ -19,14 +19,13 @@
 namespace {
 
 constexpr absl::Duration tick_interval = absl::Milliseconds(250);
-// After this all nodes have told their counts of a window, also those that beacon only each second.
-constexpr absl::Duration report_delay = absl::Milliseconds(1800);
+// Part of the time until a window's report is due for which silent nodes are waited for.
+constexpr double report_patience = 0.7;
 constexpr absl::Duration report_retry = absl::Milliseconds(500);
 constexpr absl::Duration registration_interval = absl::Seconds(30);
 constexpr absl::Duration registration_retry = absl::Seconds(1);
 // Old endpoints have stopped by then, and the version split has no use any more.
 constexpr absl::Duration forget_done_after = absl::Seconds(8);
-constexpr std::size_t kept_windows = 8;
 // Part of the platform's bound on a new version's share that the nodes use.
 constexpr double exposure_use = 0.5;
 
@@ -43,7 +42,9 @@
       m_peers(parts.peers),
       m_lease({.self = parts.settings.node, .term = parts.settings.lease_term}, parts.time.now()),
       m_windows(parts.settings.usage_window),
-      m_true_time_offset(parts.time.wall_now() - parts.time.now())
+      m_true_time_offset(parts.time.wall_now() - parts.time.now()),
+      m_usage({.window = parts.settings.usage_window,
+               .patience = parts.settings.usage_due * report_patience})
 {}
 
 void control_duties::run()
@@ -76,12 +77,12 @@
             m_lease.on_peer_holds(*beacon.lease_token, now);
         const std::string process = absl::StrCat(beacon.node.str(), "/", beacon.started_us);
         m_demand.on_counts(process, beacon.asked_tokens, now);
-        take_usage(process, beacon.usage);
+        m_usage.on_counts(process, beacon.usage, now);
         take_outcomes(beacon.node, beacon.outcomes, now);
     }
     else if (const auto* own = std::get_if<node_event::local_counted>(&event.value)) {
         m_demand.on_counts(m_settings.node.str(), own->state.asked_tokens, now);
-        take_usage(m_settings.node.str(), own->state.usage);
+        m_usage.on_counts(m_settings.node.str(), own->state.usage, now);
         take_outcomes(m_settings.node, own->state.outcomes, now);
     }
     else if (const auto* changed = std::get_if<node_event::config_changed>(&event.value)) {
@@ -215,15 +216,6 @@
     return duty_fence{.holder = m_settings.node, .token = *token};
 }
 
-void control_duties::take_usage(const std::string& process,
-                                const std::vector<usage_report>& reports)
-{
-    for (const usage_report& report : reports)
-        m_counts[report.window][process] = report;
-    while (m_counts.size() > kept_windows)
-        m_counts.erase(m_counts.begin());
-}
-
 void control_duties::report_usage(absl::Time now)
 {
     const absl::Time true_now = now + m_true_time_offset;
@@ -231,9 +223,7 @@
     m_next_window = std::max(m_next_window, oldest);
     if (now < m_next_report_try || !fence(now))
         return;
-    if (m_windows.end_of(m_next_window) + report_delay > true_now)
-        return;
-    while (m_windows.end_of(m_next_window) + report_delay <= true_now) {
+    while (m_usage.is_complete(m_windows.end_of(m_next_window) - m_true_time_offset, now)) {
         if (!report_window(m_next_window, m_time.now())) {
             m_next_report_try = m_time.now() + report_retry;
             return;
@@ -246,10 +236,7 @@
 {
     if (const usage_report* planned = m_log.planned_report(window))
         return send_report(*planned, now);
-    usage_report total{.window = window};
-    for (const auto& [process, report] : m_counts[window])
-        for (const auto& [workspace, count] : report.counts)
-            total.counts[workspace] += count;
+    const usage_report total = m_usage.total(window);
     return plan_report(total, now) && send_report(total, m_time.now());
 }
 
