--- a/include/chivedeal/forward/forwarder.hpp
+++ b/include/chivedeal/forward/forwarder.hpp
@@ -103,7 +103,6 @@
     endpoint_side m_endpoints;
     request_runner m_runner;
     address_book m_book;
-    absl::Duration m_true_time_offset;
     bool m_endpoints_loaded = false;
     absl::Time m_next_periodic = absl::InfinitePast();
     absl::Time m_next_count = absl::InfinitePast();
--- a/src/forward/control_duties.cpp
+++ b/src/forward/control_duties.cpp
@@ -19,8 +19,9 @@
 namespace {
 
 constexpr absl::Duration tick_interval = absl::Milliseconds(250);
-// Part of the time until a window's report is due for which silent nodes are waited for.
-constexpr double report_patience = 0.7;
+// Part of the time until a window's report is due for which silent nodes are waited for. Cuts mostly
+// heal within it; counts that wait are lost when all nodes are killed.
+constexpr double report_patience = 0.5;
 constexpr absl::Duration report_retry = absl::Milliseconds(500);
 constexpr absl::Duration registration_interval = absl::Seconds(30);
 constexpr absl::Duration registration_retry = absl::Seconds(1);
@@ -77,12 +78,12 @@
             m_lease.on_peer_holds(*beacon.lease_token, now);
         const std::string process = absl::StrCat(beacon.node.str(), "/", beacon.started_us);
         m_demand.on_counts(process, beacon.asked_tokens, now);
-        m_usage.on_counts(process, beacon.usage, now);
+        m_usage.on_counts(beacon.node, beacon.started_us, beacon.usage, now);
         take_outcomes(beacon.node, beacon.outcomes, now);
     }
     else if (const auto* own = std::get_if<node_event::local_counted>(&event.value)) {
         m_demand.on_counts(m_settings.node.str(), own->state.asked_tokens, now);
-        m_usage.on_counts(m_settings.node.str(), own->state.usage, now);
+        m_usage.on_counts(m_settings.node, 0, own->state.usage, now);
         take_outcomes(m_settings.node, own->state.outcomes, now);
     }
     else if (const auto* changed = std::get_if<node_event::config_changed>(&event.value)) {
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -68,10 +68,9 @@
                 .callers = m_callers,
                 .endpoints = m_endpoints,
                 .pool = m_pool,
-                .counters = m_counters}),
-      m_true_time_offset(m_time.wall_now() - m_time.now())
+                .counters = m_counters})
 {
-    m_runner.set_true_time_offset(m_true_time_offset);
+    m_runner.set_true_time_offset(m_time.wall_now() - m_time.now());
 }
 
 forwarder::~forwarder()
@@ -171,7 +170,6 @@
             m_pool.clear_version_share(share->service);
     }
     else if (const auto* offset = std::get_if<node_event::true_time_changed>(&event.value)) {
-        m_true_time_offset = offset->offset;
         m_runner.set_true_time_offset(offset->offset);
     }
     else if (std::holds_alternative<node_event::drain_requested>(event.value) &&
--- a/src/forward/usage_collector.cpp
+++ b/src/forward/usage_collector.cpp
@@ -8,14 +8,14 @@
 
 } // namespace
 
-void usage_collector::on_counts(const std::string& process,
+void usage_collector::on_counts(const node_id& node, std::int64_t started_us,
                                 const std::vector<usage_report>& reports, absl::Time now)
 {
-    m_heard[process] = now;
+    m_heard[node] = now;
     for (auto one = m_heard.begin(); one != m_heard.end();)
         one = now - one->second > m_options.window * kept_windows ? m_heard.erase(one) : ++one;
     for (const usage_report& report : reports)
-        m_counts[report.window][process] = report;
+        m_counts[report.window][{node, started_us}] = report;
     while (m_counts.size() > kept_windows)
         m_counts.erase(m_counts.begin());
 }
@@ -26,7 +26,7 @@
         return false;
     if (now >= end + m_options.patience)
         return true;
-    for (const auto& [process, heard] : m_heard)
+    for (const auto& [node, heard] : m_heard)
         if (heard >= end - m_options.window && heard < end + m_options.settling)
             return false;
     return true;
@@ -38,7 +38,7 @@
     const auto found = m_counts.find(window);
     if (found == m_counts.end())
         return sum;
-    for (const auto& [process, report] : found->second)
+    for (const auto& [counter, report] : found->second)
         for (const auto& [workspace, count] : report.counts)
             sum.counts[workspace] += count;
     return sum;
