--- a/include/chivedeal/forward/endpoint_watcher.hpp
+++ b/include/chivedeal/forward/endpoint_watcher.hpp
@@ -9,6 +9,7 @@
 #include "chivedeal/forward/relayed_batch.hpp"
 #include "chivedeal/forward/topic_tail.hpp"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,8 @@
     bool follow();
     // Takes what was read, and tells peers the news in it.
     void relay(const record_batch& batch, std::uint64_t begin);
+    // Logs a record that can't be read.
+    std::optional<endpoint_record> decode(const stored_record& record) const;
     // Returns whether the record is news to peers.
     bool take(const stored_record& record);
     void tell(const std::vector<node_event>& events) const;
--- a/include/chivedeal/forward/forwarder.hpp
+++ b/include/chivedeal/forward/forwarder.hpp
@@ -80,7 +80,7 @@
     void take_peer(const node_event::peer_heard& heard, absl::Time now);
     void periodic(absl::Time now);
     local_state local() const;
-    void count(absl::Time now);
+    void count(const local_state& state, absl::Time now);
     void advance_drain(absl::Time now);
     bool is_ready() const;
     void answer_directory(std::uint64_t connection, const std::string& target, absl::Time now);
--- a/src/forward/endpoint_watcher.cpp
+++ b/src/forward/endpoint_watcher.cpp
@@ -84,13 +84,8 @@
     for (const stored_record& record : get_value(batch).records) {
         if (record.removed)
             continue;
-        auto decoded = m_format.decode_endpoint(record);
-        if (is_ok(decoded))
-            records.push_back(take_value(std::move(decoded)));
-        else
-            log_event(event_id::record_rejected, {{"topic", "endpoints"},
-                                                  {"key", record.key},
-                                                  {"reason", get_error(decoded).message}});
+        if (auto decoded = decode(record))
+            records.push_back(std::move(*decoded));
     }
     tell(m_directory.on_list(records, m_time.now()));
     m_tail.on_own_read(get_value(batch).next);
@@ -143,29 +138,34 @@
     m_peers.relay(std::move(part));
 }
 
+std::optional<endpoint_record> endpoint_watcher::decode(const stored_record& record) const
+{
+    auto decoded = m_format.decode_endpoint(record);
+    if (is_ok(decoded))
+        return take_value(std::move(decoded));
+    log_event(event_id::record_rejected, {{"topic", "endpoints"},
+                                          {"key", record.key},
+                                          {"offset", absl::StrCat(record.offset)},
+                                          {"reason", get_error(decoded).message}});
+    return std::nullopt;
+}
+
 bool endpoint_watcher::take(const stored_record& record)
 {
-    std::vector<node_event> events;
     if (record.removed) {
-        events = m_directory.on_removed(endpoint_id(record.key), m_time.now());
-        tell(events);
+        tell(m_directory.on_removed(endpoint_id(record.key), m_time.now()));
         // A removal that is held back here is passed on, too: each node decides for itself.
         return true;
     }
-    const auto decoded = m_format.decode_endpoint(record);
-    if (is_ok(decoded)) {
-        // Peers were told of the removal and hold it back, too: without the record that ends it
-        // they would carry it out.
-        const bool returned = m_directory.holds_back(get_value(decoded).id);
-        events = m_directory.on_record(get_value(decoded));
-        tell(events);
-        return returned || !events.empty();
-    }
-    log_event(event_id::record_rejected, {{"topic", "endpoints"},
-                                          {"key", record.key},
-                                          {"offset", absl::StrCat(record.offset)},
-                                          {"reason", get_error(decoded).message}});
-    return false;
+    const auto decoded = decode(record);
+    if (!decoded)
+        return false;
+    // Peers were told of the removal and hold it back, too: without the record that ends it they
+    // would carry it out.
+    const bool returned = m_directory.holds_back(decoded->id);
+    const std::vector<node_event> events = m_directory.on_record(*decoded);
+    tell(events);
+    return returned || !events.empty();
 }
 
 void endpoint_watcher::tell(const std::vector<node_event>& events) const
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -207,9 +207,10 @@
     m_next_periodic = now + periodic_interval;
     m_callers.tick(now);
     m_endpoints.tick(now);
-    m_peers.publish(local());
+    local_state state = local();
     if (now >= m_next_count)
-        count(now);
+        count(state, now);
+    m_peers.publish(std::move(state));
     advance_drain(now);
 }
 
@@ -224,11 +225,11 @@
             .usage = m_runner.usage().recent()};
 }
 
-void forwarder::count(absl::Time now)
+void forwarder::count(const local_state& state, absl::Time now)
 {
     m_next_count = now + count_interval;
     m_runner.quota().on_exchange();
-    m_control.on_event({node_event::local_counted{local()}});
+    m_control.on_event({node_event::local_counted{state}});
     m_counters.set("chivedeal_requests_under_way", static_cast<double>(m_runner.under_way()));
     m_counters.set("chivedeal_caller_connections", static_cast<double>(m_callers.size()));
     m_counters.set("chivedeal_endpoint_connections", static_cast<double>(m_endpoints.size()));
--- a/test/forward_endpoint_watcher_test.cpp
+++ b/test/forward_endpoint_watcher_test.cpp
@@ -1,6 +1,7 @@
 #include "chivedeal/core/posix_thread.hpp"
 #include "chivedeal/core/system_clock.hpp"
 #include "chivedeal/forward/endpoint_watcher.hpp"
+#include "fakes/eventually.hpp"
 #include "fakes/fake_record_store.hpp"
 #include "fakes/fake_relay_port.hpp"
 #include "platform/json_wire_format.hpp"
@@ -11,7 +12,6 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <functional>
 #include <memory>
 #include <string>
 
@@ -22,17 +22,6 @@
 const std::string ready_endpoint =
     R"({"service":"s","addr":"127.0.0.1:9000","zone":"z","version":"v1","slots":4,"state":"ready"})";
 
-bool wait_until(const std::function<bool()>& condition)
-{
-    const absl::Time deadline = absl::Now() + patience;
-    while (absl::Now() < deadline) {
-        if (condition())
-            return true;
-        absl::SleepFor(absl::Milliseconds(10));
-    }
-    return false;
-}
-
 /// A watcher that reads the topic and tells its peers.
 class endpoint_watcher_test : public ::testing::Test
 {
@@ -43,7 +32,7 @@
         m_thread = std::make_unique<posix_thread>("watcher", [this] { m_watcher.run(); });
         // The first news that is relayed shows that the list was read.
         int tried = 0;
-        ASSERT_TRUE(wait_until([&] {
+        ASSERT_TRUE(fakes::eventually(patience, [&] {
             m_topics->put(topic::endpoints, absl::StrCat("new", ++tried), ready_endpoint);
             return !m_relays.records().empty();
         }));
@@ -83,7 +72,7 @@
 {
     m_topics->put(topic::endpoints, "e1", ready_endpoint);
     m_topics->put(topic::endpoints, "e2", ready_endpoint);
-    ASSERT_TRUE(wait_until([this] { return relays("e2", false) == 1; }));
+    ASSERT_TRUE(fakes::eventually(patience, [this] { return relays("e2", false) == 1; }));
     EXPECT_EQ(relays("e1", false), 0);
 }
 
@@ -95,9 +84,9 @@
     absl::SleepFor(absl::Milliseconds(400));
     m_topics->set_down(false);
     m_topics->put(topic::endpoints, "e1", "");
-    ASSERT_TRUE(wait_until([this] { return relays("e1", true) == 1; }));
+    ASSERT_TRUE(fakes::eventually(patience, [this] { return relays("e1", true) == 1; }));
     m_topics->put(topic::endpoints, "e1", ready_endpoint);
-    EXPECT_TRUE(wait_until([this] { return relays("e1", false) == 1; }));
+    EXPECT_TRUE(fakes::eventually(patience, [this] { return relays("e1", false) == 1; }));
 }
 
 // A reclaim changes more than a datagram holds. Peers that were not told all of it read the topic
@@ -107,7 +96,7 @@
     const std::size_t before = m_relays.batches().size();
     for (int i = 0; i < 300; ++i)
         m_topics->put(topic::endpoints, absl::StrCat("many", i), ready_endpoint);
-    ASSERT_TRUE(wait_until([this] { return relays("many299", false) == 1; }));
+    ASSERT_TRUE(fakes::eventually(patience, [this] { return relays("many299", false) == 1; }));
     const auto batches = m_relays.batches();
     for (std::size_t i = before; i < batches.size(); ++i) {
         EXPECT_TRUE(batches[i].complete);
--- a/test/forward_node_test.cpp
+++ b/test/forward_node_test.cpp
@@ -1,5 +1,6 @@
 #include "chivedeal/core/posix_thread.hpp"
 #include "chivedeal/forward/forwarding_node.hpp"
+#include "fakes/eventually.hpp"
 #include "fakes/fake_duty_api.hpp"
 #include "fakes/fake_record_store.hpp"
 #include "fakes/free_address.hpp"
@@ -13,7 +14,6 @@
 
 #include <atomic>
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -23,17 +23,6 @@
 
 constexpr absl::Duration patience = absl::Seconds(30);
 
-bool wait_until(const std::function<bool()>& condition)
-{
-    const absl::Time deadline = absl::Now() + patience;
-    while (absl::Now() < deadline) {
-        if (condition())
-            return true;
-        absl::SleepFor(absl::Milliseconds(20));
-    }
-    return false;
-}
-
 /// An endpoint that answers by path and counts what it ran.
 class test_endpoint
 {
@@ -66,7 +55,7 @@
         m_server.bind_to_port(m_address.host, m_address.port);
         m_thread =
             std::make_unique<posix_thread>("endpoint", [this] { m_server.listen_after_bind(); });
-        wait_until([this] { return m_server.is_running(); });
+        fakes::eventually(patience, [this] { return m_server.is_running(); });
     }
 
     ~test_endpoint()
@@ -177,7 +166,8 @@
 TEST_F(forwarding_node_test, answers_503_before_any_configuration)
 {
     start();
-    ASSERT_TRUE(wait_until([this] { return static_cast<bool>(post("/app/echo")); }));
+    ASSERT_TRUE(
+        fakes::eventually(patience, [this] { return static_cast<bool>(post("/app/echo")); }));
     const auto answer = post("/app/echo");
     ASSERT_TRUE(answer);
     EXPECT_EQ(answer->status, 503);
@@ -191,7 +181,7 @@
     configure(1);
     list_endpoint(endpoint);
     start();
-    ASSERT_TRUE(wait_until([this] { return ready(); }));
+    ASSERT_TRUE(fakes::eventually(patience, [this] { return ready(); }));
     const auto answer = post("/app/echo");
     ASSERT_TRUE(answer);
     EXPECT_EQ(answer->status, 200);
@@ -211,7 +201,7 @@
     configure(1);
     list_endpoint(endpoint);
     start();
-    ASSERT_TRUE(wait_until([this] { return ready(); }));
+    ASSERT_TRUE(fakes::eventually(patience, [this] { return ready(); }));
     EXPECT_EQ(post("/app/echo", "other")->status, 401);
     EXPECT_EQ(post("/elsewhere")->status, 404);
     EXPECT_EQ(endpoint.runs(), 0);
@@ -224,7 +214,7 @@
     configure(1);
     list_endpoint(endpoint);
     start();
-    ASSERT_TRUE(wait_until([this] { return ready(); }));
+    ASSERT_TRUE(fakes::eventually(patience, [this] { return ready(); }));
     EXPECT_EQ(post("/app/full")->status, 503);
     EXPECT_EQ(endpoint.runs(), 0);
     EXPECT_EQ(post("/app/busy")->status, 502);
@@ -238,7 +228,7 @@
     configure(1);
     list_endpoint(endpoint);
     start();
-    ASSERT_TRUE(wait_until([this] { return ready(); }));
+    ASSERT_TRUE(fakes::eventually(patience, [this] { return ready(); }));
     const auto answer = post("/app/late");
     ASSERT_TRUE(answer);
     EXPECT_GE(answer->status, 502);
@@ -253,9 +243,9 @@
     configure(1);
     list_endpoint(endpoint);
     start();
-    ASSERT_TRUE(wait_until([this] { return ready(); }));
+    ASSERT_TRUE(fakes::eventually(patience, [this] { return ready(); }));
     list_endpoint(endpoint, "draining");
-    EXPECT_TRUE(wait_until([this] { return post("/app/echo")->status == 503; }));
+    EXPECT_TRUE(fakes::eventually(patience, [this] { return post("/app/echo")->status == 503; }));
     const int runs = endpoint.runs();
     EXPECT_EQ(post("/app/echo")->status, 503);
     EXPECT_EQ(endpoint.runs(), runs);
@@ -268,7 +258,7 @@
     configure(5);
     list_endpoint(endpoint);
     start();
-    ASSERT_TRUE(wait_until([this] { return ready(); }));
+    ASSERT_TRUE(fakes::eventually(patience, [this] { return ready(); }));
     m_topics->put(topic::configuration, "config",
                   R"({"version":4,"routes":[],"services":[],"tenants":[]})");
     absl::SleepFor(absl::Seconds(1));
@@ -281,10 +271,10 @@
     configure(1);
     list_endpoint(endpoint);
     start();
-    ASSERT_TRUE(wait_until([this] { return ready(); }));
+    ASSERT_TRUE(fakes::eventually(patience, [this] { return ready(); }));
     for (int i = 0; i < 5; ++i)
         EXPECT_EQ(post("/app/echo")->status, 200);
-    ASSERT_TRUE(wait_until([this] {
+    ASSERT_TRUE(fakes::eventually(patience, [this] {
         const std::lock_guard<mutex> lock(m_calls->guard);
         std::int64_t total = 0;
         for (const auto& [report, fence] : m_calls->reports)
@@ -304,9 +294,9 @@
     configure(1);
     list_endpoint(endpoint);
     start();
-    ASSERT_TRUE(wait_until([this] { return ready(); }));
+    ASSERT_TRUE(fakes::eventually(patience, [this] { return ready(); }));
     m_node->request_drain();
-    EXPECT_TRUE(wait_until([this] { return !ready(); }));
+    EXPECT_TRUE(fakes::eventually(patience, [this] { return !ready(); }));
     // `run` returns by itself.
     m_thread->join();
 }
@@ -317,7 +307,7 @@
     configure(1);
     list_endpoint(endpoint);
     start();
-    ASSERT_TRUE(wait_until([this] { return ready(); }));
+    ASSERT_TRUE(fakes::eventually(patience, [this] { return ready(); }));
     httplib::Client directory(m_settings.directory->host, m_settings.directory->port);
     const auto addresses = directory.Get("/v1/resolve?region=r");
     ASSERT_TRUE(addresses);
--- a/test/state_duties_test.cpp
+++ b/test/state_duties_test.cpp
@@ -12,16 +12,14 @@
 #include "chivedeal/core/posix_thread.hpp"
 #include "chivedeal/core/system_clock.hpp"
 #include "chivedeal/membership/membership_view.hpp"
+#include "fakes/eventually.hpp"
 #include "fakes/fake_log_service.hpp"
 #include "fakes/fake_peer_client.hpp"
 #include "test/state_random_log.hpp"
 
-#include "absl/time/clock.h"
-
 #include <gtest/gtest.h>
 
 #include <cstdlib>
-#include <functional>
 #include <memory>
 
 using namespace chivedeal;        // NOLINT(google-build-using-namespace)
@@ -36,14 +34,6 @@
 // Long enough that only a fault reaches it; the tests end as soon as what they wait for is there.
 constexpr absl::Duration patience = absl::Seconds(60);
 
-bool eventually(const std::function<bool()>& holds)
-{
-    const absl::Time until = absl::Now() + patience;
-    while (!holds() && absl::Now() < until)
-        absl::SleepFor(absl::Milliseconds(2));
-    return holds();
-}
-
 record service_change(const std::string& id, const std::string& name, std::uint64_t expected = 0)
 {
     return signed_change(id, "t", "/teams/t/services/" + name, expected, R"({"kind": "engine"})");
@@ -147,7 +137,8 @@
     EXPECT_EQ(n.propose(service_change("b", "s")).code, result_code::conflict);
     EXPECT_EQ(n.tracker.find(change_id("a"))->code, result_code::ok);
     EXPECT_EQ(n.tracker.find(change_id("c")), std::nullopt);
-    EXPECT_TRUE(eventually([&] { return n.applied() == 3; })) << "a, its repeat and b";
+    EXPECT_TRUE(fakes::eventually(patience, [&] { return n.applied() == 3; }))
+        << "a, its repeat and b";
 }
 
 // Guards against an outage that is reported as success: the outcome stays unknown.
@@ -175,10 +166,11 @@
     fakes::fake_peer_client peers(ahead.published);
     node behind(unreachable, &peers);
     ASSERT_TRUE(behind.inbox.push(view_with_peer(ahead.applied())));
-    ASSERT_TRUE(eventually([&] { return behind.published.ready(); }));
+    ASSERT_TRUE(fakes::eventually(patience, [&] { return behind.published.ready(); }));
     EXPECT_EQ(ahead.propose(service_change("b", "s2")).code, result_code::ok);
     ASSERT_TRUE(behind.inbox.push(view_with_peer(ahead.applied())));
-    EXPECT_TRUE(eventually([&] { return behind.published.state()->services.size() == 2; }));
+    EXPECT_TRUE(fakes::eventually(patience,
+                                  [&] { return behind.published.state()->services.size() == 2; }));
 }
 
 // Guards against settings that are lost when the log no longer keeps them: the lease holder writes
@@ -193,10 +185,11 @@
                                                         absl::Seconds(15), 0}})
                   .code,
               result_code::ok);
-    ASSERT_TRUE(eventually([&] { return first.published.progress().snapshots_seen > 0; }));
+    ASSERT_TRUE(
+        fakes::eventually(patience, [&] { return first.published.progress().snapshots_seen > 0; }));
     log.set_retention(1);
     node second(log);
-    ASSERT_TRUE(eventually([&] { return second.published.ready(); }));
+    ASSERT_TRUE(fakes::eventually(patience, [&] { return second.published.ready(); }));
     EXPECT_EQ(second.published.state()->services.size(), 1U);
     EXPECT_EQ(second.applied(), first.applied());
 }
