Take all relays that wait before the configuration is read again

A node took one relay from its ring between two reads of 600 ms. With many readers the ring is full of relays from nodes with higher names, which it doesn't follow; those of the one that it should follow were dropped, so nobody stopped reading.

Ruled out: the lease (conditional appends fail 73 times, at the start only), relays beyond a datagram, the endpoints' topic (255 reads).

Change: take_relays takes all that waits; a relay that shows a gap ends the pause.

--- a/include/chivedeal/forward/config_watcher.hpp
+++ b/include/chivedeal/forward/config_watcher.hpp
@@ -8,6 +8,8 @@
 #include "chivedeal/forward/relayed_batch.hpp"
 #include "chivedeal/forward/topic_tail.hpp"
 
+#include "absl/time/time.h"
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -48,6 +50,7 @@
     void on_relay(const relayed_batch& batch) override { (void)m_relays.try_push(batch); }
 
 private:
+    void take_relays(absl::Time until);
     bool load();
     bool follow();
     void take(const record_batch& batch);
--- a/src/forward/config_watcher.cpp
+++ b/src/forward/config_watcher.cpp
@@ -11,6 +11,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace chivedeal::forward {
@@ -49,11 +50,18 @@
         const absl::Duration pause = !ok      ? m_tail.on_failed_read()
                                      : waited ? absl::ZeroDuration()
                                               : least_pause;
-        while (const auto batch = m_relays.pop(pause)) {
-            (void)m_tail.on_relay(*batch, m_time.now());
-            if (m_tail.must_read(m_time.now()))
-                break;
-        }
+        take_relays(m_time.now() + pause);
+    }
+}
+
+// All that waits is taken before the next read: of many nodes that read at once each would otherwise
+// see one relay a read, find the ring full of others', and read on.
+void config_watcher::take_relays(absl::Time until)
+{
+    while (const auto batch = m_relays.pop(std::max(absl::ZeroDuration(), until - m_time.now()))) {
+        (void)m_tail.on_relay(*batch, m_time.now());
+        if (m_tail.must_read(m_time.now()))
+            until = m_time.now();
     }
 }
 
