Ask at once for a control lease that is free, one node after the other

Change: duty_lease reads at its start, after a stagger that differs by node. It asks at once if the topic never had a record, or if the node itself held the lease last before its process was restarted. Otherwise, also if grants have expired, it waits a term as before. A new holder tells all nodes at once. Two tests of the old waiting at the start are replaced: they now check that the read comes first and that expired grants are waited for.

Tests: asks_at_once_for_a_lease_that_nobody_ever_held, a_restarted_holder_asks_at_once, a_node_that_hears_of_a_holder_before_its_turn_reads_nothing; the first two fail on the code before (nothing is due for a term), the third uses a new option.

--- a/include/chivedeal/forward/duty_lease.hpp
+++ b/include/chivedeal/forward/duty_lease.hpp
@@ -14,7 +14,8 @@
 ///
 /// A grant is a record appended at the topic's expected end; its offset is the fencing token. The
 /// holder shows itself alive by its token in the datagrams to its peers. A node that has seen no
-/// sign of a holder for a term may ask for the lease.
+/// sign of a holder for a term may ask for the lease; at once where nobody ever held it, or where
+/// the node itself held it last, before its process was restarted.
 class duty_lease
 {
 public:
@@ -22,6 +23,9 @@
     {
         node_id self;
         absl::Duration term = absl::Seconds(3);
+        /// Waited beyond the term, different on each node: the first one to ask is heard by the
+        /// others before they ask, too.
+        absl::Duration stagger = absl::ZeroDuration();
         /// A longer pause between two ticks makes the node read the lease again before it acts.
         absl::Duration longest_pause = absl::Seconds(1);
     };
@@ -62,6 +66,8 @@
     std::uint64_t expected_end() const { return m_end; }
 
 private:
+    void note_holder(absl::Time now);
+
     options m_options;
     std::optional<std::uint64_t> m_held;
     std::uint64_t m_highest_token = 0;
@@ -69,6 +75,8 @@
     std::uint64_t m_end = 0;
     absl::Time m_last_tick;
     absl::Time m_holder_seen;
+    // Silence after which the node asks. At its start it has no sign of a holder to wait after.
+    absl::Duration m_patience;
     // A node that lost the lease doesn't take it back within a term.
     absl::Time m_not_before = absl::InfinitePast();
     absl::Time m_next_read = absl::InfinitePast();
--- a/src/forward/control_duties.cpp
+++ b/src/forward/control_duties.cpp
@@ -11,6 +11,8 @@
 
 #include "absl/strings/str_cat.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -30,6 +32,17 @@
 // Part of the platform's bound on a new version's share that the nodes use.
 constexpr double exposure_use = 0.5;
 
+// Beacons tell all nodes of a new holder within a quarter of the spread, also among many nodes.
+constexpr double lease_stagger = 0.25;
+
+absl::Duration stagger_of(const node_settings& settings)
+{
+    const std::string& name = settings.node.str();
+    const double part =
+        static_cast<double>(XXH3_64bits(name.data(), name.size()) >> 11) / (1ULL << 53);
+    return settings.lease_term * lease_stagger * part;
+}
+
 } // namespace
 
 control_duties::control_duties(options parts)
@@ -41,7 +54,10 @@
       m_inbox(parts.inbox),
       m_forwarder(parts.forwarder),
       m_peers(parts.peers),
-      m_lease({.self = parts.settings.node, .term = parts.settings.lease_term}, parts.time.now()),
+      m_lease({.self = parts.settings.node,
+               .term = parts.settings.lease_term,
+               .stagger = stagger_of(parts.settings)},
+              parts.time.now()),
       m_windows(parts.settings.usage_window),
       m_true_time_offset(parts.time.wall_now() - parts.time.now()),
       m_usage({.window = parts.settings.usage_window,
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -69,7 +69,12 @@
 
 void peer_exchange::set_lease_token(std::optional<std::uint64_t> token)
 {
+    const bool is_news = token && *m_lease.load() != token;
     m_lease.store(std::make_shared<const std::optional<std::uint64_t>>(token));
+    if (is_news) {
+        m_urgent = true;
+        m_wake.raise();
+    }
 }
 
 void peer_exchange::greet(const address& node) { (void)m_greetings.try_push(node); }
--- a/test/forward_duty_lease_test.cpp
+++ b/test/forward_duty_lease_test.cpp
@@ -24,6 +24,8 @@
 duty_lease make_holder()
 {
     duty_lease lease = make_lease();
+    lease.tick(start);
+    lease.on_read(std::nullopt, 0, 7, start);
     tick_until_step(lease, start, start + term);
     lease.on_read(std::nullopt, 0, 7, start + term);
     lease.tick(start + term);
@@ -31,9 +33,44 @@
     return lease;
 }
 
+// On-demand endpoints stood three seconds longer than needed at each start of a whole system.
+TEST(duty_lease, asks_at_once_for_a_lease_that_nobody_ever_held)
+{
+    duty_lease lease = make_lease();
+    EXPECT_EQ(lease.tick(start), duty_lease::step::read);
+    lease.on_read(std::nullopt, 0, 0, start);
+    EXPECT_EQ(lease.tick(start), duty_lease::step::append);
+}
+
+// After all processes were killed the duties stood still for two terms.
+TEST(duty_lease, a_restarted_holder_asks_at_once)
+{
+    duty_lease lease = make_lease();
+    EXPECT_EQ(lease.tick(start), duty_lease::step::read);
+    lease.on_read(node_id("n1"), 5, 6, start);
+    EXPECT_EQ(lease.tick(start), duty_lease::step::append);
+    EXPECT_EQ(lease.held(start), std::nullopt);
+}
+
+// All of 89 nodes read the lease and 73 appends failed whenever it was free.
+TEST(duty_lease, a_node_that_hears_of_a_holder_before_its_turn_reads_nothing)
+{
+    duty_lease lease({.self = node_id("n1"), .term = term, .stagger = absl::Milliseconds(500)},
+                     start);
+    EXPECT_EQ(lease.tick(start), duty_lease::step::none);
+    lease.on_peer_holds(0, start + absl::Milliseconds(250));
+    EXPECT_EQ(tick_until_step(lease, start + absl::Milliseconds(250), start + term),
+              duty_lease::step::none);
+    EXPECT_EQ(tick_until_step(lease, start + term, start + term + absl::Seconds(1)),
+              duty_lease::step::read);
+}
+
 TEST(duty_lease, waits_a_term_then_reads_and_appends)
 {
     duty_lease lease = make_lease();
+    EXPECT_EQ(lease.tick(start), duty_lease::step::read);
+    // Grants before the topic's end have expired: their holder may live.
+    lease.on_read(std::nullopt, 0, 7, start);
     EXPECT_EQ(tick_until_step(lease, start, start + absl::Milliseconds(2750)),
               duty_lease::step::none);
     EXPECT_EQ(lease.tick(start + term), duty_lease::step::read);
@@ -48,6 +85,8 @@
 TEST(duty_lease, waits_again_after_it_reads_a_new_grant)
 {
     duty_lease lease = make_lease();
+    lease.tick(start);
+    lease.on_read(node_id("n2"), 4, 5, start);
     tick_until_step(lease, start, start + term);
     lease.on_read(node_id("n2"), 5, 6, start + term);
     EXPECT_EQ(tick_until_step(lease, start + term, start + term + absl::Milliseconds(2500)),
