Tell peers at once of long prompts

Cause: in calm seconds of the grown deployments 8 in 100 streams are late, where the small ones have 3 in 100. A prompt is read in 0.1 to 0.3 s, and among 74 nodes a beacon comes each 0.3 s in the region and each 0.5 s, without loads, from other regions. Requests were sent to endpoints that were reading another long prompt.

Change: a node that gives an endpoint a prompt of 3,000 tokens or more to read tells all nodes by a datagram of 40 bytes (prompt_notice); with more than 128 peers only its region. Reports that come later count the same prompt once.

Tests: endpoint_pool.counts_a_noticed_prompt_once, has_peers_told_of_long_prompts_alone, peer_codec.restores_a_notice_of_a_prompt (new interface, not run on the code before).

--- a/include/chivedeal/forward/endpoint_pool.hpp
+++ b/include/chivedeal/forward/endpoint_pool.hpp
@@ -7,6 +7,7 @@
 #include "chivedeal/forward/endpoint_load.hpp"
 #include "chivedeal/forward/endpoint_query.hpp"
 #include "chivedeal/forward/endpoint_record.hpp"
+#include "chivedeal/forward/prompt_notice.hpp"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
@@ -14,6 +15,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace chivedeal::forward {
@@ -29,6 +31,7 @@
 public:
     struct options
     {
+        node_id self;
         region_id region;
         std::map<zone_id, region_id> zones;
     };
@@ -72,8 +75,13 @@
     /// last report.
     void set_peer_load(const node_id& peer, const std::vector<endpoint_load>& loads,
                        absl::Time now);
+    /// A peer gave an endpoint a long prompt; its next report counts it, too.
+    void on_peer_prompt(const prompt_notice& notice, absl::Time now);
     void forget_peer(const node_id& peer);
 
+    /// Returns the long prompts that were sent since the last call, for the peers.
+    std::vector<prompt_notice> take_notices() { return std::exchange(m_notices, {}); }
+
     /// What this node has under way, for its peers. Endpoints that it has used neither now nor
     /// lately are left out.
     std::vector<endpoint_load> own_load(absl::Time now) const;
@@ -135,6 +143,7 @@
     std::map<service_id, std::vector<endpoint_id>> m_by_service;
     std::map<service_id, version_split> m_splits;
     std::map<node_id, peer_loads> m_peer_loads;
+    std::vector<prompt_notice> m_notices;
 };
 
 } // namespace chivedeal::forward
--- a/include/chivedeal/forward/node_event.hpp
+++ b/include/chivedeal/forward/node_event.hpp
@@ -4,6 +4,7 @@
 #include "chivedeal/forward/endpoint_record.hpp"
 #include "chivedeal/forward/local_state.hpp"
 #include "chivedeal/forward/node_beacon.hpp"
+#include "chivedeal/forward/prompt_notice.hpp"
 #include "chivedeal/forward/rollout_order.hpp"
 
 #include "absl/time/time.h"
@@ -54,6 +55,11 @@
         std::shared_ptr<const node_beacon> before;
     };
 
+    struct prompt_noticed
+    {
+        prompt_notice notice;
+    };
+
     struct peer_lost
     {
         node_id node;
@@ -84,8 +90,8 @@
     {};
 
     std::variant<config_changed, rollout_ordered, endpoint_changed, endpoint_removed,
-                 endpoints_loaded, peer_heard, peer_lost, version_decided, local_counted,
-                 true_time_changed, drain_requested>
+                 endpoints_loaded, peer_heard, prompt_noticed, peer_lost, version_decided,
+                 local_counted, true_time_changed, drain_requested>
         value;
 };
 
--- a/include/chivedeal/forward/peer_codec.hpp
+++ b/include/chivedeal/forward/peer_codec.hpp
@@ -4,6 +4,7 @@
 #include "chivedeal/core/result.hpp"
 #include "chivedeal/forward/beacon_bundle.hpp"
 #include "chivedeal/forward/node_beacon.hpp"
+#include "chivedeal/forward/prompt_notice.hpp"
 #include "chivedeal/forward/relayed_batch.hpp"
 
 #include <string>
@@ -12,7 +13,7 @@
 namespace chivedeal::forward {
 
 /// A datagram between nodes.
-using peer_message = std::variant<node_beacon, relayed_batch, beacon_bundle>;
+using peer_message = std::variant<node_beacon, relayed_batch, beacon_bundle, prompt_notice>;
 
 /// Encodes as MessagePack.
 std::string encode_message(const peer_message& message);
--- a/include/chivedeal/forward/peer_exchange.hpp
+++ b/include/chivedeal/forward/peer_exchange.hpp
@@ -42,6 +42,8 @@
         const node_settings& settings;
         const clock& time;
         std::vector<node_event_listener*> listeners;
+        /// Gets the notices of prompts.
+        node_event_listener& prompts;
     };
 
     explicit peer_exchange(options parts);
@@ -54,6 +56,8 @@
     void publish(local_state state);
     void set_lease_token(std::optional<std::uint64_t> token);
     void relay(relayed_batch batch) override;
+    /// Tells all nodes of a long prompt. Any thread.
+    void announce(const prompt_notice& notice);
     /// Tells `listener` what peers read of a topic. Before `run` only.
     void follow(topic which, relay_listener& listener) { m_followers[which] = &listener; }
     /// Greets a node that may not be known yet. Any thread.
@@ -68,6 +72,7 @@
     void send_far(int socket, const node_beacon& beacon, bool urgent, absl::Time now);
     void send_near(int socket, const std::string& bytes) const;
     void send_relays(int socket);
+    void send_notices(int socket);
     void take(int socket, const peer_message& message, absl::Time now);
     /// `direct`: from the sender itself, so that its clock can be compared.
     void take_beacon(int socket, const node_beacon& beacon, bool direct, absl::Time now);
@@ -80,6 +85,7 @@
     const node_settings& m_settings;
     const clock& m_time;
     std::vector<node_event_listener*> m_listeners;
+    node_event_listener& m_prompts;
     wake_signal m_wake;
     shared_cell<local_state> m_local;
     shared_cell<std::optional<std::uint64_t>> m_lease;
@@ -94,6 +100,7 @@
     absl::Duration m_offset = absl::InfiniteDuration();
     bounded_ring<address> m_greetings;
     bounded_ring<relayed_batch> m_relays;
+    bounded_ring<prompt_notice> m_notices;
     std::map<topic, relay_listener*> m_followers;
 };
 
--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -38,6 +38,9 @@
 constexpr double reread_ms = 0.02;
 constexpr absl::Duration part_lifetime = absl::Seconds(60);
 constexpr std::size_t most_parts = 512;
+// Tokens of a prompt that peers are told of at once: it takes an endpoint longer to read than most
+// requests have for their first event beside their own prompt.
+constexpr std::int64_t long_prompt = 3000;
 // Peers hear a node several times in this time, so that one of them tells each of its requests.
 constexpr absl::Duration load_memory = absl::Milliseconds(1500);
 constexpr absl::Duration full_pause = absl::Milliseconds(150);
@@ -264,6 +267,8 @@
     one.own_sent_tokens += reading;
     one.last_used = now;
     add_prompt(one, reading, now);
+    if (reading >= long_prompt)
+        m_notices.push_back({.node = m_options.self, .endpoint = id, .tokens = reading});
 }
 
 void endpoint_pool::on_first_byte(const endpoint_id& id, const endpoint_query& query,
@@ -377,11 +382,27 @@
             note_outcomes(found->second, std::min<std::int64_t>(load.answered, 1),
                           std::min<std::int64_t>(load.failed, 1), now);
         }
-        known.insert_or_assign(load.endpoint, load);
+        // A notice may be newer than the report.
+        endpoint_load next = load;
+        if (before != known.end())
+            next.sent_tokens = std::max(next.sent_tokens, before->second.sent_tokens);
+        known.insert_or_assign(load.endpoint, next);
     }
     count_peer(known, 1);
 }
 
+void endpoint_pool::on_peer_prompt(const prompt_notice& notice, absl::Time now)
+{
+    const auto found = m_entries.find(notice.endpoint);
+    const auto peer = m_peer_loads.find(notice.node);
+    if (found == m_entries.end() || peer == m_peer_loads.end())
+        return;
+    add_prompt(found->second, notice.tokens, now);
+    const auto known = peer->second.find(notice.endpoint);
+    if (known != peer->second.end())
+        known->second.sent_tokens += notice.tokens;
+}
+
 void endpoint_pool::forget_peer(const node_id& peer)
 {
     const auto known = m_peer_loads.find(peer);
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -61,7 +61,7 @@
       m_peers(parts.peers),
       m_on_drained(std::move(parts.on_drained)),
       m_callers(m_poller, *this),
-      m_pool({.region = m_settings.region, .zones = m_settings.zones}),
+      m_pool({.self = m_settings.node, .region = m_settings.region, .zones = m_settings.zones}),
       m_endpoints(m_poller, m_runner, {.id_field = parts.names.request_id}),
       m_runner({.settings = m_settings,
                 .names = parts.names,
@@ -98,6 +98,8 @@
             dispatch(one, now);
         take_events(now);
         next_timer = m_runner.tick(now);
+        for (const prompt_notice& notice : m_pool.take_notices())
+            m_peers.announce(notice);
         if (now >= m_next_periodic)
             periodic(now);
         m_callers.sweep();
@@ -155,6 +157,9 @@
     else if (const auto* heard = std::get_if<node_event::peer_heard>(&event.value)) {
         take_peer(*heard, now);
     }
+    else if (const auto* prompt = std::get_if<node_event::prompt_noticed>(&event.value)) {
+        m_pool.on_peer_prompt(prompt->notice, now);
+    }
     else if (const auto* lost = std::get_if<node_event::peer_lost>(&event.value)) {
         m_book.on_lost(lost->node);
         m_pool.forget_peer(lost->node);
@@ -185,6 +190,9 @@
 {
     const node_beacon& beacon = *heard.beacon;
     m_book.on_beacon(beacon);
+    // A new process counts from zero.
+    if (!heard.before)
+        m_pool.forget_peer(beacon.node);
     m_pool.set_peer_load(beacon.node, beacon.loads, now);
     for (const auto& [workspace, admitted] : beacon.admitted) {
         double before = 0;
--- a/src/forward/peer_codec.cpp
+++ b/src/forward/peer_codec.cpp
@@ -149,6 +149,19 @@
 constexpr int beacon_kind = 1;
 constexpr int batch_kind = 2;
 constexpr int bundle_kind = 3;
+constexpr int notice_kind = 4;
+
+json encode_fields(const prompt_notice& notice)
+{
+    return {notice.node.str(), notice.endpoint.str(), notice.tokens};
+}
+
+prompt_notice decode_notice(const json& fields)
+{
+    return {.node = node_id(fields.at(0).get<std::string>()),
+            .endpoint = endpoint_id(fields.at(1).get<std::string>()),
+            .tokens = fields.at(2).get<std::int64_t>()};
+}
 
 json encode_fields(const beacon_bundle& bundle)
 {
@@ -175,8 +188,10 @@
         whole = {beacon_kind, encode_fields(*beacon)};
     else if (const auto* batch = std::get_if<relayed_batch>(&message))
         whole = {batch_kind, encode_fields(*batch)};
+    else if (const auto* bundle = std::get_if<beacon_bundle>(&message))
+        whole = {bundle_kind, encode_fields(*bundle)};
     else
-        whole = {bundle_kind, encode_fields(std::get<beacon_bundle>(message))};
+        whole = {notice_kind, encode_fields(std::get<prompt_notice>(message))};
     const std::vector<std::uint8_t> bytes = json::to_msgpack(whole);
     return {bytes.begin(), bytes.end()};
 }
@@ -191,6 +206,8 @@
             return peer_message(decode_batch(whole.at(1)));
         if (whole.at(0).get<int>() == bundle_kind)
             return peer_message(decode_bundle(whole.at(1)));
+        if (whole.at(0).get<int>() == notice_kind)
+            return peer_message(decode_notice(whole.at(1)));
         return error{.code = result_code::malformed_message, .message = "unknown kind"};
     }
     catch (const json::exception& fault) {
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -33,6 +33,9 @@
 // half of a beacon where there are many workspaces.
 constexpr std::size_t far_windows = 2;
 constexpr std::size_t most_datagram = 64 * 1024;
+// With more peers than this only the own region is told of long prompts: their number grows with
+// that of the nodes, and each goes to all.
+constexpr std::size_t most_noticed = 128;
 // Peers named in each beacon, in turn, so that each node hears of all others.
 constexpr std::size_t named_peers = 4;
 constexpr absl::Duration offset_step = absl::Milliseconds(20);
@@ -44,13 +47,15 @@
     : m_settings(parts.settings),
       m_time(parts.time),
       m_listeners(std::move(parts.listeners)),
+      m_prompts(parts.prompts),
       m_local(std::make_shared<const local_state>()),
       m_lease(std::make_shared<const std::optional<std::uint64_t>>()),
       m_table({.self = parts.settings.node, .self_address = parts.settings.peers}),
       m_relay({.region = parts.settings.region}),
       m_started_us(absl::ToUnixMicros(parts.time.wall_now())),
       m_greetings(256),
-      m_relays(64)
+      m_relays(64),
+      m_notices(256)
 {
     for (const address& seed : m_settings.seeds)
         m_table.add_candidate(seed);
@@ -86,6 +91,13 @@
         m_wake.raise();
 }
 
+void peer_exchange::announce(const prompt_notice& notice)
+{
+    // One that is dropped is made up for by the next beacon.
+    if (m_notices.try_push(notice))
+        m_wake.raise();
+}
+
 void peer_exchange::run()
 {
     const auto bound = bind_udp(m_settings.peers);
@@ -105,6 +117,7 @@
         if ((waiting[0].revents & POLLIN) != 0)
             receive_all(socket, now);
         send_relays(socket);
+        send_notices(socket);
         const bool urgent = m_urgent.exchange(false);
         if (urgent || now >= next_send) {
             send_beacon(socket, urgent, now);
@@ -220,6 +233,17 @@
         send_near(socket, encode_message(*batch));
 }
 
+void peer_exchange::send_notices(int socket)
+{
+    const bool to_all = m_table.beacons().size() <= most_noticed;
+    while (const auto notice = m_notices.pop(absl::ZeroDuration())) {
+        const std::string bytes = encode_message(*notice);
+        for (const auto& [node, peer] : m_table.beacons())
+            if (to_all || in_region(peer))
+                (void)send_datagram(socket, peer.peers, bytes.data(), bytes.size());
+    }
+}
+
 void peer_exchange::receive_all(int socket, absl::Time now)
 {
     std::string buffer(most_datagram, '\0');
@@ -248,6 +272,9 @@
         for (const node_beacon& one : bundle->beacons)
             take_beacon(socket, one, false, now);
     }
+    else if (const auto* notice = std::get_if<prompt_notice>(&message)) {
+        m_prompts.on_event({node_event::prompt_noticed{*notice}});
+    }
     else if (const auto* batch = std::get_if<relayed_batch>(&message)) {
         const auto follower = m_followers.find(batch->from);
         if (follower != m_followers.end())
--- a/test/forward_endpoint_pool_test.cpp
+++ b/test/forward_endpoint_pool_test.cpp
@@ -173,6 +173,37 @@
     EXPECT_EQ(pool.own_load(start + absl::Seconds(5)).size(), 2U);
 }
 
+// Among 74 nodes a beacon comes when the endpoint has read the prompt: requests were sent to busy
+// endpoints, and one in ten was late in calm seconds.
+TEST(endpoint_pool, counts_a_noticed_prompt_once)
+{
+    endpoint_pool pool = make_pool();
+    pool.update(make_record("e1"), start);
+    pool.update(make_record("e2"), start);
+    pool.set_peer_load(node_id("n2"), {{endpoint_id("e1"), 0, 100}}, start);
+    pool.on_peer_prompt({.node = node_id("n2"), .endpoint = endpoint_id("e1"), .tokens = 5000},
+                        start);
+    pool.on_sent(endpoint_id("e2"), 6000, start);
+    EXPECT_EQ(chosen(pool, make_query()), "e1");
+    // A report from before the notice, and one that counts the prompt, too.
+    pool.set_peer_load(node_id("n2"), {{endpoint_id("e1"), 0, 100}}, start);
+    pool.set_peer_load(node_id("n2"), {{endpoint_id("e1"), 0, 5100}}, start);
+    EXPECT_EQ(chosen(pool, make_query()), "e1");
+    pool.set_peer_load(node_id("n2"), {{endpoint_id("e1"), 0, 9000}}, start);
+    EXPECT_EQ(chosen(pool, make_query()), "e2");
+}
+
+TEST(endpoint_pool, has_peers_told_of_long_prompts_alone)
+{
+    endpoint_pool pool = make_pool();
+    pool.update(make_record("e1"), start);
+    pool.on_sent(endpoint_id("e1"), 200, start);
+    EXPECT_TRUE(pool.take_notices().empty());
+    pool.on_sent(endpoint_id("e1"), 20000, start);
+    ASSERT_EQ(pool.take_notices().size(), 1U);
+    EXPECT_TRUE(pool.take_notices().empty());
+}
+
 // Told to peers, the time-outs of an overload paused one endpoint after the other.
 TEST(endpoint_pool, tells_peers_of_failures_but_not_of_late_answers)
 {
--- a/test/forward_peers_test.cpp
+++ b/test/forward_peers_test.cpp
@@ -67,6 +67,15 @@
     EXPECT_EQ(std::get<beacon_bundle>(get_value(decoded)), bundle);
 }
 
+TEST(peer_codec, restores_a_notice_of_a_prompt)
+{
+    const prompt_notice notice{
+        .node = node_id("n2"), .endpoint = endpoint_id("e1"), .tokens = 5000};
+    const auto decoded = decode_message(encode_message(notice));
+    ASSERT_TRUE(is_ok(decoded));
+    EXPECT_EQ(std::get<prompt_notice>(get_value(decoded)), notice);
+}
+
 // Any datagram may arrive on the port.
 RC_GTEST_PROP(peer_codec, refuses_any_other_bytes, (const std::string& bytes))
 {
