Avoid endpoints from which nothing comes, and leave a busy home later

Cause: endpoints that hang or go dark got requests until their records lapsed, 3.6 s and more; streams that wait there can't be sent elsewhere. Among 89 nodes each sends an endpoint a request in 14 s, so that none learns of it alone.

Change: endpoint_pool keeps when an endpoint last showed life (bytes of any answer, answers that peers count). A node whose requests wait there for over a second, and longer than the known prompts take, avoids it and tells its peers; two such peers suffice for the others. As with failures, endpoints stay in use when over half as many are out as in. A part read again counts 0.04 instead of 0.02 ms a token.

Tests: endpoint_pool.avoids_an_endpoint_from_which_nothing_comes, avoids_an_endpoint_that_ is_silent_to_two_peers, waits_for_a_long_prompt_before_it_calls_an_endpoint_silent (the interface is new, so that they were not run on the code before).

--- a/include/chivedeal/forward/endpoint_load.hpp
+++ b/include/chivedeal/forward/endpoint_load.hpp
@@ -17,6 +17,8 @@
     /// Requests since the node's start that the endpoint answered, and that it failed.
     std::int64_t answered = 0;
     std::int64_t failed = 0;
+    /// Requests of the node wait there, and nothing has come from it for long.
+    bool is_silent = false;
 
     friend bool operator==(const endpoint_load&, const endpoint_load&) = default;
 };
--- a/include/chivedeal/forward/endpoint_pool.hpp
+++ b/include/chivedeal/forward/endpoint_pool.hpp
@@ -58,7 +58,10 @@
     /// The answer began: its prompt has been read, `late` after the predicted time.
     void on_first_byte(const endpoint_id& id, const endpoint_query& query, absl::Duration late,
                        absl::Time now);
-    void on_ended(const endpoint_id& id);
+    /// More of an answer came.
+    void on_bytes(const endpoint_id& id, absl::Time now);
+    /// `answered`: whether the answer had begun.
+    void on_ended(const endpoint_id& id, bool answered);
 
     void on_success(const endpoint_id& id, absl::Time now);
     /// The endpoint failed a request it had taken.
@@ -91,6 +94,13 @@
     {
         endpoint_record record;
         int own_requests = 0;
+        // Those whose answer has not begun.
+        int own_waiting = 0;
+        // The later of the first of these and the last sign of life.
+        absl::Time waiting_since = absl::InfiniteFuture();
+        absl::Time last_alive = absl::InfinitePast();
+        // Peers whose requests there have waited for long.
+        int silent_peers = 0;
         int peer_requests = 0;
         std::int64_t own_sent_tokens = 0;
         std::int64_t own_answered = 0;
@@ -132,6 +142,9 @@
     std::vector<const entry*> usable(const endpoint_query& query, double random,
                                      absl::Time now) const;
     bool is_local(const entry& one) const;
+    static bool is_silent(const entry& one, absl::Time now);
+    static bool is_silent_here(const entry& one, absl::Time now);
+    static void note_alive(entry& one, absl::Time now);
     // Requests that ended at any node; in which order is not known.
     static void note_outcomes(entry& one, std::int64_t answered, std::int64_t failed,
                               absl::Time now);
--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -34,10 +34,16 @@
 // A shared part of this many tokens has one home in all regions: to read it again costs more than
 // the way there. Smaller ones have a home in each region.
 constexpr std::int64_t worth_the_way = 2000;
-// Reading a token again takes the engine from others, too.
-constexpr double reread_ms = 0.02;
+// Reading a token again takes the engine from others, too. With 0.02 ms requests left a busy home
+// too soon: tnl-chantier trouble-2 was worth 0.514 instead of 0.537.
+constexpr double reread_ms = 0.04;
 constexpr absl::Duration part_lifetime = absl::Seconds(60);
 constexpr std::size_t most_parts = 512;
+// An endpoint from which nothing came for this long, though requests wait there, has probably hung.
+// Under load each endpoint ends several answers a second.
+constexpr absl::Duration longest_silence = absl::Seconds(1);
+// Peers that have to find an endpoint silent: one may be cut off from it.
+constexpr int silent_peers_needed = 2;
 // Tokens of a prompt that peers are told of at once: it takes an endpoint longer to read than most
 // requests have for their first event beside their own prompt.
 constexpr std::int64_t long_prompt = 3000;
@@ -183,7 +189,9 @@
             std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end();
         if (one.record.leaving || excluded || is_rolled_back(one))
             continue;
-        if (now < one.unusable_until)
+        if (is_silent(one, now))
+            failing.push_back(&one);
+        else if (now < one.unusable_until)
             (one.failing ? failing : paused).push_back(&one);
         else
             (allows_version(one, random) ? allowed : other_version).push_back(&one);
@@ -196,6 +204,25 @@
     return allowed.empty() ? paused : allowed;
 }
 
+bool endpoint_pool::is_silent(const entry& one, absl::Time now)
+{
+    const bool silent_to_peers =
+        one.silent_peers >= silent_peers_needed && now - one.last_alive > longest_silence;
+    return silent_to_peers || is_silent_here(one, now);
+}
+
+bool endpoint_pool::is_silent_here(const entry& one, absl::Time now)
+{
+    return one.own_waiting > 0 && now - one.waiting_since > longest_silence &&
+           now - one.read_by > longest_silence;
+}
+
+void endpoint_pool::note_alive(entry& one, absl::Time now)
+{
+    one.last_alive = now;
+    one.waiting_since = one.own_waiting > 0 ? now : absl::InfiniteFuture();
+}
+
 bool endpoint_pool::allows_version(const entry& one, double random) const
 {
     const auto split = m_splits.find(one.record.service);
@@ -264,6 +291,8 @@
         return;
     entry& one = found->second;
     ++one.own_requests;
+    if (one.own_waiting++ == 0)
+        one.waiting_since = now;
     one.own_sent_tokens += reading;
     one.last_used = now;
     add_prompt(one, reading, now);
@@ -278,6 +307,8 @@
     if (found == m_entries.end())
         return;
     entry& one = found->second;
+    one.own_waiting = std::max(0, one.own_waiting - 1);
+    note_alive(one, now);
     // An answer that is late shows a backlog that isn't known here; part of it remains.
     if (late > absl::ZeroDuration())
         one.read_by = std::max(one.read_by, now) + std::min(late, longest_lateness) * late_weight;
@@ -287,11 +318,25 @@
         one.parts[part.id] = now;
 }
 
-void endpoint_pool::on_ended(const endpoint_id& id)
+void endpoint_pool::on_bytes(const endpoint_id& id, absl::Time now)
 {
     const auto found = m_entries.find(id);
     if (found != m_entries.end())
-        found->second.own_requests = std::max(0, found->second.own_requests - 1);
+        note_alive(found->second, now);
+}
+
+void endpoint_pool::on_ended(const endpoint_id& id, bool answered)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end())
+        return;
+    entry& one = found->second;
+    one.own_requests = std::max(0, one.own_requests - 1);
+    if (answered)
+        return;
+    one.own_waiting = std::max(0, one.own_waiting - 1);
+    if (one.own_waiting == 0)
+        one.waiting_since = absl::InfiniteFuture();
 }
 
 void endpoint_pool::on_success(const endpoint_id& id, absl::Time now)
@@ -328,10 +373,13 @@
         one.failure_share *= 1 - failure_smoothing;
     for (std::int64_t i = 0; i < failed; ++i)
         one.failure_share += failure_smoothing * (1 - one.failure_share);
-    if (answered > 0)
+    if (answered > 0) {
+        note_alive(one, now);
         one.failures_in_row = 0;
-    else if (failed > 0)
+    }
+    else if (failed > 0) {
         one.failures_in_row += static_cast<int>(failed);
+    }
     if (failed <= 0 || one.failures_in_row < failures_to_pause)
         return;
     one.failing = true;
@@ -363,8 +411,10 @@
     const bool is_new = m_peer_loads.find(peer) == m_peer_loads.end();
     peer_loads& known = m_peer_loads[peer];
     count_peer(known, -1);
-    for (auto& [id, load] : known)
+    for (auto& [id, load] : known) {
         load.requests = 0;
+        load.is_silent = false;
+    }
     for (const endpoint_load& load : loads) {
         const auto found = m_entries.find(load.endpoint);
         if (found == m_entries.end())
@@ -416,8 +466,11 @@
 {
     for (const auto& [id, load] : loads) {
         const auto found = m_entries.find(id);
-        if (found != m_entries.end())
-            found->second.peer_requests += sign * load.requests;
+        if (found == m_entries.end())
+            continue;
+        found->second.peer_requests += sign * load.requests;
+        if (load.is_silent)
+            found->second.silent_peers += sign;
     }
 }
 
@@ -430,7 +483,8 @@
                              .requests = one.own_requests,
                              .sent_tokens = one.own_sent_tokens,
                              .answered = one.own_answered,
-                             .failed = one.own_failed});
+                             .failed = one.own_failed,
+                             .is_silent = is_silent_here(one, now)});
     return loads;
 }
 
--- a/src/forward/peer_codec.cpp
+++ b/src/forward/peer_codec.cpp
@@ -14,8 +14,8 @@
 {
     json loads = json::array();
     for (const endpoint_load& one : beacon.loads)
-        loads.push_back(
-            {one.endpoint.str(), one.requests, one.sent_tokens, one.answered, one.failed});
+        loads.push_back({one.endpoint.str(), one.requests, one.sent_tokens, one.answered,
+                         one.failed, one.is_silent});
     return loads;
 }
 
@@ -54,7 +54,8 @@
                                 .requests = one.at(1).get<int>(),
                                 .sent_tokens = one.at(2).get<std::int64_t>(),
                                 .answered = one.at(3).get<std::int64_t>(),
-                                .failed = one.at(4).get<std::int64_t>()});
+                                .failed = one.at(4).get<std::int64_t>(),
+                                .is_silent = one.at(5).get<bool>()});
     for (const json& one : fields.at(12))
         beacon.outcomes.push_back({.service = service_id(one.at(0).get<std::string>()),
                                    .target = version_id(one.at(1).get<std::string>()),
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -174,9 +174,11 @@
     if (relayed) {
         std::vector<endpoint_load> failing;
         for (const endpoint_load& one : beacon.loads)
-            if (one.failed > 0)
-                failing.push_back(
-                    {.endpoint = one.endpoint, .answered = one.answered, .failed = one.failed});
+            if (one.failed > 0 || one.is_silent)
+                failing.push_back({.endpoint = one.endpoint,
+                                   .answered = one.answered,
+                                   .failed = one.failed,
+                                   .is_silent = one.is_silent});
         beacon.loads.swap(failing);
     }
     if (beacon.usage.size() > far_windows)
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -210,7 +210,7 @@
             return;
         if (sent)
             break;
-        m_pool.on_ended(one.attempt->id);
+        m_pool.on_ended(one.attempt->id, false);
         one.query.excluded.push_back(one.attempt->id);
         one.attempt.reset();
     }
@@ -282,6 +282,8 @@
     }
     if (!one->attempt_read)
         note_first_byte(*one, now);
+    else
+        m_pool.on_bytes(one->attempt->id, now);
     if (!one->match.matched->resumable) {
         m_callers.send_stream(one->connection, bytes, now);
     }
@@ -472,7 +474,7 @@
 {
     if (!one.attempt)
         return;
-    m_pool.on_ended(one.attempt->id);
+    m_pool.on_ended(one.attempt->id, one.attempt_read);
     one.attempt.reset();
 }
 
--- a/test/forward_endpoint_pool_test.cpp
+++ b/test/forward_endpoint_pool_test.cpp
@@ -163,7 +163,7 @@
         pool.update(make_record(id), start);
     pool.on_sent(endpoint_id("e1"), 100, start);
     pool.on_sent(endpoint_id("e2"), 100, start);
-    pool.on_ended(endpoint_id("e2"));
+    pool.on_ended(endpoint_id("e2"), false);
     EXPECT_EQ(pool.own_load(start).size(), 2U);
     const auto later = pool.own_load(start + absl::Seconds(5));
     ASSERT_EQ(later.size(), 1U);
@@ -204,6 +204,55 @@
     EXPECT_TRUE(pool.take_notices().empty());
 }
 
+// Endpoints that had hung got requests until their records lapsed after four seconds.
+TEST(endpoint_pool, avoids_an_endpoint_from_which_nothing_comes)
+{
+    endpoint_pool pool = make_pool();
+    for (const char* id : {"e1", "e2", "e3"})
+        pool.update(make_record(id), start);
+    for (int i = 0; i < 3; ++i)
+        pool.on_sent(endpoint_id("e3"), 60000, start);
+    pool.on_sent(endpoint_id("e1"), 100, start);
+    const absl::Time later = start + absl::Seconds(2);
+    pool.on_sent(endpoint_id("e2"), 100, later);
+    pool.on_sent(endpoint_id("e2"), 100, later);
+    EXPECT_EQ(chosen(pool, make_query(), later), "e2");
+    // Events of a running stream show that it lives.
+    pool.on_bytes(endpoint_id("e1"), later);
+    EXPECT_EQ(chosen(pool, make_query(), later), "e1");
+}
+
+TEST(endpoint_pool, waits_for_a_long_prompt_before_it_calls_an_endpoint_silent)
+{
+    endpoint_pool pool = make_pool();
+    for (const char* id : {"e1", "e2", "e3"})
+        pool.update(make_record(id), start);
+    for (int i = 0; i < 3; ++i)
+        pool.on_sent(endpoint_id("e3"), 60000, start);
+    pool.on_sent(endpoint_id("e1"), 60000, start);
+    const absl::Time later = start + absl::Milliseconds(1500);
+    for (int i = 0; i < 2; ++i)
+        pool.on_sent(endpoint_id("e2"), 60000, later);
+    EXPECT_EQ(chosen(pool, make_query(), later), "e1");
+}
+
+// Among 89 nodes each would lose a request to learn it.
+TEST(endpoint_pool, avoids_an_endpoint_that_is_silent_to_two_peers)
+{
+    endpoint_pool pool = make_pool();
+    for (const char* id : {"e1", "e2", "e3"})
+        pool.update(make_record(id), start);
+    for (int i = 0; i < 3; ++i)
+        pool.on_sent(endpoint_id("e3"), 60000, start);
+    pool.on_sent(endpoint_id("e2"), 100, start);
+    pool.set_peer_load(node_id("n2"), {{.endpoint = endpoint_id("e1"), .is_silent = true}}, start);
+    EXPECT_EQ(chosen(pool, make_query()), "e1");
+    pool.set_peer_load(node_id("n3"), {{.endpoint = endpoint_id("e1"), .is_silent = true}}, start);
+    EXPECT_EQ(chosen(pool, make_query()), "e2");
+    pool.set_peer_load(node_id("n3"), {}, start);
+    EXPECT_EQ(chosen(pool, make_query()), "e1");
+}
+
 // Told to peers, the time-outs of an overload paused one endpoint after the other.
 TEST(endpoint_pool, tells_peers_of_failures_but_not_of_late_answers)
 {
@@ -247,7 +296,7 @@
     for (int i = 0; i < 5; ++i)
         pool.on_sent(endpoint_id("e1"), 0, start);
     EXPECT_EQ(chosen(pool, make_query()), "shed");
-    pool.on_ended(endpoint_id("e1"));
+    pool.on_ended(endpoint_id("e1"), false);
     EXPECT_EQ(chosen(pool, make_query()), "e1");
 }
 
--- a/test/forward_peers_test.cpp
+++ b/test/forward_peers_test.cpp
@@ -35,7 +35,7 @@
     node_beacon beacon = make_beacon("n2", 3);
     beacon.lease_token = 9;
     beacon.admitted[workspace_id("w")] = 12.5;
-    beacon.loads = {{endpoint_id("e1"), 2, 500, 7, 1}};
+    beacon.loads = {{endpoint_id("e1"), 2, 500, 7, 1, true}};
     beacon.pass_on = true;
     beacon.asked_tokens[service_id("s")] = 2;
     beacon.outcomes = {{.service = service_id("s"), .target = version_id("v2"), .target_bad = 4}};
