Move an endpoint's health out of the pool into a class of its own

Change: endpoint_health holds failures in a row, their share, silence and pauses, and says whether an endpoint is usable, paused or failing. endpoint_pool::update doesn't need the time any more. Behaviour is as before.

--- a/include/chivedeal/forward/endpoint_pool.hpp
+++ b/include/chivedeal/forward/endpoint_pool.hpp
@@ -4,6 +4,7 @@
 #include "chivedeal/core/id.hpp"
 #include "chivedeal/core/result.hpp"
 #include "chivedeal/forward/endpoint_choice.hpp"
+#include "chivedeal/forward/endpoint_health.hpp"
 #include "chivedeal/forward/endpoint_load.hpp"
 #include "chivedeal/forward/endpoint_query.hpp"
 #include "chivedeal/forward/endpoint_record.hpp"
@@ -39,7 +40,7 @@
     explicit endpoint_pool(options place) : m_options(std::move(place)) {}
 
     /// Adds or changes an endpoint. Another start time under the same identifier is a new endpoint.
-    void update(const endpoint_record& record, absl::Time now);
+    void update(const endpoint_record& record);
 
     void remove(const endpoint_id& id);
 
@@ -94,13 +95,6 @@
     {
         endpoint_record record;
         int own_requests = 0;
-        // Those whose answer has not begun.
-        int own_waiting = 0;
-        // The later of the first of these and the last sign of life.
-        absl::Time waiting_since = absl::InfiniteFuture();
-        absl::Time last_alive = absl::InfinitePast();
-        // Peers whose requests there have waited for long.
-        int silent_peers = 0;
         int peer_requests = 0;
         std::int64_t own_sent_tokens = 0;
         std::int64_t own_answered = 0;
@@ -108,11 +102,7 @@
         absl::Time last_used = absl::InfinitePast();
         // When the endpoint has read the prompts that it was given.
         absl::Time read_by = absl::InfinitePast();
-        int failures_in_row = 0;
-        double failure_share = 0;
-        absl::Time unusable_until = absl::InfinitePast();
-        // Out of use for requests that it failed, not because it can't be reached or is full.
-        bool failing = false;
+        endpoint_health health;
         // Prompt parts that this node's requests left in the endpoint's memory, by last use.
         absl::flat_hash_map<std::string, absl::Time> parts;
     };
@@ -142,12 +132,6 @@
     std::vector<const entry*> usable(const endpoint_query& query, double random,
                                      absl::Time now) const;
     bool is_local(const entry& one) const;
-    static bool is_silent(const entry& one, absl::Time now);
-    static bool is_silent_here(const entry& one, absl::Time now);
-    static void note_alive(entry& one, absl::Time now);
-    // Requests that ended at any node; in which order is not known.
-    static void note_outcomes(entry& one, std::int64_t answered, std::int64_t failed,
-                              absl::Time now);
     // Adds `sign` times what a peer has under way.
     void count_peer(const peer_loads& loads, int sign);
 
--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -28,7 +28,6 @@
 constexpr double queued_request_ms = 60;
 // Weight of recent failures: an endpoint that fails all looks this much slower.
 constexpr double failing_ms = 2000;
-constexpr double failure_smoothing = 0.1;
 // Requests an endpoint may have queued, in parts of its slots, before it counts as full.
 constexpr double full_factor = 1.25;
 // A shared part of this many tokens has one home in all regions: to read it again costs more than
@@ -39,20 +38,11 @@
 constexpr double reread_ms = 0.04;
 constexpr absl::Duration part_lifetime = absl::Seconds(60);
 constexpr std::size_t most_parts = 512;
-// An endpoint from which nothing came for this long, though requests wait there, has probably hung.
-// Under load each endpoint ends several answers a second.
-constexpr absl::Duration longest_silence = absl::Seconds(1);
-// Peers that have to find an endpoint silent: one may be cut off from it.
-constexpr int silent_peers_needed = 2;
 // Tokens of a prompt that peers are told of at once: it takes an endpoint longer to read than most
 // requests have for their first event beside their own prompt.
 constexpr std::int64_t long_prompt = 3000;
 // Peers hear a node several times in this time, so that one of them tells each of its requests.
 constexpr absl::Duration load_memory = absl::Milliseconds(1500);
-constexpr absl::Duration full_pause = absl::Milliseconds(150);
-constexpr absl::Duration first_pause = absl::Milliseconds(250);
-constexpr absl::Duration longest_pause = absl::Seconds(4);
-constexpr int failures_to_pause = 3;
 // With more of a service's endpoints failing than this part of those in use, the cause is hardly
 // theirs alone, and the others can't take all requests.
 constexpr double most_failing = 0.5;
@@ -89,7 +79,7 @@
 
 } // namespace
 
-void endpoint_pool::update(const endpoint_record& record, absl::Time now)
+void endpoint_pool::update(const endpoint_record& record)
 {
     auto& one = m_entries[record.id];
     const bool known = !one.record.id.empty();
@@ -100,9 +90,7 @@
     auto& current = m_entries[record.id];
     if (restarted) {
         current.parts.clear();
-        current.failures_in_row = 0;
-        current.failure_share = 0;
-        current.unusable_until = now;
+        current.health = {};
     }
     current.record = record;
     auto& peers = m_by_service[record.service];
@@ -189,10 +177,9 @@
             std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end();
         if (one.record.leaving || excluded || is_rolled_back(one))
             continue;
-        if (is_silent(one, now))
-            failing.push_back(&one);
-        else if (now < one.unusable_until)
-            (one.failing ? failing : paused).push_back(&one);
+        const endpoint_health::state health = one.health.at(now, one.read_by);
+        if (health != endpoint_health::state::usable)
+            (health == endpoint_health::state::failing ? failing : paused).push_back(&one);
         else
             (allows_version(one, random) ? allowed : other_version).push_back(&one);
     }
@@ -204,25 +191,6 @@
     return allowed.empty() ? paused : allowed;
 }
 
-bool endpoint_pool::is_silent(const entry& one, absl::Time now)
-{
-    const bool silent_to_peers =
-        one.silent_peers >= silent_peers_needed && now - one.last_alive > longest_silence;
-    return silent_to_peers || is_silent_here(one, now);
-}
-
-bool endpoint_pool::is_silent_here(const entry& one, absl::Time now)
-{
-    return one.own_waiting > 0 && now - one.waiting_since > longest_silence &&
-           now - one.read_by > longest_silence;
-}
-
-void endpoint_pool::note_alive(entry& one, absl::Time now)
-{
-    one.last_alive = now;
-    one.waiting_since = one.own_waiting > 0 ? now : absl::InfiniteFuture();
-}
-
 bool endpoint_pool::allows_version(const entry& one, double random) const
 {
     const auto split = m_splits.find(one.record.service);
@@ -273,7 +241,7 @@
         reading_tokens(query.prompt_tokens - cached, cached) / prompt_tokens_per_ms +
         static_cast<double>(std::max<std::int64_t>(0, shared_tokens(query) - cached)) * reread_ms +
         full_batch_ms * requests / std::max(one.record.slots, 1) + queued_request_ms * queued +
-        failing_ms * one.failure_share;
+        failing_ms * one.health.failure_share();
     milliseconds += is_local(one) ? remote_zone_ms : remote_region_ms;
     return milliseconds;
 }
@@ -291,8 +259,7 @@
         return;
     entry& one = found->second;
     ++one.own_requests;
-    if (one.own_waiting++ == 0)
-        one.waiting_since = now;
+    one.health.on_sent(now);
     one.own_sent_tokens += reading;
     one.last_used = now;
     add_prompt(one, reading, now);
@@ -307,8 +274,7 @@
     if (found == m_entries.end())
         return;
     entry& one = found->second;
-    one.own_waiting = std::max(0, one.own_waiting - 1);
-    note_alive(one, now);
+    one.health.on_answer_begun(now);
     // An answer that is late shows a backlog that isn't known here; part of it remains.
     if (late > absl::ZeroDuration())
         one.read_by = std::max(one.read_by, now) + std::min(late, longest_lateness) * late_weight;
@@ -322,7 +288,7 @@
 {
     const auto found = m_entries.find(id);
     if (found != m_entries.end())
-        note_alive(found->second, now);
+        found->second.health.on_bytes(now);
 }
 
 void endpoint_pool::on_ended(const endpoint_id& id, bool answered)
@@ -332,11 +298,8 @@
         return;
     entry& one = found->second;
     one.own_requests = std::max(0, one.own_requests - 1);
-    if (answered)
-        return;
-    one.own_waiting = std::max(0, one.own_waiting - 1);
-    if (one.own_waiting == 0)
-        one.waiting_since = absl::InfiniteFuture();
+    if (!answered)
+        one.health.on_unanswered_end();
 }
 
 void endpoint_pool::on_success(const endpoint_id& id, absl::Time now)
@@ -346,7 +309,7 @@
         return;
     ++found->second.own_answered;
     found->second.last_used = now;
-    note_outcomes(found->second, 1, 0, now);
+    found->second.health.on_outcomes(1, 0, now);
 }
 
 void endpoint_pool::on_failure(const endpoint_id& id, absl::Time now)
@@ -356,53 +319,28 @@
         return;
     ++found->second.own_failed;
     found->second.last_used = now;
-    note_outcomes(found->second, 0, 1, now);
+    found->second.health.on_outcomes(0, 1, now);
 }
 
 void endpoint_pool::on_silence(const endpoint_id& id, absl::Time now)
 {
     const auto found = m_entries.find(id);
     if (found != m_entries.end())
-        note_outcomes(found->second, 0, 1, now);
-}
-
-void endpoint_pool::note_outcomes(entry& one, std::int64_t answered, std::int64_t failed,
-                                  absl::Time now)
-{
-    for (std::int64_t i = 0; i < answered; ++i)
-        one.failure_share *= 1 - failure_smoothing;
-    for (std::int64_t i = 0; i < failed; ++i)
-        one.failure_share += failure_smoothing * (1 - one.failure_share);
-    if (answered > 0) {
-        note_alive(one, now);
-        one.failures_in_row = 0;
-    }
-    else if (failed > 0) {
-        one.failures_in_row += static_cast<int>(failed);
-    }
-    if (failed <= 0 || one.failures_in_row < failures_to_pause)
-        return;
-    one.failing = true;
-    one.unusable_until = now + std::min(longest_pause, first_pause * one.failures_in_row);
+        found->second.health.on_outcomes(0, 1, now);
 }
 
 void endpoint_pool::on_unreachable(const endpoint_id& id, absl::Time now)
 {
     const auto found = m_entries.find(id);
-    if (found == m_entries.end())
-        return;
-    entry& one = found->second;
-    ++one.failures_in_row;
-    one.failing = false;
-    one.unusable_until =
-        now + std::min(longest_pause, first_pause * std::exp2(std::min(one.failures_in_row, 5)));
+    if (found != m_entries.end())
+        found->second.health.on_unreachable(now);
 }
 
 void endpoint_pool::on_refused(const endpoint_id& id, absl::Time now)
 {
     const auto found = m_entries.find(id);
     if (found != m_entries.end())
-        found->second.unusable_until = std::max(found->second.unusable_until, now + full_pause);
+        found->second.health.on_refused(now);
 }
 
 void endpoint_pool::set_peer_load(const node_id& peer, const std::vector<endpoint_load>& loads,
@@ -424,13 +362,13 @@
             const endpoint_load& last = before->second;
             if (load.sent_tokens > last.sent_tokens)
                 add_prompt(found->second, load.sent_tokens - last.sent_tokens, now);
-            note_outcomes(found->second, load.answered - last.answered, load.failed - last.failed,
-                          now);
+            found->second.health.on_outcomes(load.answered - last.answered,
+                                             load.failed - last.failed, now);
         }
         else if (!is_new) {
             // Not told of before: what it counts may be old, but for the last request.
-            note_outcomes(found->second, std::min<std::int64_t>(load.answered, 1),
-                          std::min<std::int64_t>(load.failed, 1), now);
+            found->second.health.on_outcomes(std::min<std::int64_t>(load.answered, 1),
+                                             std::min<std::int64_t>(load.failed, 1), now);
         }
         // A notice may be newer than the report.
         endpoint_load next = load;
@@ -470,7 +408,7 @@
             continue;
         found->second.peer_requests += sign * load.requests;
         if (load.is_silent)
-            found->second.silent_peers += sign;
+            found->second.health.count_silent_peers(sign);
     }
 }
 
@@ -484,7 +422,7 @@
                              .sent_tokens = one.own_sent_tokens,
                              .answered = one.own_answered,
                              .failed = one.own_failed,
-                             .is_silent = is_silent_here(one, now)});
+                             .is_silent = one.health.is_silent_here(now, one.read_by)});
     return loads;
 }
 
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -145,7 +145,7 @@
         m_runner.set_config(changed->index, now);
     }
     else if (const auto* endpoint = std::get_if<node_event::endpoint_changed>(&event.value)) {
-        m_pool.update(*endpoint->record, now);
+        m_pool.update(*endpoint->record);
     }
     else if (const auto* removed = std::get_if<node_event::endpoint_removed>(&event.value)) {
         m_pool.remove(removed->id);
--- a/test/forward_endpoint_pool_test.cpp
+++ b/test/forward_endpoint_pool_test.cpp
@@ -37,9 +37,9 @@
 TEST(endpoint_pool, prefers_the_own_region_and_the_least_loaded)
 {
     endpoint_pool pool = make_pool();
-    pool.update(make_record("e1"), start);
-    pool.update(make_record("e2"), start);
-    pool.update(make_record("e3", "b"), start);
+    pool.update(make_record("e1"));
+    pool.update(make_record("e2"));
+    pool.update(make_record("e3", "b"));
     pool.on_sent(endpoint_id("e1"), 1000, start);
     EXPECT_EQ(chosen(pool, make_query()), "e2");
     pool.set_peer_load(node_id("n2"), {{endpoint_id("e2"), 0, 1000}}, start);
@@ -53,10 +53,10 @@
 TEST(endpoint_pool, never_chooses_a_leaving_or_removed_endpoint)
 {
     endpoint_pool pool = make_pool();
-    pool.update(make_record("e1"), start);
+    pool.update(make_record("e1"));
     endpoint_record leaving = make_record("e1");
     leaving.leaving = true;
-    pool.update(leaving, start);
+    pool.update(leaving);
     EXPECT_EQ(chosen(pool, make_query()), "no_endpoint");
     pool.remove(endpoint_id("e1"));
     EXPECT_EQ(chosen(pool, make_query()), "unknown_service");
@@ -66,7 +66,7 @@
 {
     endpoint_pool pool = make_pool();
     for (const char* id : {"e1", "e2", "e3", "e4"})
-        pool.update(make_record(id), start);
+        pool.update(make_record(id));
     endpoint_query query = make_query();
     query.prompt_tokens = 6000;
     query.prefix = {{"shared", 5000}, {"own", 1000}};
@@ -80,7 +80,7 @@
 {
     endpoint_pool pool = make_pool();
     for (const char* id : {"e1", "e2", "e3", "e4"})
-        pool.update(make_record(id), start);
+        pool.update(make_record(id));
     endpoint_query query = make_query();
     query.prefix = {{"shared", 900}, {"own", 100}};
     const std::string home = chosen(pool, query);
@@ -93,7 +93,7 @@
 TEST(endpoint_pool, expects_a_long_prompt_to_take_more_than_its_length)
 {
     endpoint_pool pool = make_pool();
-    pool.update(make_record("e1"), start);
+    pool.update(make_record("e1"));
     endpoint_query query = make_query();
     query.prompt_tokens = 1000;
     const auto small = get_value(pool.choose(query, 0.5, start));
@@ -109,8 +109,8 @@
 TEST(endpoint_pool, pauses_an_endpoint_that_cannot_be_reached)
 {
     endpoint_pool pool = make_pool();
-    pool.update(make_record("e1"), start);
-    pool.update(make_record("e2", "b"), start);
+    pool.update(make_record("e1"));
+    pool.update(make_record("e2", "b"));
     pool.on_unreachable(endpoint_id("e1"), start);
     EXPECT_EQ(chosen(pool, make_query()), "e2");
     EXPECT_EQ(chosen(pool, make_query(), start + absl::Seconds(1)), "e1");
@@ -123,7 +123,7 @@
 {
     endpoint_pool pool = make_pool();
     for (const char* id : {"e1", "e2", "e3"})
-        pool.update(make_record(id), start);
+        pool.update(make_record(id));
     for (const char* node : {"n2", "n3", "n4"})
         pool.set_peer_load(node_id(node), {}, start);
     for (const char* node : {"n2", "n3"})
@@ -145,7 +145,7 @@
 {
     endpoint_pool pool = make_pool();
     for (const char* id : {"e1", "e2", "e3"}) {
-        pool.update(make_record(id), start);
+        pool.update(make_record(id));
         if (std::string(id) != "e3")
             for (int i = 0; i < 3; ++i)
                 pool.on_failure(endpoint_id(id), start);
@@ -160,7 +160,7 @@
 {
     endpoint_pool pool = make_pool();
     for (const char* id : {"e1", "e2", "e3"})
-        pool.update(make_record(id), start);
+        pool.update(make_record(id));
     pool.on_sent(endpoint_id("e1"), 100, start);
     pool.on_sent(endpoint_id("e2"), 100, start);
     pool.on_ended(endpoint_id("e2"), false);
@@ -178,8 +178,8 @@
 TEST(endpoint_pool, counts_a_noticed_prompt_once)
 {
     endpoint_pool pool = make_pool();
-    pool.update(make_record("e1"), start);
-    pool.update(make_record("e2"), start);
+    pool.update(make_record("e1"));
+    pool.update(make_record("e2"));
     pool.set_peer_load(node_id("n2"), {{endpoint_id("e1"), 0, 100}}, start);
     pool.on_peer_prompt({.node = node_id("n2"), .endpoint = endpoint_id("e1"), .tokens = 5000},
                         start);
@@ -196,7 +196,7 @@
 TEST(endpoint_pool, has_peers_told_of_long_prompts_alone)
 {
     endpoint_pool pool = make_pool();
-    pool.update(make_record("e1"), start);
+    pool.update(make_record("e1"));
     pool.on_sent(endpoint_id("e1"), 200, start);
     EXPECT_TRUE(pool.take_notices().empty());
     pool.on_sent(endpoint_id("e1"), 20000, start);
@@ -209,7 +209,7 @@
 {
     endpoint_pool pool = make_pool();
     for (const char* id : {"e1", "e2", "e3"})
-        pool.update(make_record(id), start);
+        pool.update(make_record(id));
     for (int i = 0; i < 3; ++i)
         pool.on_sent(endpoint_id("e3"), 60000, start);
     pool.on_sent(endpoint_id("e1"), 100, start);
@@ -226,7 +226,7 @@
 {
     endpoint_pool pool = make_pool();
     for (const char* id : {"e1", "e2", "e3"})
-        pool.update(make_record(id), start);
+        pool.update(make_record(id));
     for (int i = 0; i < 3; ++i)
         pool.on_sent(endpoint_id("e3"), 60000, start);
     pool.on_sent(endpoint_id("e1"), 60000, start);
@@ -241,7 +241,7 @@
 {
     endpoint_pool pool = make_pool();
     for (const char* id : {"e1", "e2", "e3"})
-        pool.update(make_record(id), start);
+        pool.update(make_record(id));
     for (int i = 0; i < 3; ++i)
         pool.on_sent(endpoint_id("e3"), 60000, start);
     pool.on_sent(endpoint_id("e2"), 100, start);
@@ -257,7 +257,7 @@
 TEST(endpoint_pool, tells_peers_of_failures_but_not_of_late_answers)
 {
     endpoint_pool pool = make_pool();
-    pool.update(make_record("e1"), start);
+    pool.update(make_record("e1"));
     pool.on_sent(endpoint_id("e1"), 100, start);
     pool.on_silence(endpoint_id("e1"), start);
     pool.on_failure(endpoint_id("e1"), start);
@@ -267,8 +267,8 @@
 TEST(endpoint_pool, counts_what_a_peer_has_under_way_once)
 {
     endpoint_pool pool = make_pool();
-    pool.update(make_record("e1"), start);
-    pool.update(make_record("e2"), start);
+    pool.update(make_record("e1"));
+    pool.update(make_record("e2"));
     pool.set_peer_load(node_id("n2"), {{endpoint_id("e1"), 3, 0}}, start);
     pool.set_peer_load(node_id("n2"), {{endpoint_id("e1"), 3, 0}}, start);
     pool.set_peer_load(node_id("n3"), {{endpoint_id("e2"), 4, 0}}, start);
@@ -284,7 +284,7 @@
 TEST(endpoint_pool, tries_a_paused_endpoint_when_all_are_paused)
 {
     endpoint_pool pool = make_pool();
-    pool.update(make_record("e1"), start);
+    pool.update(make_record("e1"));
     pool.on_unreachable(endpoint_id("e1"), start);
     EXPECT_EQ(chosen(pool, make_query()), "e1");
 }
@@ -292,7 +292,7 @@
 TEST(endpoint_pool, refuses_when_all_are_full)
 {
     endpoint_pool pool = make_pool();
-    pool.update(make_record("e1"), start);
+    pool.update(make_record("e1"));
     for (int i = 0; i < 5; ++i)
         pool.on_sent(endpoint_id("e1"), 0, start);
     EXPECT_EQ(chosen(pool, make_query()), "shed");
@@ -303,8 +303,8 @@
 TEST(endpoint_pool, gives_a_new_version_its_share_only)
 {
     endpoint_pool pool = make_pool();
-    pool.update(make_record("e1"), start);
-    pool.update(make_record("e2", "a", "v2"), start);
+    pool.update(make_record("e1"));
+    pool.update(make_record("e2", "a", "v2"));
     pool.set_version_share(drafts, version_id("v2"), 0.05);
     EXPECT_EQ(get_value(pool.choose(make_query(), 0.04, start)).id, endpoint_id("e2"));
     EXPECT_EQ(get_value(pool.choose(make_query(), 0.06, start)).id, endpoint_id("e1"));
@@ -316,8 +316,8 @@
 TEST(endpoint_pool, splits_by_the_newest_rollout_alone)
 {
     endpoint_pool pool = make_pool();
-    pool.update(make_record("e1"), start);
-    pool.update(make_record("e2", "a", "v2"), start);
+    pool.update(make_record("e1"));
+    pool.update(make_record("e2", "a", "v2"));
     pool.set_version_share(drafts, version_id("v1"), 1);
     pool.set_version_share(drafts, version_id("v2"), 0.05);
     // Without the split the idle endpoint of the new version would be chosen.
@@ -330,7 +330,7 @@
 TEST(endpoint_pool, leaves_requests_to_the_other_version_unless_it_is_rolled_back)
 {
     endpoint_pool pool = make_pool();
-    pool.update(make_record("e1"), start);
+    pool.update(make_record("e1"));
     pool.set_version_share(drafts, version_id("v2"), 0.05);
     EXPECT_EQ(chosen(pool, make_query(), start, 0.01), "e1");
     pool.set_version_share(drafts, version_id("v1"), 0);
@@ -341,7 +341,7 @@
 TEST(endpoint_pool, forgets_what_a_restarted_endpoint_held)
 {
     endpoint_pool pool = make_pool();
-    pool.update(make_record("e1"), start);
+    pool.update(make_record("e1"));
     endpoint_query query = make_query();
     query.prefix = {{"own", 1000}};
     pool.on_sent(endpoint_id("e1"), 1000, start);
@@ -349,7 +349,7 @@
     EXPECT_EQ(get_value(pool.choose(query, 0.5, start)).cached_tokens, 1000);
     endpoint_record restarted = make_record("e1");
     restarted.born_ms = 5;
-    pool.update(restarted, start);
+    pool.update(restarted);
     EXPECT_EQ(get_value(pool.choose(query, 0.5, start)).cached_tokens, 0);
 }
 
