Send beacons to all far nodes in small deployments, heard lately or not

Cause: read once more, the choice of nodes heard within 1.5 s also applied where beacons are not relayed: two nodes of different regions whose beacons were lost for that long would have stopped greeting each other until both forgot the other.

Change: only the nodes that shall pass a beacon on are chosen by it; far_targets is told whether to send directly.

--- a/include/chivedeal/forward/beacon_relay.hpp
+++ b/include/chivedeal/forward/beacon_relay.hpp
@@ -42,9 +42,9 @@
 
     bool is_relayed(std::size_t peers) const { return peers > m_options.few_peers; }
 
-    /// The nodes of other regions that get the next beacon, of the nodes that were heard lately.
-    /// `to_all` overrides the relaying, for news that must not wait or get lost.
-    targets far_targets(const std::vector<const node_beacon*>& peers, bool to_all);
+    /// Of `peers`, the nodes of other regions that get the next beacon: all of them if `direct`, or
+    /// those that pass it on, and the lease holder.
+    targets far_targets(const std::vector<const node_beacon*>& peers, bool direct);
 
     /// The addresses that are greeted next, a few in turn: most of many are of nodes that are gone.
     std::vector<address> next_candidates(const std::set<address>& candidates);
--- a/src/forward/beacon_relay.cpp
+++ b/src/forward/beacon_relay.cpp
@@ -22,14 +22,13 @@
 } // namespace
 
 beacon_relay::targets beacon_relay::far_targets(const std::vector<const node_beacon*>& peers,
-                                                bool to_all)
+                                                bool direct)
 {
     std::map<region_id, std::vector<address>> regions;
     for (const node_beacon* one : peers)
         if (one->region != m_options.region)
             regions[one->region].push_back(one->peers);
     targets chosen;
-    const bool direct = to_all || !is_relayed(peers.size());
     for (const auto& [region, nodes] : regions) {
         if (direct)
             chosen.direct.insert(chosen.direct.end(), nodes.begin(), nodes.end());
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -206,12 +206,13 @@
     const std::string far = encode_message(for_others);
     for (const address& target : m_relay.next_candidates(m_table.candidates()))
         (void)send_datagram(socket, target, far.data(), far.size());
-    const bool to_all = urgent || beacon.leaving || beacon.lease_token;
     if (now < m_next_far && !urgent && !beacon.leaving)
         return;
     m_next_far = now + far_interval;
+    // News that must not wait or get lost goes to all.
+    const bool direct = !relayed || urgent || beacon.leaving || beacon.lease_token;
     const beacon_relay::targets targets = m_relay.far_targets(
-        m_table.heard_within(to_all ? absl::InfiniteDuration() : relay_freshness, now), to_all);
+        m_table.heard_within(direct ? absl::InfiniteDuration() : relay_freshness, now), direct);
     for (const address& target : targets.direct)
         (void)send_datagram(socket, target, far.data(), far.size());
     if (targets.relays.empty())
--- a/test/forward_beacon_relay_test.cpp
+++ b/test/forward_beacon_relay_test.cpp
@@ -40,8 +40,11 @@
 
 TEST(beacon_relay, sends_to_all_among_few_nodes)
 {
+    beacon_relay relay = make_relay();
+    EXPECT_FALSE(relay.is_relayed(8));
+    EXPECT_TRUE(relay.is_relayed(88));
     const auto peers = make_peers(3);
-    const auto targets = make_relay().far_targets(all_of(peers), false);
+    const auto targets = relay.far_targets(all_of(peers), true);
     EXPECT_EQ(targets.direct.size(), 6U);
     EXPECT_TRUE(targets.relays.empty());
 }
