Log what endpoints announce about leaving, and deferred removals

Cause: the hypotheses on leaving endpoints differ in what an endpoint had announced before a request was sent and in whether its removal was deferred; the log shows neither.

Change: events 3011 endpoint_announced_leaving and 3012 endpoint_removal_deferred, and the name of the response header. No decision changes.

--- a/include/chivedeal/core/log_event.hpp
+++ b/include/chivedeal/core/log_event.hpp
@@ -44,6 +44,8 @@
     fact_learnt = 3008,
     platform_list_unreachable = 3009,
     records_fetched_from_peer = 3010,
+    endpoint_announced_leaving = 3011,
+    endpoint_removal_deferred = 3012,
 
     lease_acquired = 4001,
     lease_lost = 4002,
--- a/include/chivedeal/forward/header_names.hpp
+++ b/include/chivedeal/forward/header_names.hpp
@@ -22,6 +22,8 @@
     std::string priority = "Chivedeal-Priority";
     /// Response header that states that the endpoint did not run the request.
     std::string not_run = "Chivedeal-Not-Run";
+    /// Response header with the value 1 by which an endpoint announces that it is leaving.
+    std::string leaving = "Chivedeal-Leaving";
     /// A 2xx response without this header did not come from the endpoint. Empty if responses aren't
     /// signed.
     std::string signature;
--- a/src/core/log_event.cpp
+++ b/src/core/log_event.cpp
@@ -83,6 +83,10 @@
         return "platform_list_unreachable";
     case event_id::records_fetched_from_peer:
         return "records_fetched_from_peer";
+    case event_id::endpoint_announced_leaving:
+        return "endpoint_announced_leaving";
+    case event_id::endpoint_removal_deferred:
+        return "endpoint_removal_deferred";
     case event_id::lease_acquired:
         return "lease_acquired";
     case event_id::lease_lost:
@@ -174,6 +178,8 @@
         event_id::fact_learnt,
         event_id::platform_list_unreachable,
         event_id::records_fetched_from_peer,
+        event_id::endpoint_announced_leaving,
+        event_id::endpoint_removal_deferred,
         event_id::lease_acquired,
         event_id::lease_lost,
         event_id::move_step_decided,
--- a/src/forward/endpoint_watcher.cpp
+++ b/src/forward/endpoint_watcher.cpp
@@ -172,7 +172,10 @@
 bool endpoint_watcher::apply(const stored_record& record)
 {
     if (record.removed) {
-        notify_listeners(m_directory.on_removed(endpoint_id(record.key), m_time.now()));
+        const endpoint_id endpoint(record.key);
+        notify_listeners(m_directory.on_removed(endpoint, m_time.now()));
+        if (m_directory.is_removal_pending(endpoint))
+            log_event(event_id::endpoint_removal_deferred, {{"endpoint", endpoint.str()}});
         // Deferred removals are relayed as well: each node decides itself when to apply them.
         return true;
     }
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -255,6 +255,7 @@
         return;
     current->response_head = head;
     current->attempt_head_received = true;
+    record_announced_leaving(*current, head);
     const bool signed_answer =
         m_names.signature.empty() || find_field(head.fields, m_names.signature) != nullptr;
     const bool is_stream = current->match.matched->kind == route_kind::streaming &&
@@ -270,6 +271,20 @@
         begin_relay(*current, head, now);
 }
 
+void request_runner::record_announced_leaving(const exchange& current,
+                                              const http_response_head& head)
+{
+    const std::string* announced = find_field(head.fields, m_names.leaving);
+    // A response with status 421 comes from another endpoint.
+    if (announced == nullptr || *announced != "1" || head.status == 421)
+        return;
+    const endpoint_id& endpoint = current.attempt_choice->id;
+    if (!m_announced_leaving.insert(endpoint).second)
+        return;
+    log_event(event_id::endpoint_announced_leaving,
+              {{"endpoint", endpoint.str()}, {"request", current.head.id.str()}});
+}
+
 void request_runner::begin_relay(exchange& current, const http_response_head& head, absl::Time now)
 {
     current.relaying = true;
