Stop sending to an endpoint that announces its leaving in a response

Callers saw requests reach an endpoint that had said it was leaving, for as long as its record in the store stayed `ready`: while the store was down or rejected the node, or while the endpoint couldn't write its record.

Cause: the record was the only source of this fact. A response is a second one, and it reaches the node when the store doesn't.

Ruled out: late polls and lost events; the rings between the threads block when they are full, and drop nothing.

Change: the pool keeps the announcement for the incarnation that made it (address and start time), beyond the removal and return of its record, until the endpoint restarts. A 421 response comes from another endpoint and doesn't count.

Before: with the store down, forwarding_node_test. sends_nothing_to_an_endpoint_that_announced_its_leaving got 200 instead of 503 and the endpoint ran 2 requests instead of 1; both endpoint_pool.remembers_an_announced_leaving_* chose "e1". After: all pass.

Conclusion: fixed at the node that got the announcement. Peers learn of it from their own responses or the store.

--- a/include/chivedeal/forward/endpoint_choice.hpp
+++ b/include/chivedeal/forward/endpoint_choice.hpp
@@ -16,6 +16,8 @@
     endpoint_id id;
     chivedeal::address address;
     version_id version;
+    /// `endpoint_record::started_at_unix_ms` of the incarnation that was chosen.
+    std::int64_t started_at_unix_ms = 0;
     /// Predicted time to the first byte of the response.
     absl::Duration predicted_first_byte_time;
     /// Prompt tokens that are expected in the endpoint's cache.
--- a/include/chivedeal/forward/endpoint_pool.hpp
+++ b/include/chivedeal/forward/endpoint_pool.hpp
@@ -46,6 +46,10 @@
 
     void remove(const endpoint_id& id);
 
+    /// An endpoint announced that it is leaving. It gets no further requests until it restarts,
+    /// whatever its record says. Returns whether that is news.
+    bool on_announced_leaving(const endpoint_choice& endpoint, absl::Time now);
+
     /// Splits a service's requests between one version and all others. A version with share 0 gets
     /// no requests at all. Otherwise, if one side has no usable endpoint, the other gets them all.
     void set_version_share(const service_id& service, const version_id& version, double share);
@@ -98,6 +102,7 @@
     struct endpoint_state
     {
         endpoint_record record;
+        bool announced_leaving = false;
         int own_requests = 0;
         int peer_requests = 0;
         std::int64_t own_sent_tokens = 0;
@@ -120,12 +125,21 @@
 
     using loads_by_endpoint = std::map<endpoint_id, endpoint_load>;
 
+    /// An endpoint that announced its leaving, kept beyond the removal of its record.
+    struct leaving_endpoint
+    {
+        address endpoint_address;
+        std::int64_t started_at_unix_ms = 0;
+        absl::Time announced_at;
+    };
+
     struct version_split
     {
         version_id version;
         double share = 1;
     };
 
+    bool has_announced_leaving(const endpoint_record& record) const;
     bool allows_version(const endpoint_state& endpoint, double random) const;
     bool is_rolled_back(const endpoint_state& endpoint) const;
     std::int64_t cached_tokens(const endpoint_state& endpoint, const endpoint_query& query,
@@ -142,6 +156,7 @@
 
     options m_options;
     absl::flat_hash_map<endpoint_id, endpoint_state> m_endpoints;
+    absl::flat_hash_map<endpoint_id, leaving_endpoint> m_leaving_endpoints;
     std::map<service_id, std::vector<endpoint_id>> m_ids_by_service;
     std::map<service_id, version_split> m_version_splits;
     std::map<node_id, loads_by_endpoint> m_peer_loads;
--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -97,7 +97,8 @@
     void end_attempt(exchange& current, attempt_outcome outcome, const char* reason,
                      absl::Time now);
     void retry_or_fail(exchange& current, attempt_outcome outcome, absl::Time now);
-    void record_announced_leaving(const exchange& current, const http_response_head& head);
+    void record_announced_leaving(const exchange& current, const http_response_head& head,
+                                  absl::Time now);
     void begin_relay(exchange& current, const http_response_head& head, absl::Time now);
     void classify_response(exchange& current, absl::Time now);
     void deliver_response(exchange& current, absl::Time now);
@@ -135,7 +136,6 @@
     std::map<service_id, std::unique_ptr<requests::retry_budget>> m_retry_budgets;
     outcome_counter m_outcomes;
     std::map<service_id, std::int64_t> m_requested_prompt_tokens;
-    std::set<endpoint_id> m_announced_leaving;
     absl::InsecureBitGen m_random;
     std::uint64_t m_next_exchange_id = 1;
 };
--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -46,6 +46,8 @@
 // Time for which an endpoint stays in load reports after its last use. A node sends several reports
 // in this time, so that each request is included in at least one that arrives.
 constexpr absl::Duration load_report_window = absl::Milliseconds(1500);
+// Endpoints that leave end within seconds to minutes.
+constexpr absl::Duration leaving_endpoint_retention = absl::Minutes(30);
 // Failing endpoints stay in use if they outnumber this fraction of the allowed ones: the cause is
 // then unlikely to be the endpoints alone, and the others can't take all requests.
 constexpr double max_failing_ratio = 0.5;
@@ -99,6 +101,7 @@
         current.health = {};
     }
     current.record = record;
+    current.announced_leaving = has_announced_leaving(record);
     auto& service_endpoints = m_ids_by_service[record.service];
     if (std::find(service_endpoints.begin(), service_endpoints.end(), record.id) ==
         service_endpoints.end())
@@ -118,6 +121,28 @@
     m_endpoints.erase(found);
 }
 
+bool endpoint_pool::on_announced_leaving(const endpoint_choice& endpoint, absl::Time now)
+{
+    absl::erase_if(m_leaving_endpoints, [now](const auto& entry) {
+        return now - entry.second.announced_at > leaving_endpoint_retention;
+    });
+    const auto [leaving, is_news] = m_leaving_endpoints.insert_or_assign(
+        endpoint.id, leaving_endpoint{.endpoint_address = endpoint.address,
+                                      .started_at_unix_ms = endpoint.started_at_unix_ms,
+                                      .announced_at = now});
+    const auto found = m_endpoints.find(endpoint.id);
+    if (found != m_endpoints.end())
+        found->second.announced_leaving = has_announced_leaving(found->second.record);
+    return is_news;
+}
+
+bool endpoint_pool::has_announced_leaving(const endpoint_record& record) const
+{
+    const auto known = m_leaving_endpoints.find(record.id);
+    return known != m_leaving_endpoints.end() && known->second.endpoint_address == record.address &&
+           known->second.started_at_unix_ms == record.started_at_unix_ms;
+}
+
 void endpoint_pool::set_version_share(const service_id& service, const version_id& version,
                                       double share)
 {
@@ -170,6 +195,7 @@
     return endpoint_choice{.id = chosen.record.id,
                            .address = chosen.record.address,
                            .version = chosen.record.version,
+                           .started_at_unix_ms = chosen.record.started_at_unix_ms,
                            .predicted_first_byte_time = absl::Milliseconds(best->predicted_ms),
                            .cached_tokens = best->cached_tokens,
                            .prefill_cost_tokens = static_cast<std::int64_t>(prefill_cost_tokens(
@@ -188,7 +214,8 @@
         const endpoint_state& endpoint = m_endpoints.at(id);
         const bool is_excluded =
             std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end();
-        if (endpoint.record.leaving || is_excluded || is_rolled_back(endpoint))
+        if (endpoint.record.leaving || endpoint.announced_leaving || is_excluded ||
+            is_rolled_back(endpoint))
             continue;
         const endpoint_health::state health =
             endpoint.health.state_at(now, endpoint.prefill_done_at);
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -255,7 +255,7 @@
         return;
     current->response_head = head;
     current->attempt_head_received = true;
-    record_announced_leaving(*current, head);
+    record_announced_leaving(*current, head, now);
     const bool signed_answer =
         m_names.signature.empty() || find_field(head.fields, m_names.signature) != nullptr;
     const bool is_stream = current->match.matched->kind == route_kind::streaming &&
@@ -272,17 +272,16 @@
 }
 
 void request_runner::record_announced_leaving(const exchange& current,
-                                              const http_response_head& head)
+                                              const http_response_head& head, absl::Time now)
 {
     const std::string* announced = find_field(head.fields, m_names.leaving);
     // A response with status 421 comes from another endpoint.
     if (announced == nullptr || *announced != "1" || head.status == 421)
         return;
-    const endpoint_id& endpoint = current.attempt_choice->id;
-    if (!m_announced_leaving.insert(endpoint).second)
-        return;
-    log_event(event_id::endpoint_announced_leaving,
-              {{"endpoint", endpoint.str()}, {"request", current.head.id.str()}});
+    if (m_pool.on_announced_leaving(*current.attempt_choice, now))
+        log_event(
+            event_id::endpoint_announced_leaving,
+            {{"endpoint", current.attempt_choice->id.str()}, {"request", current.head.id.str()}});
 }
 
 void request_runner::begin_relay(exchange& current, const http_response_head& head, absl::Time now)
--- a/test/forward_endpoint_pool_test.cpp
+++ b/test/forward_endpoint_pool_test.cpp
@@ -62,6 +62,48 @@
     EXPECT_EQ(chosen(pool, make_query()), "unknown_service");
 }
 
+// Guards against requests to an endpoint that announced its leaving, after its record lapsed and
+// returned in an outage of the store or is read again in an older version.
+TEST(endpoint_pool, remembers_an_announced_leaving_when_the_record_returns)
+{
+    endpoint_pool pool = make_pool();
+    pool.update(make_record("e1"));
+    const endpoint_choice answered_by = get_value(pool.choose(make_query(), 0.5, start));
+    pool.on_announced_leaving(answered_by, start);
+    EXPECT_EQ(chosen(pool, make_query()), "no_endpoint");
+    pool.update(make_record("e1"));
+    EXPECT_EQ(chosen(pool, make_query()), "no_endpoint");
+    pool.remove(endpoint_id("e1"));
+    pool.update(make_record("e1"));
+    EXPECT_EQ(chosen(pool, make_query()), "no_endpoint");
+}
+
+// Guards against requests to a leaving endpoint whose response arrives while its record is gone.
+TEST(endpoint_pool, remembers_an_announced_leaving_of_an_endpoint_without_a_record)
+{
+    endpoint_pool pool = make_pool();
+    pool.update(make_record("e1"));
+    const endpoint_choice answered_by = get_value(pool.choose(make_query(), 0.5, start));
+    pool.remove(endpoint_id("e1"));
+    pool.on_announced_leaving(answered_by, start);
+    pool.update(make_record("e1"));
+    EXPECT_EQ(chosen(pool, make_query()), "no_endpoint");
+}
+
+// Guards against losing an endpoint for good that restarts under its previous ID.
+TEST(endpoint_pool, uses_an_endpoint_that_restarted_after_leaving)
+{
+    endpoint_pool pool = make_pool();
+    endpoint_record record = make_record("e1");
+    record.started_at_unix_ms = 1000;
+    pool.update(record);
+    pool.on_announced_leaving(get_value(pool.choose(make_query(), 0.5, start)), start);
+    pool.remove(endpoint_id("e1"));
+    record.started_at_unix_ms = 2000;
+    pool.update(record);
+    EXPECT_EQ(chosen(pool, make_query()), "e1");
+}
+
 // Guards against repeated prefill: if prompts with a shared part were spread over several
 // endpoints, each of them would have to process that part.
 TEST(endpoint_pool, sends_prompts_with_a_shared_part_to_one_endpoint)
--- a/test/forward_node_test.cpp
+++ b/test/forward_node_test.cpp
@@ -46,6 +46,14 @@
                           out.set_header("Chivedeal-Request-Id", "of-another-request");
                           out.set_content("not yours", "text/plain");
                       });
+        m_server.Post("/app/leaving",
+                      [this](const httplib::Request& request, httplib::Response& out) {
+                          ++m_run_count;
+                          out.set_header("Chivedeal-Request-Id",
+                                         request.get_header_value("Chivedeal-Request-Id"));
+                          out.set_header("Chivedeal-Leaving", "1");
+                          out.set_content("last", "text/plain");
+                      });
         m_server.Post("/app/busy",
                       [this](const httplib::Request& /*request*/, httplib::Response& out) {
                           ++m_run_count;
@@ -253,6 +261,24 @@
     EXPECT_EQ(endpoint.run_count(), run_count_before);
 }
 
+// Guards against requests to a leaving endpoint while the store can't be read, and so still lists
+// it as ready.
+TEST_F(forwarding_node_test, sends_nothing_to_an_endpoint_that_announced_its_leaving)
+{
+    const test_endpoint endpoint;
+    publish_config(1);
+    publish_endpoint(endpoint);
+    start();
+    ASSERT_TRUE(fakes::eventually(max_wait, [this] { return is_ready(); }));
+    m_topics->set_down(true);
+    const auto answer = post("/app/leaving");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200);
+    EXPECT_EQ(answer->body, "last");
+    EXPECT_EQ(post("/app/echo")->status, 503);
+    EXPECT_EQ(endpoint.run_count(), 1);
+}
+
 // Guards against a rollback when a lagging replica of the store returns an older version.
 TEST_F(forwarding_node_test, ignores_an_older_configuration)
 {
