Carry out a deferred removal at its due time, whatever the store does

Callers would see requests reach an endpoint whose record was removed: without a bound while reads of the store fail now and then, and up to a second too late while a read blocks.

Cause: the deferral ended 2.3 s after the last failed read, so that each further failure extended it, and it was carried out between two reads of the store. Both depend on the store, whose trouble is the reason for the deferral.

Change: the due time is set when the removal is read. The watcher tells it to the forwarder, which stops using the endpoint then, unless the record returns.

Before: endpoint_directory.does_not_postpone_a_removal_when_the_store_fails_again kept the endpoint.

An endpoint that can't renew its record because a second outage begins within 2.3 s of the first one's end is now taken out of use until it renews it.

--- a/include/chivedeal/forward/endpoint_directory.hpp
+++ b/include/chivedeal/forward/endpoint_directory.hpp
@@ -8,7 +8,7 @@
 #include "absl/time/time.h"
 
 #include <map>
-#include <set>
+#include <optional>
 #include <vector>
 
 namespace chivedeal::forward {
@@ -17,6 +17,7 @@
 ///
 /// During an outage of the store, the records of live endpoints expire. A removal that is read
 /// shortly after an outage is therefore delayed, and dropped if the record reappears meanwhile.
+/// Its due time is set when it is read: a later outage doesn't postpone it.
 class endpoint_directory
 {
 public:
@@ -32,24 +33,21 @@
 
     std::vector<node_event> on_record(const endpoint_record& record);
     std::vector<node_event> on_removed(const endpoint_id& id, absl::Time now);
-    /// Applies a complete list of the records. Endpoints missing from it are removed.
+    /// Applies a complete list of the records. Endpoints missing from it are removed. The events
+    /// include delayed removals and their cancellations.
     std::vector<node_event> on_list(const std::vector<endpoint_record>& records, absl::Time now);
     void on_store_failed(absl::Time now) { m_last_failure = now; }
-    /// Whether a removal of the endpoint is delayed.
-    bool is_removal_pending(const endpoint_id& id) const
-    {
-        return m_pending_removals.count(id) > 0;
-    }
+    /// Returns when a delayed removal of the endpoint is due; nothing if none is delayed.
+    std::optional<absl::Time> removal_due(const endpoint_id& id) const;
     /// Carries out delayed removals that are due.
     std::vector<node_event> tick(absl::Time now);
 
 private:
-    bool is_store_recovering(absl::Time now) const;
-
     options m_options;
     std::map<endpoint_id, endpoint_record> m_records;
-    // Endpoints whose records disappeared shortly after an outage and may reappear.
-    std::set<endpoint_id> m_pending_removals;
+    // Endpoints whose records disappeared shortly after an outage and may reappear, with the times
+    // at which they are removed otherwise.
+    std::map<endpoint_id, absl::Time> m_pending_removals;
     absl::Time m_last_failure = absl::InfinitePast();
 };
 
--- a/include/chivedeal/forward/endpoint_pool.hpp
+++ b/include/chivedeal/forward/endpoint_pool.hpp
@@ -45,6 +45,8 @@
     void update(const endpoint_record& record);
 
     void remove(const endpoint_id& id);
+    /// The endpoint gets no requests from `due` on, unless it is updated before.
+    void schedule_removal(const endpoint_id& id, absl::Time due);
 
     /// An endpoint announced that it is leaving. It gets no further requests until it restarts,
     /// whatever its record says. Returns whether that is news.
@@ -103,6 +105,7 @@
     {
         endpoint_record record;
         bool announced_leaving = false;
+        absl::Time removal_due = absl::InfiniteFuture();
         int own_requests = 0;
         int peer_requests = 0;
         std::int64_t own_sent_tokens = 0;
--- a/include/chivedeal/forward/node_event.hpp
+++ b/include/chivedeal/forward/node_event.hpp
@@ -44,6 +44,14 @@
         endpoint_id id;
     };
 
+    /// The endpoint gets no requests from `due` on, unless its record returns before. The event
+    /// lets its receiver act in time while the watcher waits for the store.
+    struct endpoint_removal_scheduled
+    {
+        endpoint_id id;
+        absl::Time due;
+    };
+
     /// The list of endpoints was read for the first time.
     struct endpoints_loaded
     {};
@@ -90,8 +98,9 @@
     {};
 
     std::variant<config_changed, rollout_ordered, endpoint_changed, endpoint_removed,
-                 endpoints_loaded, peer_heard, prompt_noticed, peer_lost, version_share_changed,
-                 local_counters_updated, wall_clock_offset_changed, drain_requested>
+                 endpoint_removal_scheduled, endpoints_loaded, peer_heard, prompt_noticed,
+                 peer_lost, version_share_changed, local_counters_updated,
+                 wall_clock_offset_changed, drain_requested>
         value;
 };
 
--- a/src/forward/endpoint_directory.cpp
+++ b/src/forward/endpoint_directory.cpp
@@ -21,12 +21,12 @@
 {
     if (m_records.find(id) == m_records.end())
         return {};
-    if (is_store_recovering(now)) {
-        m_pending_removals.insert(id);
+    const auto pending =
+        m_pending_removals.try_emplace(id, m_last_failure + m_options.removal_delay);
+    if (now < pending.first->second)
         return {};
-    }
-    m_records.erase(id);
     m_pending_removals.erase(id);
+    m_records.erase(id);
     return {{node_event::endpoint_removed{id}}};
 }
 
@@ -37,16 +37,24 @@
     std::set<endpoint_id> listed;
     for (const endpoint_record& record : records) {
         listed.insert(record.id);
-        for (node_event& event : on_record(record))
+        const bool was_removal_pending = m_pending_removals.count(record.id) > 0;
+        std::vector<node_event> changes = on_record(record);
+        if (was_removal_pending && changes.empty())
+            events.push_back(
+                {node_event::endpoint_changed{std::make_shared<const endpoint_record>(record)}});
+        for (node_event& event : changes)
             events.push_back(std::move(event));
     }
     std::vector<endpoint_id> missing;
     for (const auto& [id, record] : m_records)
         if (listed.count(id) == 0)
             missing.push_back(id);
-    for (const endpoint_id& id : missing)
+    for (const endpoint_id& id : missing) {
         for (node_event& event : on_removed(id, now))
             events.push_back(std::move(event));
+        if (const auto due = removal_due(id))
+            events.push_back({node_event::endpoint_removal_scheduled{id, *due}});
+    }
     return events;
 }
 
@@ -54,20 +62,21 @@
 {
     std::vector<node_event> events;
     for (auto pending = m_pending_removals.begin(); pending != m_pending_removals.end();) {
-        if (is_store_recovering(now)) {
+        if (now < pending->second) {
             ++pending;
             continue;
         }
-        m_records.erase(*pending);
-        events.push_back({node_event::endpoint_removed{*pending}});
+        m_records.erase(pending->first);
+        events.push_back({node_event::endpoint_removed{pending->first}});
         pending = m_pending_removals.erase(pending);
     }
     return events;
 }
 
-bool endpoint_directory::is_store_recovering(absl::Time now) const
+std::optional<absl::Time> endpoint_directory::removal_due(const endpoint_id& id) const
 {
-    return now - m_last_failure < m_options.removal_delay;
+    const auto pending = m_pending_removals.find(id);
+    return pending == m_pending_removals.end() ? std::nullopt : std::optional(pending->second);
 }
 
 } // namespace chivedeal::forward
--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -101,6 +101,7 @@
         current.health = {};
     }
     current.record = record;
+    current.removal_due = absl::InfiniteFuture();
     current.announced_leaving = has_announced_leaving(record);
     auto& service_endpoints = m_ids_by_service[record.service];
     if (std::find(service_endpoints.begin(), service_endpoints.end(), record.id) ==
@@ -121,6 +122,13 @@
     m_endpoints.erase(found);
 }
 
+void endpoint_pool::schedule_removal(const endpoint_id& id, absl::Time due)
+{
+    const auto found = m_endpoints.find(id);
+    if (found != m_endpoints.end())
+        found->second.removal_due = due;
+}
+
 bool endpoint_pool::on_announced_leaving(const endpoint_choice& endpoint, absl::Time now)
 {
     absl::erase_if(m_leaving_endpoints, [now](const auto& entry) {
@@ -214,8 +222,8 @@
         const endpoint_state& endpoint = m_endpoints.at(id);
         const bool is_excluded =
             std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end();
-        if (endpoint.record.leaving || endpoint.announced_leaving || is_excluded ||
-            is_rolled_back(endpoint))
+        if (endpoint.record.leaving || endpoint.announced_leaving || now >= endpoint.removal_due ||
+            is_excluded || is_rolled_back(endpoint))
             continue;
         const endpoint_health::state health =
             endpoint.health.state_at(now, endpoint.prefill_done_at);
--- a/src/forward/endpoint_watcher.cpp
+++ b/src/forward/endpoint_watcher.cpp
@@ -174,8 +174,8 @@
     if (record.removed) {
         const endpoint_id endpoint(record.key);
         notify_listeners(m_directory.on_removed(endpoint, m_time.now()));
-        if (m_directory.is_removal_pending(endpoint))
-            log_event(event_id::endpoint_removal_deferred, {{"endpoint", endpoint.str()}});
+        if (const auto due = m_directory.removal_due(endpoint))
+            notify_listeners({{node_event::endpoint_removal_scheduled{endpoint, *due}}});
         // Deferred removals are relayed as well: each node decides itself when to apply them.
         return true;
     }
@@ -184,9 +184,12 @@
         return false;
     // Peers received the removal and deferred it as well. They would apply it if the record that
     // cancels it weren't relayed.
-    const bool removal_was_deferred = m_directory.is_removal_pending(decoded->id);
+    const bool removal_was_deferred = m_directory.removal_due(decoded->id).has_value();
     const std::vector<node_event> events = m_directory.on_record(*decoded);
     notify_listeners(events);
+    if (removal_was_deferred && events.empty())
+        notify_listeners(
+            {{node_event::endpoint_changed{std::make_shared<const endpoint_record>(*decoded)}}});
     return removal_was_deferred || !events.empty();
 }
 
@@ -197,6 +200,9 @@
             log_change(*changed->record);
         else if (const auto* removed = std::get_if<node_event::endpoint_removed>(&event.value))
             log_event(event_id::endpoint_gone, {{"endpoint", removed->id.str()}});
+        else if (const auto* scheduled =
+                     std::get_if<node_event::endpoint_removal_scheduled>(&event.value))
+            log_event(event_id::endpoint_removal_deferred, {{"endpoint", scheduled->id.str()}});
         for (node_event_listener* listener : m_listeners)
             listener->on_event(event);
     }
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -151,6 +151,10 @@
         m_pool.remove(removed->id);
         m_endpoints.forget(removed->id);
     }
+    else if (const auto* scheduled =
+                 std::get_if<node_event::endpoint_removal_scheduled>(&event.value)) {
+        m_pool.schedule_removal(scheduled->id, scheduled->due);
+    }
     else if (std::holds_alternative<node_event::endpoints_loaded>(event.value)) {
         m_endpoints_loaded = true;
     }
--- a/test/forward_endpoint_directory_test.cpp
+++ b/test/forward_endpoint_directory_test.cpp
@@ -56,6 +56,18 @@
     EXPECT_TRUE(is_single_removal(directory.tick(start + absl::Milliseconds(2400))));
 }
 
+// Guards against requests to leaving endpoints while the store fails again and again: each failed
+// read postponed the removals that had been read before.
+TEST(endpoint_directory, does_not_postpone_a_removal_when_the_store_fails_again)
+{
+    endpoint_directory directory;
+    directory.on_record(make_record("e1"));
+    directory.on_store_failed(start);
+    directory.on_removed(endpoint_id("e1"), start + absl::Milliseconds(200));
+    directory.on_store_failed(start + absl::Seconds(2));
+    EXPECT_TRUE(is_single_removal(directory.tick(start + absl::Milliseconds(2400))));
+}
+
 // Guards against delaying a removal long after an outage: one that was read 4.4 s after an outage
 // was delayed by another 2.3 s, and requests reached the leaving endpoint after its drain time.
 TEST(endpoint_directory, removes_at_once_long_after_an_outage)
@@ -76,5 +88,23 @@
     EXPECT_TRUE(is_single_removal(directory.on_list({make_record("e2")}, start)));
 }
 
+// Guards against a removal that takes a live endpoint out of use although its record returned, or
+// that is carried out late: the forwarder learns its due time, and that it is cancelled.
+TEST(endpoint_directory, lists_delayed_removals_and_their_cancellation)
+{
+    endpoint_directory directory;
+    directory.on_list({make_record("e1")}, start);
+    directory.on_store_failed(start);
+    const auto removed = directory.on_list({}, start);
+    ASSERT_EQ(removed.size(), 1U);
+    const auto* scheduled =
+        std::get_if<node_event::endpoint_removal_scheduled>(&removed.front().value);
+    ASSERT_NE(scheduled, nullptr);
+    EXPECT_EQ(scheduled->due, start + absl::Milliseconds(2300));
+    const auto returned = directory.on_list({make_record("e1")}, start);
+    ASSERT_EQ(returned.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<node_event::endpoint_changed>(returned.front().value));
+}
+
 } // namespace
 } // namespace chivedeal::forward
--- a/test/forward_endpoint_pool_test.cpp
+++ b/test/forward_endpoint_pool_test.cpp
@@ -62,6 +62,19 @@
     EXPECT_EQ(chosen(pool, make_query()), "unknown_service");
 }
 
+// Guards against requests to a leaving endpoint whose removal is due while the watcher waits for a
+// response of the store.
+TEST(endpoint_pool, stops_using_an_endpoint_when_its_removal_is_due)
+{
+    endpoint_pool pool = make_pool();
+    pool.update(make_record("e1"));
+    pool.schedule_removal(endpoint_id("e1"), start + absl::Seconds(2));
+    EXPECT_EQ(chosen(pool, make_query(), start + absl::Milliseconds(1900)), "e1");
+    EXPECT_EQ(chosen(pool, make_query(), start + absl::Seconds(2)), "no_endpoint");
+    pool.update(make_record("e1"));
+    EXPECT_EQ(chosen(pool, make_query(), start + absl::Seconds(2)), "e1");
+}
+
 // Guards against requests to an endpoint that announced its leaving, after its record lapsed and
 // returned in an outage of the store or is read again in an older version.
 TEST(endpoint_pool, remembers_an_announced_leaving_when_the_record_returns)
--- a/test/forward_endpoint_watcher_test.cpp
+++ b/test/forward_endpoint_watcher_test.cpp
@@ -91,6 +91,24 @@
     EXPECT_TRUE(fakes::eventually(max_wait, [this] { return relayed_count("e1", false) == 1; }));
 }
 
+// Guards against a removal that is carried out late, and against one that is carried out although
+// the record returned: the forwarder acts on the due time that it is told.
+TEST_F(endpoint_watcher_test, announces_a_deferred_removal_and_its_cancellation)
+{
+    m_topics->set_down(true);
+    absl::SleepFor(absl::Milliseconds(400));
+    m_topics->set_down(false);
+    m_topics->put(topic::endpoints, "e1", "");
+    ASSERT_TRUE(fakes::eventually(max_wait, [this] {
+        return m_listener.count<node_event::endpoint_removal_scheduled>() == 1;
+    }));
+    const std::size_t changes = m_listener.count<node_event::endpoint_changed>();
+    m_topics->put(topic::endpoints, "e1", ready_endpoint);
+    EXPECT_TRUE(fakes::eventually(
+        max_wait, [&] { return m_listener.count<node_event::endpoint_changed>() == changes + 1; }));
+    EXPECT_EQ(m_listener.count<node_event::endpoint_removed>(), 0U);
+}
+
 // Guards against early removal after an outage. A node that waits between failed reads doesn't know
 // when the store recovered, and removed lapsed records 2.3 s after the last failed read.
 TEST_F(endpoint_watcher_test, starts_the_removal_delay_at_the_first_successful_read)
