Log the shared prompt parts of failed attempts

Cause: whether one part of the prompts, the nodes' retries or the callers' retries crash the endpoints can be told from the parts of the attempts that break; the log didn't show them.

Change: field `parts` of event 5004. No decision changes.

--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -56,6 +56,15 @@
     return absl::StrFormat("%.1f", absl::ToDoubleMilliseconds(value));
 }
 
+// The last part belongs to one request and is left out.
+std::string shared_part_ids(const std::vector<prompt_part>& prefix)
+{
+    std::string ids;
+    for (std::size_t i = 0; i + 1 < prefix.size(); ++i)
+        absl::StrAppend(&ids, i == 0 ? "" : ",", prefix[i].id);
+    return ids;
+}
+
 double hash_to_unit_interval(const std::string& text)
 {
     return static_cast<double>(absl::HashOf(text) >> 11) / static_cast<double>(1ULL << 53);
@@ -442,6 +451,7 @@
                {"endpoint", endpoint.str()},
                {"reason", reason},
                {"after_ms", format_milliseconds(now - current.attempt_started_at)},
+               {"parts", shared_part_ids(current.head.prefix)},
                {"attempt", absl::StrCat(current.attempts_sent)}});
     retry_or_fail(current, outcome, now);
 }
