Refuse prompts with a part that crashes endpoints

Callers of a route saw endpoints end one after the other, two or three a second while such prompts arrived, each with all requests that it had.

Cause: a failed request was forgotten, and its failure was charged to the endpoint alone. Nothing joined the failures of different endpoints and nodes, so each new request with the same part was sent to the next endpoint.

Change: prompt_quarantine counts the crashes of endpoints that had an unanswered request with a part. A part with three crashes apart from each other, and without any answer, is blocked; requests with it are refused at once with 503. Beacons carry crashes, answers and blocks, as a node sees few of each. Of several parts the deepest is blocked, so that prompts which share the beginning are served. crash_tracker counts only a lost connection after which the host refuses new ones: resets, cuts and frozen endpoints don't count.

--- /dev/null
+++ b/fakes/raw_endpoint.hpp
@@ -0,0 +1,161 @@
+#ifndef FAKES_RAW_ENDPOINT_HPP
+#define FAKES_RAW_ENDPOINT_HPP
+
+#include "chivedeal/core/address.hpp"
+#include "chivedeal/core/posix_thread.hpp"
+#include "fakes/free_address.hpp"
+#include "fakes/raw_response.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace chivedeal::fakes {
+
+/// An endpoint that sends any bytes as its response, for faults that an HTTP library can't produce.
+/// Requests must have a Content-Length; one thread serves all connections.
+class raw_endpoint
+{
+public:
+    /// Returns the response to a request, whose head and body are in the text.
+    using handler = std::function<raw_response(const std::string& request)>;
+
+    explicit raw_endpoint(handler respond)
+        : m_address(free_address()),
+          m_respond(std::move(respond)),
+          m_listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        const int on = 1;
+        setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        sockaddr_in name{};
+        name.sin_family = AF_INET;
+        name.sin_port = htons(m_address.port);
+        name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        m_listens = bind(m_listener, reinterpret_cast<sockaddr*>(&name), sizeof name) == 0 &&
+                    listen(m_listener, 64) == 0;
+        m_thread = std::make_unique<posix_thread>("endpoint", [this] { run(); });
+    }
+
+    ~raw_endpoint()
+    {
+        m_stopping = true;
+        m_thread.reset();
+        crash();
+    }
+    raw_endpoint(const raw_endpoint&) = delete;
+    raw_endpoint& operator=(const raw_endpoint&) = delete;
+
+    const address& listen_address() const { return m_address; }
+    int request_count() const { return m_request_count; }
+    bool is_listening() const { return m_listens; }
+
+private:
+    void run()
+    {
+        while (!m_stopping) {
+            std::vector<pollfd> waiting;
+            if (m_listens)
+                waiting.push_back({.fd = m_listener, .events = POLLIN, .revents = 0});
+            for (const auto& [descriptor, input] : m_inputs)
+                waiting.push_back({.fd = descriptor, .events = POLLIN, .revents = 0});
+            for (const int descriptor : m_endless)
+                waiting.push_back({.fd = descriptor, .events = POLLOUT, .revents = 0});
+            poll(waiting.data(), waiting.size(), 20);
+            for (const pollfd& ready : waiting)
+                handle(ready);
+        }
+    }
+
+    void handle(const pollfd& ready)
+    {
+        if (ready.revents == 0)
+            return;
+        if (ready.fd == m_listener) {
+            if (const int accepted = accept(m_listener, nullptr, nullptr); accepted >= 0)
+                m_inputs[accepted];
+        }
+        else if (m_inputs.count(ready.fd) > 0) {
+            receive(ready.fd);
+        }
+        else if (send(ready.fd, m_filler.data(), m_filler.size(), MSG_NOSIGNAL | MSG_DONTWAIT) <=
+                     0 &&
+                 (ready.revents & (POLLERR | POLLHUP)) != 0) {
+            m_endless.erase(std::find(m_endless.begin(), m_endless.end(), ready.fd));
+            close(ready.fd);
+        }
+    }
+
+    void receive(int descriptor)
+    {
+        std::array<char, 4096> buffer;
+        const ssize_t received = recv(descriptor, buffer.data(), buffer.size(), 0);
+        if (received <= 0)
+            return drop(descriptor);
+        std::string& input = m_inputs[descriptor];
+        input.append(buffer.data(), static_cast<std::size_t>(received));
+        const std::size_t head_end = input.find("\r\n\r\n");
+        const std::size_t length_at = input.find("Content-Length: ");
+        if (head_end == std::string::npos || length_at == std::string::npos ||
+            input.size() < head_end + 4 + std::stoul(input.substr(length_at + 16)))
+            return;
+        ++m_request_count;
+        const raw_response response = m_respond(std::exchange(input, {}));
+        (void)send(descriptor, response.bytes.data(), response.bytes.size(), MSG_NOSIGNAL);
+        switch (response.then) {
+        case raw_response::next::keep_open:
+            return;
+        case raw_response::next::close:
+            return drop(descriptor);
+        case raw_response::next::crash:
+            return crash();
+        case raw_response::next::send_forever:
+            m_filler = response.filler;
+            m_inputs.erase(descriptor);
+            m_endless.push_back(descriptor);
+        }
+    }
+
+    void drop(int descriptor)
+    {
+        m_inputs.erase(descriptor);
+        close(descriptor);
+    }
+
+    void crash()
+    {
+        m_listens = false;
+        if (const int listener = std::exchange(m_listener, -1); listener >= 0)
+            close(listener);
+        for (const auto& [descriptor, input] : std::exchange(m_inputs, {}))
+            close(descriptor);
+        for (const int descriptor : std::exchange(m_endless, {}))
+            close(descriptor);
+    }
+
+    address m_address;
+    handler m_respond;
+    int m_listener;
+    std::atomic<bool> m_listens = false;
+    std::atomic<bool> m_stopping = false;
+    std::atomic<int> m_request_count = 0;
+    std::map<int, std::string> m_inputs;
+    std::vector<int> m_endless;
+    std::string m_filler;
+    std::unique_ptr<posix_thread> m_thread;
+};
+
+} // namespace chivedeal::fakes
+
+#endif
--- /dev/null
+++ b/fakes/raw_response.hpp
@@ -0,0 +1,30 @@
+#ifndef FAKES_RAW_RESPONSE_HPP
+#define FAKES_RAW_RESPONSE_HPP
+
+#include <string>
+
+namespace chivedeal::fakes {
+
+/// What a raw endpoint sends in response to a request, and what it does then.
+struct raw_response
+{
+    enum class next
+    {
+        keep_open,
+        close,
+        /// Closes all connections and the listener.
+        crash,
+        /// Repeats `filler` until the peer closes the connection.
+        send_forever,
+    };
+
+    std::string bytes;
+    next then = next::keep_open;
+    std::string filler;
+
+    friend bool operator==(const raw_response&, const raw_response&) = default;
+};
+
+} // namespace chivedeal::fakes
+
+#endif
--- a/include/chivedeal/core/log_event.hpp
+++ b/include/chivedeal/core/log_event.hpp
@@ -46,6 +46,7 @@
     records_fetched_from_peer = 3010,
     endpoint_announced_leaving = 3011,
     endpoint_removal_deferred = 3012,
+    endpoint_crashed = 3013,
 
     lease_acquired = 4001,
     lease_lost = 4002,
@@ -75,6 +76,8 @@
     drain_started = 5011,
     drain_finished = 5012,
     endpoint_report_missing = 5013,
+    prompt_part_blocked = 5014,
+    prompt_part_released = 5015,
 
     operator_request_rejected = 6001,
 };
--- a/include/chivedeal/forward/endpoint_listener.hpp
+++ b/include/chivedeal/forward/endpoint_listener.hpp
@@ -1,7 +1,10 @@
 #ifndef CHIVEDEAL_FORWARD_ENDPOINT_LISTENER_HPP
 #define CHIVEDEAL_FORWARD_ENDPOINT_LISTENER_HPP
 
+#include "chivedeal/core/id.hpp"
+#include "chivedeal/forward/attempt_failure.hpp"
 #include "chivedeal/forward/http_response_head.hpp"
+#include "chivedeal/forward/probe_result.hpp"
 
 #include "absl/time/time.h"
 
@@ -24,10 +27,12 @@
     virtual void on_response_body(std::uint64_t exchange_id, std::string_view bytes,
                                   absl::Time now) = 0;
     virtual void on_response_end(std::uint64_t exchange_id, absl::Time now) = 0;
-    /// The attempt failed. `sent` tells whether any byte of the request was written to the socket;
-    /// `reason` is for the log.
-    virtual void on_attempt_failed(std::uint64_t exchange_id, bool sent, const char* reason,
-                                   absl::Time now) = 0;
+    /// The attempt failed. `reason` is for the log.
+    virtual void on_attempt_failed(std::uint64_t exchange_id, attempt_failure failure,
+                                   const char* reason, absl::Time now) = 0;
+    /// A probe that `endpoint_side::probe` began has ended.
+    virtual void on_probe_ended(const endpoint_id& endpoint, probe_result result,
+                                absl::Time now) = 0;
 };
 
 } // namespace chivedeal::forward
--- a/include/chivedeal/forward/endpoint_side.hpp
+++ b/include/chivedeal/forward/endpoint_side.hpp
@@ -1,8 +1,10 @@
 #ifndef CHIVEDEAL_FORWARD_ENDPOINT_SIDE_HPP
 #define CHIVEDEAL_FORWARD_ENDPOINT_SIDE_HPP
 
+#include "chivedeal/forward/attempt_failure.hpp"
 #include "chivedeal/forward/endpoint_connection.hpp"
 #include "chivedeal/forward/endpoint_request.hpp"
+#include "chivedeal/forward/probe_result.hpp"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
@@ -48,6 +50,11 @@
     /// endpoint's connection limit is reached, or no socket could be opened.
     bool send(endpoint_request request, absl::Time now);
 
+    /// Opens a connection to an endpoint without sending a request, and reports the result to the
+    /// listener. A connection that opens is kept for reuse. Returns false if no socket could be
+    /// opened.
+    bool probe(const endpoint_id& endpoint, const address& remote, absl::Time now);
+
     /// Aborts an exchange's attempt by closing its connection.
     void cancel(std::uint64_t exchange_id);
 
@@ -71,13 +78,18 @@
 private:
     endpoint_connection* take_idle(const endpoint_id& endpoint, const address& remote,
                                    absl::Time now);
-    endpoint_connection* open(const endpoint_request& request, absl::Time now);
+    endpoint_connection* open(const endpoint_id& endpoint, const address& remote, absl::Time now);
+    void keep_idle(endpoint_connection& connection, absl::Duration idle_timeout, absl::Time now);
+    void finish_probe(endpoint_connection& connection, absl::Time now);
     void start_exchange(endpoint_connection& connection, endpoint_request request, absl::Time now);
     void flush(endpoint_connection& connection, absl::Time now);
     void read_all(endpoint_connection& connection, absl::Time now);
     void process_input(endpoint_connection& connection, absl::Time now);
     void finish_exchange(endpoint_connection& connection, absl::Time now);
-    void fail_attempt(endpoint_connection& connection, const char* reason, absl::Time now);
+    void fail_attempt(endpoint_connection& connection, const char* reason, absl::Time now,
+                      attempt_failure failure = attempt_failure::connection_lost);
+    void fail_connect(endpoint_connection& connection, probe_result result, const char* reason,
+                      absl::Time now);
     void close(endpoint_connection& connection);
     void update_interest(endpoint_connection& connection);
 
--- a/include/chivedeal/forward/exchange.hpp
+++ b/include/chivedeal/forward/exchange.hpp
@@ -48,6 +48,7 @@
     bool attempt_head_received = false;
     /// The endpoint has read the prompt and begun to send the response body.
     bool attempt_body_started = false;
+    absl::Time attempt_body_started_at = absl::InfiniteFuture();
     absl::Time attempt_started_at;
     absl::Time attempt_deadline = absl::InfiniteFuture();
     int attempts_sent = 0;
@@ -59,6 +60,8 @@
     event_splitter events;
     absl::Time first_byte_at = absl::InfiniteFuture();
     bool usage_counted = false;
+    /// An endpoint has answered for long enough to show that the prompt doesn't crash it.
+    bool prompt_is_sound = false;
     /// Due time under which the exchange is registered in the timer queue.
     absl::Time timer_at = absl::InfiniteFuture();
 };
--- a/include/chivedeal/forward/local_state.hpp
+++ b/include/chivedeal/forward/local_state.hpp
@@ -3,6 +3,7 @@
 
 #include "chivedeal/core/id.hpp"
 #include "chivedeal/forward/endpoint_load.hpp"
+#include "chivedeal/forward/part_suspicion.hpp"
 #include "chivedeal/forward/usage_report.hpp"
 #include "chivedeal/forward/version_outcomes.hpp"
 
@@ -22,6 +23,7 @@
     std::map<service_id, std::int64_t> requested_prompt_tokens;
     std::vector<version_outcomes> outcomes;
     std::vector<usage_report> usage;
+    std::vector<part_suspicion> suspicions;
 
     friend bool operator==(const local_state&, const local_state&) = default;
 };
--- a/include/chivedeal/forward/node_beacon.hpp
+++ b/include/chivedeal/forward/node_beacon.hpp
@@ -4,6 +4,7 @@
 #include "chivedeal/core/address.hpp"
 #include "chivedeal/core/id.hpp"
 #include "chivedeal/forward/endpoint_load.hpp"
+#include "chivedeal/forward/part_suspicion.hpp"
 #include "chivedeal/forward/usage_report.hpp"
 #include "chivedeal/forward/version_outcomes.hpp"
 
@@ -39,6 +40,8 @@
     std::vector<version_outcomes> outcomes;
     /// Requests that started on the node, for the most recent windows.
     std::vector<usage_report> usage;
+    /// Prompt parts with which endpoints crashed.
+    std::vector<part_suspicion> suspicions;
     /// Addresses of some of the node's peers, so that nodes discover each other without the store.
     std::vector<address> known_peers;
     /// Whether the receiver relays the beacon to the nodes of its region.
--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -2,12 +2,14 @@
 #define CHIVEDEAL_FORWARD_REQUEST_RUNNER_HPP
 
 #include "chivedeal/forward/attempt_outcome.hpp"
+#include "chivedeal/forward/crash_tracker.hpp"
 #include "chivedeal/forward/endpoint_listener.hpp"
 #include "chivedeal/forward/endpoint_pool.hpp"
 #include "chivedeal/forward/exchange.hpp"
 #include "chivedeal/forward/header_names.hpp"
 #include "chivedeal/forward/node_settings.hpp"
 #include "chivedeal/forward/outcome_counter.hpp"
+#include "chivedeal/forward/prompt_quarantine.hpp"
 #include "chivedeal/forward/token_quota.hpp"
 #include "chivedeal/forward/usage_ledger.hpp"
 #include "chivedeal/requests/retry_budget.hpp"
@@ -68,8 +70,9 @@
     void on_response_body(std::uint64_t exchange_id, std::string_view bytes,
                           absl::Time now) override;
     void on_response_end(std::uint64_t exchange_id, absl::Time now) override;
-    void on_attempt_failed(std::uint64_t exchange_id, bool sent, const char* reason,
+    void on_attempt_failed(std::uint64_t exchange_id, attempt_failure failure, const char* reason,
                            absl::Time now) override;
+    void on_probe_ended(const endpoint_id& endpoint, probe_result result, absl::Time now) override;
 
     /// Handles expired timers and returns the due time of the next one.
     absl::Time tick(absl::Time now);
@@ -80,6 +83,9 @@
     /// Sets the difference between true time and the steady clock. Usage windows are in true time.
     void set_true_time_offset(absl::Duration offset) { m_true_time_offset = offset; }
 
+    prompt_quarantine& quarantine() { return m_quarantine; }
+    const prompt_quarantine& quarantine() const { return m_quarantine; }
+
     outcome_counter& outcomes() { return m_outcomes; }
     const outcome_counter& outcomes() const { return m_outcomes; }
     /// Prompt tokens of all requests admitted for each service since the process started.
@@ -104,6 +110,9 @@
     void deliver_response(exchange& current, absl::Time now);
     void release_attempt(exchange& current);
     void record_first_byte(exchange& current, absl::Time now);
+    void record_sound_prompt(exchange& current, absl::Time now);
+    void record_lost_request(const exchange& current, absl::Time now);
+    void report_quarantine_changes();
     void count_usage(exchange& current, absl::Time now);
     void count_outcome(const exchange& current, bool good);
     void on_timeout(exchange& current, absl::Time now);
@@ -135,6 +144,8 @@
     std::set<std::pair<absl::Time, std::uint64_t>> m_timers;
     std::map<service_id, std::unique_ptr<requests::retry_budget>> m_retry_budgets;
     outcome_counter m_outcomes;
+    prompt_quarantine m_quarantine;
+    crash_tracker m_crashes{m_quarantine};
     std::map<service_id, std::int64_t> m_requested_prompt_tokens;
     absl::InsecureBitGen m_random;
     std::uint64_t m_next_exchange_id = 1;
--- a/src/core/log_event.cpp
+++ b/src/core/log_event.cpp
@@ -87,6 +87,8 @@
         return "endpoint_announced_leaving";
     case event_id::endpoint_removal_deferred:
         return "endpoint_removal_deferred";
+    case event_id::endpoint_crashed:
+        return "endpoint_crashed";
     case event_id::lease_acquired:
         return "lease_acquired";
     case event_id::lease_lost:
@@ -141,6 +143,10 @@
         return "drain_finished";
     case event_id::endpoint_report_missing:
         return "endpoint_report_missing";
+    case event_id::prompt_part_blocked:
+        return "prompt_part_blocked";
+    case event_id::prompt_part_released:
+        return "prompt_part_released";
     case event_id::operator_request_rejected:
         return "operator_request_rejected";
     }
@@ -180,6 +186,7 @@
         event_id::records_fetched_from_peer,
         event_id::endpoint_announced_leaving,
         event_id::endpoint_removal_deferred,
+        event_id::endpoint_crashed,
         event_id::lease_acquired,
         event_id::lease_lost,
         event_id::move_step_decided,
@@ -207,6 +214,8 @@
         event_id::drain_started,
         event_id::drain_finished,
         event_id::endpoint_report_missing,
+        event_id::prompt_part_blocked,
+        event_id::prompt_part_released,
         event_id::operator_request_rejected,
     };
     return events;
--- a/src/forward/endpoint_side.cpp
+++ b/src/forward/endpoint_side.cpp
@@ -34,8 +34,8 @@
 bool endpoint_side::send(endpoint_request request, absl::Time now)
 {
     endpoint_connection* connection = take_idle(request.endpoint, request.address, now);
-    if (connection == nullptr)
-        connection = open(request, now);
+    if (connection == nullptr && m_open_counts[request.endpoint] < request.max_connections)
+        connection = open(request.endpoint, request.address, now);
     if (connection == nullptr)
         return false;
     start_exchange(*connection, std::move(request), now);
@@ -59,27 +59,30 @@
     return nullptr;
 }
 
-endpoint_connection* endpoint_side::open(const endpoint_request& request, absl::Time now)
+endpoint_connection* endpoint_side::open(const endpoint_id& endpoint, const address& remote,
+                                         absl::Time now)
 {
-    int& open_count = m_open_counts[request.endpoint];
-    if (open_count >= request.max_connections)
-        return nullptr;
-    const auto descriptor = begin_connect(request.address);
+    const auto descriptor = begin_connect(remote);
     if (!is_ok(descriptor))
         return nullptr;
     auto connection = std::make_unique<endpoint_connection>();
     connection->id = id_mark | m_next_id++;
     connection->descriptor = get_value(descriptor);
-    connection->endpoint = request.endpoint;
-    connection->address = request.address;
+    connection->endpoint = endpoint;
+    connection->address = remote;
     connection->connect_started = now;
     m_poller.add(connection->descriptor, connection->id, true, true);
-    ++open_count;
+    ++m_open_counts[endpoint];
     endpoint_connection* opened = connection.get();
     m_connections.emplace(opened->id, std::move(connection));
     return opened;
 }
 
+bool endpoint_side::probe(const endpoint_id& endpoint, const address& remote, absl::Time now)
+{
+    return open(endpoint, remote, now) != nullptr;
+}
+
 void endpoint_side::start_exchange(endpoint_connection& connection, endpoint_request request,
                                    absl::Time now)
 {
@@ -151,8 +154,13 @@
     if (connection.current_state == endpoint_connection::state::connecting) {
         if (!writable && !broken)
             return;
-        if (connect_error(connection.descriptor) != 0)
-            return fail_attempt(connection, "could not connect", now);
+        const int failure = connect_error(connection.descriptor);
+        if (failure != 0)
+            return fail_connect(
+                connection, failure == ECONNREFUSED ? probe_result::refused : probe_result::unknown,
+                "could not connect", now);
+        if (connection.exchange_id == 0)
+            return finish_probe(connection, now);
         connection.current_state = endpoint_connection::state::busy;
     }
     if (writable && connection.output_sent_bytes < connection.output.size())
@@ -233,7 +241,8 @@
         const std::size_t consumed_bytes = connection.reader->feed(connection.input, body);
         connection.input.erase(0, consumed_bytes);
         if (connection.reader->failed())
-            return fail_attempt(connection, "malformed response", now);
+            return fail_attempt(connection, "malformed response", now,
+                                attempt_failure::malformed_response);
         if (connection.reader->has_head() && !connection.head_processed) {
             connection.head_processed = true;
             const std::string* echoed_id =
@@ -274,19 +283,30 @@
     const absl::Duration idle_timeout =
         connection.reader->keep_alive_timeout().value_or(m_options.idle_timeout);
     connection.reader.reset();
-    if (reusable && idle_timeout > idle_close_margin) {
-        connection.current_state = endpoint_connection::state::idle;
-        connection.idle_deadline = now + idle_timeout - idle_close_margin;
-        m_idle_ids[connection.endpoint].push_back(connection.id);
-    }
-    else {
+    if (reusable && idle_timeout > idle_close_margin)
+        keep_idle(connection, idle_timeout, now);
+    else
         close(connection);
-    }
     m_handler.on_response_end(exchange_id, now);
 }
 
+void endpoint_side::keep_idle(endpoint_connection& connection, absl::Duration idle_timeout,
+                              absl::Time now)
+{
+    connection.current_state = endpoint_connection::state::idle;
+    connection.idle_deadline = now + idle_timeout - idle_close_margin;
+    m_idle_ids[connection.endpoint].push_back(connection.id);
+}
+
+void endpoint_side::finish_probe(endpoint_connection& connection, absl::Time now)
+{
+    keep_idle(connection, m_options.idle_timeout, now);
+    update_interest(connection);
+    m_handler.on_probe_ended(connection.endpoint, probe_result::connected, now);
+}
+
 void endpoint_side::fail_attempt(endpoint_connection& connection, const char* reason,
-                                 absl::Time now)
+                                 absl::Time now, attempt_failure failure)
 {
     const std::uint64_t exchange_id = connection.exchange_id;
     const bool sent = connection.output_sent_bytes > 0 ||
@@ -294,8 +314,17 @@
                        connection.current_state != endpoint_connection::state::connecting);
     m_connection_id_by_exchange.erase(exchange_id);
     close(connection);
-    if (exchange_id != 0)
-        m_handler.on_attempt_failed(exchange_id, sent, reason, now);
+    m_handler.on_attempt_failed(exchange_id, sent ? failure : attempt_failure::not_sent, reason,
+                                now);
+}
+
+void endpoint_side::fail_connect(endpoint_connection& connection, probe_result result,
+                                 const char* reason, absl::Time now)
+{
+    if (connection.exchange_id != 0)
+        return fail_attempt(connection, reason, now);
+    close(connection);
+    m_handler.on_probe_ended(connection.endpoint, result, now);
 }
 
 void endpoint_side::tick(absl::Time now)
@@ -314,7 +343,7 @@
     for (const std::uint64_t id : timed_out_ids) {
         const auto found = m_connections.find(id);
         if (found != m_connections.end() && !found->second->closed)
-            fail_attempt(*found->second, "connect timed out", now);
+            fail_connect(*found->second, probe_result::unknown, "connect timed out", now);
     }
 }
 
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -199,6 +199,7 @@
     if (!heard.previous)
         m_pool.forget_peer(beacon.node);
     m_pool.set_peer_load(beacon.node, beacon.loads, now);
+    m_runner.quarantine().on_peer_suspicions(beacon.suspicions, now);
     for (const auto& [workspace, admitted] : beacon.admitted) {
         double before = 0;
         if (heard.previous) {
@@ -236,7 +237,8 @@
             .loads = m_pool.own_load(now),
             .requested_prompt_tokens = m_runner.requested_prompt_tokens(),
             .outcomes = m_runner.outcomes().snapshot(),
-            .usage = m_runner.usage().recent_reports()};
+            .usage = m_runner.usage().recent_reports(),
+            .suspicions = m_runner.quarantine().suspicions(m_time.now())};
 }
 
 void forwarder::report_local_state(const local_state& state, absl::Time now)
--- a/src/forward/peer_codec.cpp
+++ b/src/forward/peer_codec.cpp
@@ -35,6 +35,38 @@
     return is_ok(parsed) ? get_value(parsed) : address{};
 }
 
+json encode_suspicions(const node_beacon& beacon)
+{
+    const auto encode_age = [](const std::optional<absl::Duration>& age) {
+        return age ? json(absl::ToInt64Milliseconds(*age)) : json(nullptr);
+    };
+    json suspicions = json::array();
+    for (const part_suspicion& suspicion : beacon.suspicions) {
+        json crashes = json::object();
+        for (const auto& [incarnation, age] : suspicion.crashes)
+            crashes[incarnation] = absl::ToInt64Milliseconds(age);
+        suspicions.push_back({suspicion.part, suspicion.depth, std::move(crashes),
+                              encode_age(suspicion.sound_age), encode_age(suspicion.blocked_age)});
+    }
+    return suspicions;
+}
+
+part_suspicion decode_suspicion(const json& fields)
+{
+    const auto decode_age = [](const json& age) -> std::optional<absl::Duration> {
+        if (age.is_null())
+            return std::nullopt;
+        return absl::Milliseconds(age.get<std::int64_t>());
+    };
+    part_suspicion suspicion{.part = fields.at(0).get<std::string>(),
+                             .depth = fields.at(1).get<int>(),
+                             .sound_age = decode_age(fields.at(3)),
+                             .blocked_age = decode_age(fields.at(4))};
+    for (const auto& [incarnation, age] : fields.at(2).items())
+        suspicion.crashes[incarnation] = absl::Milliseconds(age.get<std::int64_t>());
+    return suspicion;
+}
+
 node_beacon decode_beacon(const json& fields)
 {
     node_beacon beacon{.node = node_id(fields.at(0).get<std::string>()),
@@ -76,6 +108,10 @@
     for (const auto& [service, tokens] : fields.at(15).items())
         beacon.requested_prompt_tokens[service_id(service)] = tokens.get<std::int64_t>();
     beacon.relay_in_region = fields.at(16).get<bool>();
+    // Nodes of the previous version send no suspicions.
+    if (fields.size() > 17)
+        for (const json& suspicion : fields.at(17))
+            beacon.suspicions.push_back(decode_suspicion(suspicion));
     return beacon;
 }
 
@@ -144,7 +180,8 @@
             std::move(peers),
             encode_usage(beacon),
             std::move(prompt_tokens),
-            beacon.relay_in_region};
+            beacon.relay_in_region,
+            encode_suspicions(beacon)};
 }
 
 // Message kinds; the first element of an encoded message.
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -161,7 +161,8 @@
                        .loads = local->loads,
                        .requested_prompt_tokens = local->requested_prompt_tokens,
                        .outcomes = local->outcomes,
-                       .usage = local->usage};
+                       .usage = local->usage,
+                       .suspicions = local->suspicions};
     std::vector<address> known_addresses;
     for (const auto& [node, peer] : m_table.beacons())
         known_addresses.push_back(peer.peer_address);
--- /dev/null
+++ b/src/forward/prompt_quarantine.cpp
@@ -0,0 +1,198 @@
+#include "chivedeal/forward/prompt_quarantine.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace chivedeal::forward {
+
+namespace {
+
+// Names of parts come from callers. Longer ones would make beacons exceed a datagram.
+constexpr std::size_t max_part_name_bytes = 64;
+
+} // namespace
+
+bool prompt_quarantine::is_blocked(const suspect& part, absl::Time now) const
+{
+    return part.blocked_at > part.sound_at && now - part.blocked_at < m_options.block_duration;
+}
+
+bool prompt_quarantine::is_sound(const std::string& part, absl::Time now) const
+{
+    const auto found = m_sound_at.find(part);
+    return found != m_sound_at.end() && now - found->second < m_options.soundness_retention;
+}
+
+void prompt_quarantine::on_sound(const std::vector<prompt_part>& prefix, absl::Time now)
+{
+    for (std::size_t depth = 0; depth + 1 < prefix.size(); ++depth)
+        record_sound(prefix[depth].id, now, now);
+}
+
+void prompt_quarantine::record_sound(const std::string& part, absl::Time at, absl::Time now)
+{
+    absl::Time& sound_at = m_sound_at.try_emplace(part, at).first->second;
+    sound_at = std::max(sound_at, at);
+    if (m_sound_at.size() > m_options.max_sound_parts)
+        absl::erase_if(m_sound_at, [&](const auto& entry) {
+            return now - entry.second > m_options.soundness_retention / 2;
+        });
+    // Without any old entry, all are dropped: they return with the next responses.
+    if (m_sound_at.size() > m_options.max_sound_parts)
+        m_sound_at.clear();
+    const auto found = m_suspects.find(part);
+    if (found == m_suspects.end())
+        return;
+    if (is_blocked(found->second, now) && at > found->second.blocked_at)
+        m_changes.push_back({.part = part, .blocked = false});
+    found->second.sound_at = std::max(found->second.sound_at, at);
+    found->second.crashes.clear();
+}
+
+void prompt_quarantine::on_crash(const std::string& incarnation,
+                                 const std::vector<prompt_part>& prefix, absl::Time now)
+{
+    for (std::size_t depth = 0; depth + 1 < prefix.size(); ++depth) {
+        if (is_sound(prefix[depth].id, now) || prefix[depth].id.size() > max_part_name_bytes)
+            continue;
+        suspect& part = m_suspects[prefix[depth].id];
+        part.depth = static_cast<int>(depth);
+        part.crashes.try_emplace(incarnation, now);
+    }
+    update_blocks(now);
+}
+
+void prompt_quarantine::on_peer_suspicions(const std::vector<part_suspicion>& suspicions,
+                                           absl::Time now)
+{
+    for (const part_suspicion& reported : suspicions) {
+        suspect& part = m_suspects[reported.part];
+        part.depth = reported.depth;
+        const auto known_sound = m_sound_at.find(reported.part);
+        if (known_sound != m_sound_at.end())
+            part.sound_at = std::max(part.sound_at, known_sound->second);
+        if (reported.sound_age)
+            record_sound(reported.part, now - *reported.sound_age, now);
+        if (is_sound(reported.part, now))
+            continue;
+        for (const auto& [incarnation, age] : reported.crashes)
+            part.crashes.try_emplace(incarnation, now - age);
+        if (reported.blocked_age && !is_blocked(part, now)) {
+            part.blocked_at = now - *reported.blocked_age;
+            if (is_blocked(part, now))
+                m_changes.push_back(
+                    {.part = reported.part, .blocked = true, .crashes = count_crashes(part, {})});
+        }
+    }
+    update_blocks(now);
+}
+
+int prompt_quarantine::count_crashes(const suspect& part,
+                                     const std::set<std::string>& explained) const
+{
+    std::vector<absl::Time> times;
+    for (const auto& [incarnation, at] : part.crashes)
+        if (explained.count(incarnation) == 0)
+            times.push_back(at);
+    std::sort(times.begin(), times.end());
+    int count = 0;
+    absl::Time last_counted = absl::InfinitePast();
+    for (const absl::Time at : times) {
+        if (at - last_counted < m_options.crash_separation)
+            continue;
+        last_counted = at;
+        ++count;
+    }
+    return count;
+}
+
+// Prompts that share a deadly part usually share the parts before it as well, so the deepest part
+// is blocked first. Its crashes are then explained and don't count against the others.
+void prompt_quarantine::update_blocks(absl::Time now)
+{
+    expire(now);
+    std::set<std::string> explained;
+    std::vector<std::pair<int, std::string>> candidates;
+    for (const auto& [id, part] : m_suspects) {
+        if (!is_blocked(part, now))
+            candidates.emplace_back(-part.depth, id);
+        else
+            for (const auto& [incarnation, at] : part.crashes)
+                explained.insert(incarnation);
+    }
+    std::sort(candidates.begin(), candidates.end());
+    for (const auto& [negative_depth, id] : candidates) {
+        suspect& part = m_suspects.at(id);
+        const int crashes = count_crashes(part, explained);
+        if (crashes < m_options.min_crashes)
+            continue;
+        part.blocked_at = now;
+        m_changes.push_back({.part = id, .blocked = true, .crashes = crashes});
+        for (const auto& [incarnation, at] : part.crashes)
+            explained.insert(incarnation);
+    }
+}
+
+void prompt_quarantine::expire(absl::Time now)
+{
+    absl::erase_if(m_suspects, [&](auto& entry) {
+        suspect& part = entry.second;
+        if (is_blocked(part, now))
+            return false;
+        for (auto crash = part.crashes.begin(); crash != part.crashes.end();)
+            crash = now - crash->second > m_options.crash_retention ? part.crashes.erase(crash)
+                                                                    : std::next(crash);
+        return part.crashes.empty() && now - part.sound_at > m_options.crash_retention;
+    });
+}
+
+std::vector<part_suspicion> prompt_quarantine::suspicions(absl::Time now) const
+{
+    using rank = std::tuple<bool, std::size_t, absl::Time>;
+    std::vector<std::pair<rank, part_suspicion>> ranked;
+    for (const auto& [id, part] : m_suspects) {
+        part_suspicion reported{.part = id, .depth = part.depth};
+        absl::Time latest = part.sound_at;
+        for (const auto& [incarnation, at] : part.crashes) {
+            reported.crashes[incarnation] = now - at;
+            latest = std::max(latest, at);
+        }
+        if (part.sound_at != absl::InfinitePast())
+            reported.sound_age = now - part.sound_at;
+        if (is_blocked(part, now))
+            reported.blocked_age = now - part.blocked_at;
+        ranked.emplace_back(rank(is_blocked(part, now), part.crashes.size(), latest),
+                            std::move(reported));
+    }
+    std::sort(ranked.begin(), ranked.end(),
+              [](const auto& a, const auto& b) { return a.first > b.first; });
+    std::vector<part_suspicion> reported;
+    for (std::size_t i = 0; i < std::min(ranked.size(), m_options.max_reported_parts); ++i)
+        reported.push_back(std::move(ranked[i].second));
+    return reported;
+}
+
+std::optional<absl::Duration>
+prompt_quarantine::time_blocked(const std::vector<prompt_part>& prefix, absl::Time now) const
+{
+    if (m_suspects.empty())
+        return std::nullopt;
+    for (std::size_t depth = 0; depth + 1 < prefix.size(); ++depth) {
+        const auto found = m_suspects.find(prefix[depth].id);
+        if (found != m_suspects.end() && is_blocked(found->second, now))
+            return found->second.blocked_at + m_options.block_duration - now;
+    }
+    return std::nullopt;
+}
+
+bool prompt_quarantine::is_suspect(const std::vector<prompt_part>& prefix) const
+{
+    for (std::size_t depth = 0; depth + 1 < prefix.size(); ++depth) {
+        const auto found = m_suspects.find(prefix[depth].id);
+        if (found != m_suspects.end() && !found->second.crashes.empty())
+            return true;
+    }
+    return false;
+}
+
+} // namespace chivedeal::forward
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -45,6 +45,9 @@
 // version in a roll-out.
 constexpr double slow_response_factor = 3;
 
+// An endpoint that has sent response data for this long doesn't crash on the prompt.
+constexpr absl::Duration min_sound_response_time = absl::Milliseconds(500);
+
 // Callers interpret these statuses as a guarantee that the request did not and will not run.
 bool implies_not_run(int status)
 {
@@ -164,6 +167,8 @@
     m_exchange_by_connection[connection] = current.id;
     m_exchanges.emplace(current.id, std::move(new_exchange));
     schedule(current);
+    if (const auto blocked = m_quarantine.time_blocked(current.head.prefix, now))
+        return refuse(current, 503, "a part of the prompt crashes endpoints", *blocked, now);
     if (!admit(current, now))
         return;
     retry_budget_for(current.query.service).on_first_attempt(now);
@@ -309,9 +314,48 @@
         now - current.attempt_started_at - current.attempt_choice->predicted_first_byte_time;
     m_pool.on_first_byte(current.attempt_choice->id, current.query, late, now);
     current.attempt_body_started = true;
+    current.attempt_body_started_at = now;
     count_usage(current, now);
 }
 
+void request_runner::record_sound_prompt(exchange& current, absl::Time now)
+{
+    if (!std::exchange(current.prompt_is_sound, true))
+        m_quarantine.on_sound(current.head.prefix, now);
+}
+
+void request_runner::record_lost_request(const exchange& current, absl::Time now)
+{
+    if (current.prompt_is_sound || current.head.prefix.size() < 2)
+        return;
+    const endpoint_choice& endpoint = *current.attempt_choice;
+    if (m_crashes.on_request_lost(endpoint, current.head.prefix) &&
+        !m_endpoints.probe(endpoint.id, endpoint.address, now))
+        m_crashes.on_probed(endpoint.id, probe_result::unknown, now);
+}
+
+void request_runner::on_probe_ended(const endpoint_id& endpoint, probe_result result,
+                                    absl::Time now)
+{
+    const std::size_t lost_requests = m_crashes.on_probed(endpoint, result, now);
+    if (lost_requests == 0)
+        return;
+    m_counters.add("chivedeal_endpoint_crashes_total", 1);
+    log_event(event_id::endpoint_crashed,
+              {{"endpoint", endpoint.str()}, {"suspect_requests", absl::StrCat(lost_requests)}});
+}
+
+void request_runner::report_quarantine_changes()
+{
+    for (const quarantine_change& change : m_quarantine.take_changes()) {
+        m_counters.add(change.blocked ? "chivedeal_prompt_parts_blocked_total"
+                                      : "chivedeal_prompt_parts_released_total",
+                       1);
+        log_event(change.blocked ? event_id::prompt_part_blocked : event_id::prompt_part_released,
+                  {{"part", change.part}, {"crashes", absl::StrCat(change.crashes)}});
+    }
+}
+
 void request_runner::on_response_body(std::uint64_t exchange_id, std::string_view bytes,
                                       absl::Time now)
 {
@@ -326,6 +370,8 @@
         record_first_byte(*current, now);
     else
         m_pool.on_bytes(current->attempt_choice->id, now);
+    if (now - current->attempt_body_started_at >= min_sound_response_time)
+        record_sound_prompt(*current, now);
     if (!current->match.matched->resumable) {
         m_callers.send_stream(current->connection, bytes, now);
     }
@@ -361,6 +407,7 @@
     if (current->match.matched->resumable && current->events.has_partial())
         return end_attempt(*current, attempt_outcome::broken, "stream ended inside an event", now);
     m_pool.on_success(current->attempt_choice->id, now);
+    record_sound_prompt(*current, now);
     const bool slow = current->first_byte_at - current->arrived_at >
                       current->match.matched->latency_objective * slow_response_factor;
     count_outcome(*current, !slow);
@@ -394,6 +441,8 @@
     if (current.first_byte_at == absl::InfiniteFuture())
         record_first_byte(current, now);
     const int status = current.response_head.status;
+    if (status / 100 == 2)
+        record_sound_prompt(current, now);
     if (status / 100 != 5) {
         m_pool.on_success(current.attempt_choice->id, now);
         count_outcome(current, now - current.attempt_started_at <=
@@ -407,13 +456,18 @@
     finish(current, status, "answered", now);
 }
 
-void request_runner::on_attempt_failed(std::uint64_t exchange_id, bool sent, const char* reason,
-                                       absl::Time now)
+void request_runner::on_attempt_failed(std::uint64_t exchange_id, attempt_failure failure,
+                                       const char* reason, absl::Time now)
 {
     exchange* current = find_exchange(exchange_id);
     if (current == nullptr)
         return;
-    end_attempt(*current, sent ? attempt_outcome::broken : attempt_outcome::not_sent, reason, now);
+    if (failure == attempt_failure::connection_lost)
+        record_lost_request(*current, now);
+    end_attempt(*current,
+                failure == attempt_failure::not_sent ? attempt_outcome::not_sent
+                                                     : attempt_outcome::broken,
+                reason, now);
 }
 
 void request_runner::end_attempt(exchange& current, attempt_outcome outcome, const char* reason,
@@ -460,7 +514,10 @@
 {
     const endpoint_choice failed = *current.attempt_choice;
     const bool is_retry = current.rule.is_retry();
-    const bool retries = current.rule.may_retry() && current.give_up_at - now >= min_attempt_time &&
+    const bool may_crash_endpoints =
+        outcome == attempt_outcome::broken && m_quarantine.is_suspect(current.head.prefix);
+    const bool retries = current.rule.may_retry() && !may_crash_endpoints &&
+                         current.give_up_at - now >= min_attempt_time &&
                          (!is_retry || retry_budget_for(current.query.service).try_spend(now));
     if (retries) {
         release_attempt(current);
@@ -635,6 +692,7 @@
             schedule(current);
         }
     }
+    report_quarantine_changes();
     return m_timers.empty() ? absl::InfiniteFuture() : m_timers.begin()->first;
 }
 
--- /dev/null
+++ b/test/forward_endpoint_faults_test.cpp
@@ -0,0 +1,72 @@
+#include "fakes/eventually.hpp"
+#include "fakes/node_fixture.hpp"
+#include "fakes/raw_endpoint.hpp"
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace chivedeal::forward {
+namespace {
+
+using fakes::raw_endpoint;
+using fakes::raw_response;
+
+constexpr absl::Duration max_wait = absl::Seconds(30);
+const std::string sound_response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/// A node and endpoints that misbehave on their connections.
+class endpoint_faults_test : public fakes::node_fixture
+{
+protected:
+    void start_with(int endpoint_count, const raw_endpoint::handler& respond)
+    {
+        publish_config(1);
+        for (int i = 0; i < endpoint_count; ++i) {
+            m_endpoints.push_back(std::make_unique<raw_endpoint>(respond));
+            publish_endpoint(m_endpoints.back()->listen_address(), "ready",
+                             absl::StrCat("e", i).c_str());
+        }
+        start();
+        ASSERT_TRUE(fakes::eventually(max_wait, [this] { return is_ready(); }));
+    }
+
+    int request_count() const
+    {
+        int count = 0;
+        for (const auto& endpoint : m_endpoints)
+            count += endpoint->request_count();
+        return count;
+    }
+
+    std::vector<std::unique_ptr<raw_endpoint>> m_endpoints;
+};
+
+// Guards against a prompt part that takes down one endpoint after the other, and against refusing
+// the prompts that share their other parts with it.
+TEST_F(endpoint_faults_test, stops_sending_prompts_that_crash_endpoints)
+{
+    start_with(6, [](const std::string& request) {
+        if (request.find("deadly:") != std::string::npos)
+            return raw_response{.bytes = "", .then = raw_response::next::crash};
+        return raw_response{.bytes = sound_response};
+    });
+    for (int i = 0; i < 5; ++i) {
+        const auto answer =
+            post("/app/x", "key", absl::StrCat("common:9,subject:9,deadly:9,own", i, ":9"));
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->status, i < 3 ? 502 : 503);
+        EXPECT_EQ(answer->has_header("Retry-After"), i >= 3);
+        absl::SleepFor(absl::Seconds(1));
+    }
+    EXPECT_EQ(request_count(), 3);
+    EXPECT_EQ(post("/app/x", "key", "common:9,subject:9,own:9")->status, 200);
+}
+
+} // namespace
+} // namespace chivedeal::forward
--- a/test/forward_node_test.cpp
+++ b/test/forward_node_test.cpp
@@ -1,10 +1,7 @@
 #include "chivedeal/core/posix_thread.hpp"
-#include "chivedeal/forward/forwarding_node.hpp"
 #include "fakes/eventually.hpp"
-#include "fakes/fake_duty_api.hpp"
-#include "fakes/fake_record_store.hpp"
 #include "fakes/free_address.hpp"
-#include "platform/json_wire_format.hpp"
+#include "fakes/node_fixture.hpp"
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
@@ -84,91 +81,7 @@
     std::unique_ptr<posix_thread> m_thread;
 };
 
-/// Runs a node against fakes of the platform and sends it requests.
-class forwarding_node_test : public ::testing::Test
-{
-protected:
-    void SetUp() override
-    {
-        m_settings = {.node = node_id("n1"),
-                      .zone = zone_id("z"),
-                      .region = region_id("r"),
-                      .zones = {{zone_id("z"), region_id("r")}},
-                      .front = fakes::free_address(),
-                      .ready = fakes::free_address(),
-                      .directory = fakes::free_address(),
-                      .peers = fakes::free_address(),
-                      .metrics = fakes::free_address(),
-                      .address_ttl = absl::Milliseconds(100),
-                      .shutdown_grace = absl::Seconds(2),
-                      .lease_term = absl::Milliseconds(500),
-                      .usage_window = absl::Seconds(1),
-                      .reports_usage = true};
-    }
-
-    void start()
-    {
-        m_node = std::make_unique<forwarding_node>(forwarding_node::options{
-            .settings = m_settings,
-            .names = {},
-            .format = std::make_unique<platform::json_wire_format>(),
-            .make_store = [this] { return std::make_unique<fakes::fake_record_store>(m_topics); },
-            .platform = std::make_unique<fakes::fake_duty_api>(m_calls)});
-        m_thread = std::make_unique<posix_thread>("node", [this] { m_node->run(); });
-    }
-
-    void TearDown() override
-    {
-        if (m_node)
-            m_node->request_stop();
-        m_thread.reset();
-        m_node.reset();
-    }
-
-    void publish_config(int version)
-    {
-        m_topics->put(
-            topic::configuration, "config",
-            absl::StrCat(R"({"version":)", version,
-                         R"(,"routes":[{"name":"app","host":"h","path_prefix":"/app/",)"
-                         R"("kind":"unsafe","timeout_ms":5000,"goal_ms":200,"attempts":1,)"
-                         R"("service":"s"}],"services":[{"name":"s","max_conns":20}],)"
-                         R"("tenants":[{"name":"w","api_keys":["key"]}]})"));
-    }
-
-    void publish_endpoint(const test_endpoint& endpoint, const char* state = "ready")
-    {
-        m_topics->put(
-            topic::endpoints, "e1",
-            absl::StrCat(R"({"service":"s","addr":")", to_string(endpoint.listen_address()),
-                         R"(","zone":"z","version":"v1","slots":4,"state":")", state, R"("})"));
-    }
-
-    bool is_ready()
-    {
-        httplib::Client client(m_settings.ready->host, m_settings.ready->port);
-        const auto answer = client.Get("/v1/ready");
-        return answer && answer->status == 200;
-    }
-
-    httplib::Result post(const std::string& path, const std::string& key = "key")
-    {
-        httplib::Client client(m_settings.front.host, m_settings.front.port);
-        return client.Post(path,
-                           {{"Host", "h"},
-                            {"Chivedeal-Request-Id", "id-1"},
-                            {"Chivedeal-Deadline-Ms", "4000"},
-                            {"Chivedeal-Workspace", "forged"},
-                            {"Authorization", "Bearer " + key}},
-                           "body", "text/plain");
-    }
-
-    node_settings m_settings;
-    std::shared_ptr<fakes::fake_topics> m_topics = std::make_shared<fakes::fake_topics>();
-    std::shared_ptr<fakes::fake_duty_calls> m_calls = std::make_shared<fakes::fake_duty_calls>();
-    std::unique_ptr<forwarding_node> m_node;
-    std::unique_ptr<posix_thread> m_thread;
-};
+using forwarding_node_test = fakes::node_fixture;
 
 // Guards against 404 responses for routes that the node hasn't loaded yet.
 TEST_F(forwarding_node_test, answers_503_before_any_configuration)
@@ -187,7 +100,7 @@
 {
     const test_endpoint endpoint;
     publish_config(1);
-    publish_endpoint(endpoint);
+    publish_endpoint(endpoint.listen_address());
     start();
     ASSERT_TRUE(fakes::eventually(max_wait, [this] { return is_ready(); }));
     const auto answer = post("/app/echo");
@@ -207,7 +120,7 @@
 {
     const test_endpoint endpoint;
     publish_config(1);
-    publish_endpoint(endpoint);
+    publish_endpoint(endpoint.listen_address());
     start();
     ASSERT_TRUE(fakes::eventually(max_wait, [this] { return is_ready(); }));
     EXPECT_EQ(post("/app/echo", "other")->status, 401);
@@ -221,7 +134,7 @@
 {
     const test_endpoint endpoint;
     publish_config(1);
-    publish_endpoint(endpoint);
+    publish_endpoint(endpoint.listen_address());
     start();
     ASSERT_TRUE(fakes::eventually(max_wait, [this] { return is_ready(); }));
     EXPECT_EQ(post("/app/full")->status, 503);
@@ -236,7 +149,7 @@
 {
     const test_endpoint endpoint;
     publish_config(1);
-    publish_endpoint(endpoint);
+    publish_endpoint(endpoint.listen_address());
     start();
     ASSERT_TRUE(fakes::eventually(max_wait, [this] { return is_ready(); }));
     const auto answer = post("/app/late");
@@ -251,10 +164,10 @@
 {
     const test_endpoint endpoint;
     publish_config(1);
-    publish_endpoint(endpoint);
+    publish_endpoint(endpoint.listen_address());
     start();
     ASSERT_TRUE(fakes::eventually(max_wait, [this] { return is_ready(); }));
-    publish_endpoint(endpoint, "draining");
+    publish_endpoint(endpoint.listen_address(), "draining");
     EXPECT_TRUE(fakes::eventually(max_wait, [this] { return post("/app/echo")->status == 503; }));
     const int run_count_before = endpoint.run_count();
     EXPECT_EQ(post("/app/echo")->status, 503);
@@ -267,7 +180,7 @@
 {
     const test_endpoint endpoint;
     publish_config(1);
-    publish_endpoint(endpoint);
+    publish_endpoint(endpoint.listen_address());
     start();
     ASSERT_TRUE(fakes::eventually(max_wait, [this] { return is_ready(); }));
     m_topics->set_down(true);
@@ -284,7 +197,7 @@
 {
     const test_endpoint endpoint;
     publish_config(5);
-    publish_endpoint(endpoint);
+    publish_endpoint(endpoint.listen_address());
     start();
     ASSERT_TRUE(fakes::eventually(max_wait, [this] { return is_ready(); }));
     m_topics->put(topic::configuration, "config",
@@ -297,7 +210,7 @@
 {
     const test_endpoint endpoint;
     publish_config(1);
-    publish_endpoint(endpoint);
+    publish_endpoint(endpoint.listen_address());
     start();
     ASSERT_TRUE(fakes::eventually(max_wait, [this] { return is_ready(); }));
     for (int i = 0; i < 5; ++i)
@@ -320,7 +233,7 @@
 {
     const test_endpoint endpoint;
     publish_config(1);
-    publish_endpoint(endpoint);
+    publish_endpoint(endpoint.listen_address());
     start();
     ASSERT_TRUE(fakes::eventually(max_wait, [this] { return is_ready(); }));
     m_node->request_drain();
@@ -333,7 +246,7 @@
 {
     const test_endpoint endpoint;
     publish_config(1);
-    publish_endpoint(endpoint);
+    publish_endpoint(endpoint.listen_address());
     start();
     ASSERT_TRUE(fakes::eventually(max_wait, [this] { return is_ready(); }));
     httplib::Client directory(m_settings.directory->host, m_settings.directory->port);
--- a/test/forward_peers_test.cpp
+++ b/test/forward_peers_test.cpp
@@ -40,6 +40,12 @@
     beacon.requested_prompt_tokens[service_id("s")] = 2;
     beacon.outcomes = {{.service = service_id("s"), .target = version_id("v2"), .target_bad = 4}};
     beacon.usage = {{.window = 4, .counts = {{workspace_id("w"), 3}}}};
+    beacon.suspicions = {{.part = "p1",
+                          .depth = 1,
+                          .crashes = {{"e1@5", absl::Milliseconds(30)}},
+                          .sound_age = absl::Seconds(2),
+                          .blocked_age = absl::Seconds(1)},
+                         {.part = "p2"}};
     beacon.known_peers = {{.host = "127.0.0.1", .port = 8}};
     const auto decoded = decode_message(encode_message(beacon));
     ASSERT_TRUE(is_ok(decoded));
