Abort a stream that ends with its connection inside an event

Callers got a stream as complete that its endpoint had broken off, when the response had neither a length nor chunks: the end of the connection completes such a response.

Cause: the end of an event was checked only for streams that may be resumed. The same path hid such an end from the quarantine of prompt parts.

Ruled out: framed streams; they fail in the parser.

Change: event_boundary follows the events of all other streams. One that ends inside an event, or before its first event where only the connection ended it, is broken off, and its prompt counts as lost with the connection.

Before: endpoint_faults_test. aborts_a_stream_that_ends_with_its_connection_inside_an_event got both cut-off streams as complete. After: it passes, as do the other tests of the readers.

Conclusion: fixed. A cut exactly between two events of such a stream can't be told from its end.

--- a/include/chivedeal/forward/exchange.hpp
+++ b/include/chivedeal/forward/exchange.hpp
@@ -3,6 +3,7 @@
 
 #include "chivedeal/forward/endpoint_choice.hpp"
 #include "chivedeal/forward/endpoint_query.hpp"
+#include "chivedeal/forward/event_boundary.hpp"
 #include "chivedeal/forward/event_splitter.hpp"
 #include "chivedeal/forward/http_request.hpp"
 #include "chivedeal/forward/http_response_head.hpp"
@@ -58,6 +59,8 @@
     /// The head of a streamed response has been sent to the caller.
     bool relaying = false;
     event_splitter events;
+    /// Tracks the events of a stream that can't be resumed.
+    event_boundary boundary;
     absl::Time first_byte_at = absl::InfiniteFuture();
     bool usage_counted = false;
     /// An endpoint has answered for long enough to show that the prompt doesn't crash it.
--- a/include/chivedeal/forward/http_response_head.hpp
+++ b/include/chivedeal/forward/http_response_head.hpp
@@ -13,6 +13,8 @@
 {
     int status = 0;
     std::vector<http_field> fields;
+    /// The body has neither a length nor chunks and ends with the connection.
+    bool ends_with_connection = false;
 
     friend bool operator==(const http_response_head&, const http_response_head&) = default;
 };
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -73,6 +73,14 @@
     return static_cast<double>(absl::HashOf(text) >> 11) / static_cast<double>(1ULL << 53);
 }
 
+// Whether a stream ended inside an event, or before its first event if only the end of the
+// connection ended it.
+bool is_stream_cut_off(const exchange& current)
+{
+    return current.events.has_partial() || current.boundary.is_inside_event() ||
+           (current.response_head.ends_with_connection && !current.attempt_body_started);
+}
+
 const service_id& pick_service(const route& matched, double sample)
 {
     double total_weight = 0;
@@ -373,6 +381,7 @@
     if (now - current->attempt_body_started_at >= min_sound_response_time)
         record_sound_prompt(*current, now);
     if (!current->match.matched->resumable) {
+        current->boundary.feed(bytes);
         m_callers.send_stream(current->connection, bytes, now);
     }
     else {
@@ -404,8 +413,10 @@
         return;
     if (!current->relaying)
         return classify_response(*current, now);
-    if (current->match.matched->resumable && current->events.has_partial())
+    if (is_stream_cut_off(*current)) {
+        record_lost_request(*current, now);
         return end_attempt(*current, attempt_outcome::broken, "stream ended inside an event", now);
+    }
     m_pool.on_success(current->attempt_choice->id, now);
     record_sound_prompt(*current, now);
     const bool slow = current->first_byte_at - current->arrived_at >
--- a/src/forward/response_reader.cpp
+++ b/src/forward/response_reader.cpp
@@ -88,6 +88,7 @@
     for (const auto& field : message)
         m_head.fields.push_back(
             {.name = std::string(field.name_string()), .value = std::string(field.value())});
+    m_head.ends_with_connection = m_parser->inner.need_eof();
     m_complete = m_parser->inner.is_done();
 }
 
--- a/test/forward_endpoint_faults_test.cpp
+++ b/test/forward_endpoint_faults_test.cpp
@@ -68,5 +68,23 @@
     EXPECT_EQ(post("/app/x", "key", "common:9,subject:9,own:9")->status, 200);
 }
 
+// Guards against passing on a stream as complete that its endpoint broke off: without a length or
+// chunks, both end with the connection.
+TEST_F(endpoint_faults_test, aborts_a_stream_that_ends_with_its_connection_inside_an_event)
+{
+    std::string body = "id: 1\ndata: a\n\n";
+    start_with(1, [&body](const std::string& /*request*/) {
+        return raw_response{.bytes = "HTTP/1.1 200 OK\r\n\r\n" + body,
+                            .then = raw_response::next::close};
+    });
+    const auto whole = post("/stream/x");
+    ASSERT_TRUE(whole);
+    EXPECT_EQ(whole->body, body);
+    body += "id: 2\ndata";
+    EXPECT_FALSE(post("/stream/x"));
+    body.clear();
+    EXPECT_FALSE(post("/stream/x"));
+}
+
 } // namespace
 } // namespace chivedeal::forward
