Honour Retry-After of endpoints that turn requests away

An endpoint that answers 503 with Retry-After wants no requests of that node for so long. Nodes paused it for 150 ms, and tried it even during that time when no other endpoint was usable; callers were told to return after 0.4 s.

Cause: the field was not read, and a pause is only a preference.

Change: the pool keeps the retry time for the incarnation that asked for it, like an announced leaving, and never chooses the endpoint before. When all endpoints of a service ask for a pause, requests are refused at once, with the remaining time in Retry-After. Callers return in the order of their routes' priorities, spread over a part of that time.

Before: endpoint_faults_test. refuses_requests_while_the_only_endpoint_asks_for_a_pause sent 4 requests to the endpoint and got "Retry-After: 0.4". After: 1 request and 2.5 s or more.

--- a/include/chivedeal/core/log_event.hpp
+++ b/include/chivedeal/core/log_event.hpp
@@ -47,6 +47,7 @@
     endpoint_announced_leaving = 3011,
     endpoint_removal_deferred = 3012,
     endpoint_crashed = 3013,
+    endpoint_retry_after = 3014,
 
     lease_acquired = 4001,
     lease_lost = 4002,
--- a/include/chivedeal/forward/endpoint_pool.hpp
+++ b/include/chivedeal/forward/endpoint_pool.hpp
@@ -15,6 +15,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -51,6 +52,11 @@
     /// An endpoint announced that it is leaving. It gets no further requests until it restarts,
     /// whatever its record says. Returns whether that is news.
     bool on_announced_leaving(const endpoint_choice& endpoint, absl::Time now);
+    /// An endpoint asked for no requests of this node until `retry_at`, unless it restarts before.
+    void on_retry_after(const endpoint_choice& endpoint, absl::Time retry_at, absl::Time now);
+    /// Returns the earliest time at which an endpoint of the service wants requests again, if all
+    /// its endpoints that aren't leaving asked for none.
+    std::optional<absl::Time> retry_time(const service_id& service, absl::Time now) const;
 
     /// Splits a service's requests between one version and all others. A version with share 0 gets
     /// no requests at all. Otherwise, if one side has no usable endpoint, the other gets them all.
@@ -105,6 +111,7 @@
     {
         endpoint_record record;
         bool announced_leaving = false;
+        absl::Time retry_at = absl::InfinitePast();
         absl::Time removal_due = absl::InfiniteFuture();
         int own_requests = 0;
         int peer_requests = 0;
@@ -128,12 +135,14 @@
 
     using loads_by_endpoint = std::map<endpoint_id, endpoint_load>;
 
-    /// An endpoint that announced its leaving, kept beyond the removal of its record.
-    struct leaving_endpoint
+    /// What an incarnation of an endpoint asked for, kept beyond the removal of its record.
+    struct endpoint_demand
     {
         address endpoint_address;
         std::int64_t started_at_unix_ms = 0;
-        absl::Time announced_at;
+        bool announced_leaving = false;
+        absl::Time retry_at = absl::InfinitePast();
+        absl::Time updated_at;
     };
 
     struct version_split
@@ -142,7 +151,9 @@
         double share = 1;
     };
 
-    bool has_announced_leaving(const endpoint_record& record) const;
+    endpoint_demand& demand_of(const endpoint_choice& endpoint, absl::Time now);
+    void apply_demand(endpoint_state& endpoint) const;
+    static bool is_leaving(const endpoint_state& endpoint, absl::Time now);
     bool allows_version(const endpoint_state& endpoint, double random) const;
     bool is_rolled_back(const endpoint_state& endpoint) const;
     std::int64_t cached_tokens(const endpoint_state& endpoint, const endpoint_query& query,
@@ -159,7 +170,7 @@
 
     options m_options;
     absl::flat_hash_map<endpoint_id, endpoint_state> m_endpoints;
-    absl::flat_hash_map<endpoint_id, leaving_endpoint> m_leaving_endpoints;
+    absl::flat_hash_map<endpoint_id, endpoint_demand> m_demands;
     std::map<service_id, std::vector<endpoint_id>> m_ids_by_service;
     std::map<service_id, version_split> m_version_splits;
     std::map<node_id, loads_by_endpoint> m_peer_loads;
--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -105,6 +105,8 @@
     void retry_or_fail(exchange& current, attempt_outcome outcome, absl::Time now);
     void record_announced_leaving(const exchange& current, const http_response_head& head,
                                   absl::Time now);
+    void record_retry_after(const exchange& current, const http_response_head& head,
+                            absl::Time now);
     void begin_relay(exchange& current, const http_response_head& head, absl::Time now);
     void classify_response(exchange& current, absl::Time now);
     void deliver_response(exchange& current, absl::Time now);
@@ -118,6 +120,7 @@
     void on_timeout(exchange& current, absl::Time now);
     void refuse(exchange& current, int status, const char* reason, absl::Duration retry_after,
                 absl::Time now);
+    absl::Duration retry_delay(const exchange& current, absl::Time now);
     void finish_failed(exchange& current, const char* reason, absl::Time now);
     void finish(exchange& current, int status, const char* reason, absl::Time now);
     void reject_before_admission(std::uint64_t connection, int status, const char* reason,
--- a/src/core/log_event.cpp
+++ b/src/core/log_event.cpp
@@ -89,6 +89,8 @@
         return "endpoint_removal_deferred";
     case event_id::endpoint_crashed:
         return "endpoint_crashed";
+    case event_id::endpoint_retry_after:
+        return "endpoint_retry_after";
     case event_id::lease_acquired:
         return "lease_acquired";
     case event_id::lease_lost:
@@ -187,6 +189,7 @@
         event_id::endpoint_announced_leaving,
         event_id::endpoint_removal_deferred,
         event_id::endpoint_crashed,
+        event_id::endpoint_retry_after,
         event_id::lease_acquired,
         event_id::lease_lost,
         event_id::move_step_decided,
--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -47,7 +47,7 @@
 // in this time, so that each request is included in at least one that arrives.
 constexpr absl::Duration load_report_window = absl::Milliseconds(1500);
 // Endpoints that leave end within seconds to minutes.
-constexpr absl::Duration leaving_endpoint_retention = absl::Minutes(30);
+constexpr absl::Duration demand_retention = absl::Minutes(30);
 // Failing endpoints stay in use if they outnumber this fraction of the allowed ones: the cause is
 // then unlikely to be the endpoints alone, and the others can't take all requests.
 constexpr double max_failing_ratio = 0.5;
@@ -102,7 +102,7 @@
     }
     current.record = record;
     current.removal_due = absl::InfiniteFuture();
-    current.announced_leaving = has_announced_leaving(record);
+    apply_demand(current);
     auto& service_endpoints = m_ids_by_service[record.service];
     if (std::find(service_endpoints.begin(), service_endpoints.end(), record.id) ==
         service_endpoints.end())
@@ -129,26 +129,68 @@
         found->second.removal_due = due;
 }
 
-bool endpoint_pool::on_announced_leaving(const endpoint_choice& endpoint, absl::Time now)
+endpoint_pool::endpoint_demand& endpoint_pool::demand_of(const endpoint_choice& endpoint,
+                                                         absl::Time now)
 {
-    absl::erase_if(m_leaving_endpoints, [now](const auto& entry) {
-        return now - entry.second.announced_at > leaving_endpoint_retention;
+    absl::erase_if(m_demands, [now](const auto& entry) {
+        return now - entry.second.updated_at > demand_retention;
     });
-    const auto [leaving, is_news] = m_leaving_endpoints.insert_or_assign(
-        endpoint.id, leaving_endpoint{.endpoint_address = endpoint.address,
-                                      .started_at_unix_ms = endpoint.started_at_unix_ms,
-                                      .announced_at = now});
+    endpoint_demand& demand = m_demands[endpoint.id];
+    if (demand.endpoint_address != endpoint.address ||
+        demand.started_at_unix_ms != endpoint.started_at_unix_ms)
+        demand = {.endpoint_address = endpoint.address,
+                  .started_at_unix_ms = endpoint.started_at_unix_ms};
+    demand.updated_at = now;
+    return demand;
+}
+
+void endpoint_pool::apply_demand(endpoint_state& endpoint) const
+{
+    const auto known = m_demands.find(endpoint.record.id);
+    const bool applies = known != m_demands.end() &&
+                         known->second.endpoint_address == endpoint.record.address &&
+                         known->second.started_at_unix_ms == endpoint.record.started_at_unix_ms;
+    endpoint.announced_leaving = applies && known->second.announced_leaving;
+    endpoint.retry_at = applies ? known->second.retry_at : absl::InfinitePast();
+}
+
+bool endpoint_pool::on_announced_leaving(const endpoint_choice& endpoint, absl::Time now)
+{
+    const bool was_known = std::exchange(demand_of(endpoint, now).announced_leaving, true);
+    const auto found = m_endpoints.find(endpoint.id);
+    if (found != m_endpoints.end())
+        apply_demand(found->second);
+    return !was_known;
+}
+
+void endpoint_pool::on_retry_after(const endpoint_choice& endpoint, absl::Time retry_at,
+                                   absl::Time now)
+{
+    endpoint_demand& demand = demand_of(endpoint, now);
+    demand.retry_at = std::max(demand.retry_at, retry_at);
     const auto found = m_endpoints.find(endpoint.id);
     if (found != m_endpoints.end())
-        found->second.announced_leaving = has_announced_leaving(found->second.record);
-    return is_news;
+        apply_demand(found->second);
+}
+
+std::optional<absl::Time> endpoint_pool::retry_time(const service_id& service, absl::Time now) const
+{
+    const auto service_endpoints = m_ids_by_service.find(service);
+    if (service_endpoints == m_ids_by_service.end())
+        return std::nullopt;
+    absl::Time earliest = absl::InfiniteFuture();
+    for (const endpoint_id& id : service_endpoints->second) {
+        const endpoint_state& endpoint = m_endpoints.at(id);
+        if (!is_leaving(endpoint, now))
+            earliest = std::min(earliest, endpoint.retry_at);
+    }
+    return earliest > now && earliest < absl::InfiniteFuture() ? std::optional(earliest)
+                                                               : std::nullopt;
 }
 
-bool endpoint_pool::has_announced_leaving(const endpoint_record& record) const
+bool endpoint_pool::is_leaving(const endpoint_state& endpoint, absl::Time now)
 {
-    const auto known = m_leaving_endpoints.find(record.id);
-    return known != m_leaving_endpoints.end() && known->second.endpoint_address == record.address &&
-           known->second.started_at_unix_ms == record.started_at_unix_ms;
+    return endpoint.record.leaving || endpoint.announced_leaving || now >= endpoint.removal_due;
 }
 
 void endpoint_pool::set_version_share(const service_id& service, const version_id& version,
@@ -222,8 +264,8 @@
         const endpoint_state& endpoint = m_endpoints.at(id);
         const bool is_excluded =
             std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end();
-        if (endpoint.record.leaving || endpoint.announced_leaving || now >= endpoint.removal_due ||
-            is_excluded || is_rolled_back(endpoint))
+        if (is_leaving(endpoint, now) || now < endpoint.retry_at || is_excluded ||
+            is_rolled_back(endpoint))
             continue;
         const endpoint_health::state health =
             endpoint.health.state_at(now, endpoint.prefill_done_at);
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -9,6 +9,7 @@
 #include "chivedeal/forward/request_format.hpp"
 
 #include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 
@@ -30,6 +31,12 @@
 constexpr absl::Duration attempt_timeout_slack = absl::Milliseconds(300);
 // A resumable stream moves to another endpoint after this time without data.
 constexpr absl::Duration stream_idle_timeout = absl::Milliseconds(1500);
+// Bounds the time for which an endpoint can take itself out of use.
+constexpr absl::Duration max_endpoint_retry_delay = absl::Minutes(10);
+// When all endpoints of a service ask for a pause, callers return after it in the order of their
+// routes' priorities, and spread over part of it, so that they don't fill the endpoints at once.
+constexpr double retry_spread_per_priority = 0.1;
+constexpr double retry_spread = 0.3;
 constexpr absl::Duration default_retry_after = absl::Milliseconds(400);
 // Applies if the workspace is within its limit but this node's share of it is used up. The delay is
 // short because callers retry at another node.
@@ -278,6 +285,7 @@
     current->response_head = head;
     current->attempt_head_received = true;
     record_announced_leaving(*current, head, now);
+    record_retry_after(*current, head, now);
     const bool signed_answer =
         m_names.signature.empty() || find_field(head.fields, m_names.signature) != nullptr;
     const bool is_stream = current->match.matched->kind == route_kind::streaming &&
@@ -306,6 +314,22 @@
             {{"endpoint", current.attempt_choice->id.str()}, {"request", current.head.id.str()}});
 }
 
+void request_runner::record_retry_after(const exchange& current, const http_response_head& head,
+                                        absl::Time now)
+{
+    const std::string* text = find_field(head.fields, "Retry-After");
+    double seconds = 0;
+    if (head.status != 503 || text == nullptr || !absl::SimpleAtod(*text, &seconds) ||
+        !(seconds > 0))
+        return;
+    const absl::Duration delay = std::min(absl::Seconds(seconds), max_endpoint_retry_delay);
+    m_pool.on_retry_after(*current.attempt_choice, now + delay, now);
+    m_counters.add("chivedeal_endpoint_retry_after_total", 1);
+    log_event(event_id::endpoint_retry_after, {{"endpoint", current.attempt_choice->id.str()},
+                                               {"request", current.head.id.str()},
+                                               {"delay_ms", format_milliseconds(delay)}});
+}
+
 void request_runner::begin_relay(exchange& current, const http_response_head& head, absl::Time now)
 {
     current.relaying = true;
@@ -558,7 +582,17 @@
     }
     if (current.rule.may_have_run())
         return refuse(current, 502, reason, absl::ZeroDuration(), now);
-    refuse(current, 503, reason, default_retry_after, now);
+    refuse(current, 503, reason, retry_delay(current, now), now);
+}
+
+absl::Duration request_runner::retry_delay(const exchange& current, absl::Time now)
+{
+    const auto retry_at = m_pool.retry_time(current.query.service, now);
+    if (!retry_at)
+        return default_retry_after;
+    const double spread = retry_spread_per_priority * current.match.matched->priority +
+                          retry_spread * absl::Uniform(m_random, 0.0, 1.0);
+    return std::max(default_retry_after, *retry_at - now) * (1 + spread);
 }
 
 void request_runner::on_timeout(exchange& current, absl::Time now)
--- a/test/forward_endpoint_faults_test.cpp
+++ b/test/forward_endpoint_faults_test.cpp
@@ -68,6 +68,24 @@
     EXPECT_EQ(post("/app/x", "key", "common:9,subject:9,own:9")->status, 200);
 }
 
+// Guards against requests to an endpoint that asked for a pause, and against callers that wait for
+// their deadline or return too early.
+TEST_F(endpoint_faults_test, refuses_requests_while_the_only_endpoint_asks_for_a_pause)
+{
+    start_with(1, [](const std::string& /*request*/) {
+        return raw_response{.bytes = "HTTP/1.1 503 Full\r\nChivedeal-Not-Run: 1\r\n"
+                                     "Retry-After: 2.5\r\nContent-Length: 0\r\n\r\n"};
+    });
+    for (int i = 0; i < 4; ++i) {
+        const auto answer = post("/app/x");
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->status, 503);
+        EXPECT_GE(std::stod(answer->get_header_value("Retry-After")), 2);
+        EXPECT_LE(std::stod(answer->get_header_value("Retry-After")), 3.6);
+    }
+    EXPECT_EQ(request_count(), 1);
+}
+
 // Guards against passing on a stream as complete that its endpoint broke off: without a length or
 // chunks, both end with the connection.
 TEST_F(endpoint_faults_test, aborts_a_stream_that_ends_with_its_connection_inside_an_event)
--- a/test/forward_endpoint_pool_test.cpp
+++ b/test/forward_endpoint_pool_test.cpp
@@ -117,6 +117,35 @@
     EXPECT_EQ(chosen(pool, make_query()), "e1");
 }
 
+// Guards against requests to an endpoint that asked for a pause: if all endpoints are paused for
+// other reasons, one is tried nevertheless.
+TEST(endpoint_pool, sends_nothing_to_an_endpoint_before_its_retry_time)
+{
+    endpoint_pool pool = make_pool();
+    pool.update(make_record("e1"));
+    const endpoint_choice refused_by = get_value(pool.choose(make_query(), 0.5, start));
+    pool.on_retry_after(refused_by, start + absl::Seconds(3), start);
+    EXPECT_EQ(chosen(pool, make_query(), start + absl::Milliseconds(2999)), "no_endpoint");
+    EXPECT_EQ(pool.retry_time(drafts, start), start + absl::Seconds(3));
+    pool.remove(endpoint_id("e1"));
+    pool.update(make_record("e1"));
+    EXPECT_EQ(chosen(pool, make_query(), start + absl::Seconds(1)), "no_endpoint");
+    EXPECT_EQ(chosen(pool, make_query(), start + absl::Seconds(3)), "e1");
+    EXPECT_EQ(pool.retry_time(drafts, start + absl::Seconds(3)), std::nullopt);
+}
+
+// Guards against a longer refusal than needed while another endpoint accepts requests.
+TEST(endpoint_pool, has_no_retry_time_while_an_endpoint_wants_requests)
+{
+    endpoint_pool pool = make_pool();
+    pool.update(make_record("e1"));
+    const endpoint_choice refused_by = get_value(pool.choose(make_query(), 0.5, start));
+    pool.on_retry_after(refused_by, start + absl::Seconds(3), start);
+    pool.update(make_record("e2"));
+    EXPECT_EQ(chosen(pool, make_query()), "e2");
+    EXPECT_EQ(pool.retry_time(drafts, start), std::nullopt);
+}
+
 // Guards against repeated prefill: if prompts with a shared part were spread over several
 // endpoints, each of them would have to process that part.
 TEST(endpoint_pool, sends_prompts_with_a_shared_part_to_one_endpoint)
