Compare the pace of a new version's responses with the old one's

Callers of a system with little load would keep a version that answers several times slower: its roll-out would be completed.

Cause: a response was bad only if its first byte came later than three times the latency objective. Of a version four times slower on an idle system, first bytes after 0.12 s and streams of 6.8 s instead of 1.6 s count as good.

Change: outcome_counter keeps the average pace of the other versions' responses for each route: time for a whole response, time per byte after the first for a stream. A response that takes more than twice as long is bad. Only responses of the last three seconds are compared with, since the pace depends on the load.

--- a/include/chivedeal/forward/exchange.hpp
+++ b/include/chivedeal/forward/exchange.hpp
@@ -13,6 +13,7 @@
 
 #include "absl/time/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -50,6 +51,9 @@
     /// The endpoint has read the prompt and begun to send the response body.
     bool attempt_body_started = false;
     absl::Time attempt_body_started_at = absl::InfiniteFuture();
+    /// Body bytes of a stream after the first ones, and when the last of them arrived.
+    std::size_t attempt_later_bytes = 0;
+    absl::Time attempt_last_byte_at = absl::InfiniteFuture();
     absl::Time attempt_started_at;
     absl::Time attempt_deadline = absl::InfiniteFuture();
     int attempts_sent = 0;
--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -21,6 +21,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -112,11 +113,14 @@
     void deliver_response(exchange& current, absl::Time now);
     void release_attempt(exchange& current);
     void record_first_byte(exchange& current, absl::Time now);
+    void record_later_bytes(exchange& current, std::size_t bytes, absl::Time now);
     void record_sound_prompt(exchange& current, absl::Time now);
     void record_lost_request(const exchange& current, absl::Time now);
     void report_quarantine_changes();
     void count_usage(exchange& current, absl::Time now);
     void count_outcome(const exchange& current, bool good);
+    void count_response(const exchange& current, std::optional<double> pace, bool in_time,
+                        absl::Time now);
     void on_timeout(exchange& current, absl::Time now);
     void refuse(exchange& current, int status, const char* reason, absl::Duration retry_after,
                 absl::Time now);
--- a/src/forward/outcome_counter.cpp
+++ b/src/forward/outcome_counter.cpp
@@ -6,6 +6,7 @@
 {
     m_counts[order.service] = {
         .service = order.service, .target = order.target, .order_offset = order.offset};
+    m_baselines[order.service].clear();
 }
 
 void outcome_counter::count(const service_id& service, const version_id& version, bool good)
@@ -20,6 +21,20 @@
         ++(good ? counts.other_good : counts.other_bad);
 }
 
+void outcome_counter::count_response(const service_id& service, const version_id& version,
+                                     const std::string& route, std::optional<double> pace,
+                                     bool in_time, absl::Time now)
+{
+    const auto watched = m_counts.find(service);
+    if (watched == m_counts.end())
+        return;
+    pace_baseline& baseline = m_baselines[service][route];
+    const bool slow = pace && baseline.is_slow(*pace, now);
+    if (pace && version != watched->second.target)
+        baseline.add(*pace, now);
+    count(service, version, in_time && !slow);
+}
+
 std::vector<version_outcomes> outcome_counter::snapshot() const
 {
     std::vector<version_outcomes> counts;
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -88,6 +88,17 @@
            (current.response_head.ends_with_connection && !current.attempt_body_started);
 }
 
+// Milliseconds per byte after the first data of a stream, which doesn't depend on the time to read
+// the prompt. Absent if all data arrived at once.
+std::optional<double> stream_pace(const exchange& current)
+{
+    if (current.attempt_later_bytes == 0)
+        return std::nullopt;
+    return absl::ToDoubleMilliseconds(current.attempt_last_byte_at -
+                                      current.attempt_body_started_at) /
+           static_cast<double>(current.attempt_later_bytes);
+}
+
 const service_id& pick_service(const route& matched, double sample)
 {
     double total_weight = 0;
@@ -347,9 +358,17 @@
     m_pool.on_first_byte(current.attempt_choice->id, current.query, late, now);
     current.attempt_body_started = true;
     current.attempt_body_started_at = now;
+    current.attempt_later_bytes = 0;
     count_usage(current, now);
 }
 
+void request_runner::record_later_bytes(exchange& current, std::size_t bytes, absl::Time now)
+{
+    m_pool.on_bytes(current.attempt_choice->id, now);
+    current.attempt_later_bytes += bytes;
+    current.attempt_last_byte_at = now;
+}
+
 void request_runner::record_sound_prompt(exchange& current, absl::Time now)
 {
     if (!std::exchange(current.prompt_is_sound, true))
@@ -401,7 +420,7 @@
     if (!current->attempt_body_started)
         record_first_byte(*current, now);
     else
-        m_pool.on_bytes(current->attempt_choice->id, now);
+        record_later_bytes(*current, bytes.size(), now);
     if (now - current->attempt_body_started_at >= min_sound_response_time)
         record_sound_prompt(*current, now);
     if (!current->match.matched->resumable) {
@@ -445,7 +464,7 @@
     record_sound_prompt(*current, now);
     const bool slow = current->first_byte_at - current->arrived_at >
                       current->match.matched->latency_objective * slow_response_factor;
-    count_outcome(*current, !slow);
+    count_response(*current, stream_pace(*current), !slow, now);
     release_attempt(*current);
     m_callers.end_stream(current->connection, now);
     finish(*current, 200, "answered", now);
@@ -480,8 +499,10 @@
         record_sound_prompt(current, now);
     if (status / 100 != 5) {
         m_pool.on_success(current.attempt_choice->id, now);
-        count_outcome(current, now - current.attempt_started_at <=
-                                   current.match.matched->latency_objective * slow_response_factor);
+        const absl::Duration elapsed = now - current.attempt_started_at;
+        count_response(current, absl::ToDoubleMilliseconds(elapsed),
+                       elapsed <= current.match.matched->latency_objective * slow_response_factor,
+                       now);
     }
     release_attempt(current);
     m_callers.respond(
@@ -706,6 +727,13 @@
         m_outcomes.count(current.query.service, current.attempt_choice->version, good);
 }
 
+void request_runner::count_response(const exchange& current, std::optional<double> pace,
+                                    bool in_time, absl::Time now)
+{
+    m_outcomes.count_response(current.query.service, current.attempt_choice->version,
+                              current.match.matched->name, pace, in_time, now);
+}
+
 void request_runner::schedule(exchange& current)
 {
     const absl::Time due = std::min(current.give_up_at, current.attempt_deadline);
