Release no endpoints of a service while its roll-out runs

Operators saw sound versions taken back: a roll-out never got the responses that prove a version.

Cause: the planner ordered on-demand endpoints down to the number that the load needs. A new version's endpoints start as on-demand ones beside the old, and the cloud releases the newest first, so they left within a second.

Ruled out: the split by version; the endpoints had left before most requests.

Change: during a roll-out the planner only adds endpoints.

--- a/include/chivedeal/forward/fleet_planner.hpp
+++ b/include/chivedeal/forward/fleet_planner.hpp
@@ -84,6 +84,9 @@
                          absl::Time now) const;
     void add_order(std::vector<fleet_order>& orders, const fleet_order& order, int serving,
                    const scale_spec& spec, absl::Time now);
+    // The cloud releases the newest endpoints first, which are those of a version that is being
+    // rolled out.
+    bool may_order(const fleet_view& view, const fleet_order& order, int serving);
     void detect_reclaims(const fleet_view& view, absl::Time now);
     // Orders that have not been refused since the last plan count as accepted.
     void confirm_orders();
--- a/include/chivedeal/forward/fleet_view.hpp
+++ b/include/chivedeal/forward/fleet_view.hpp
@@ -22,6 +22,9 @@
 
     /// Endpoints that accept requests, by zone; zones without endpoints are listed as well.
     std::map<zone_id, zone_counts> zones;
+    /// A new version of the service is being rolled out. Its endpoints start beside the old ones
+    /// and are among those counted.
+    bool rollout_running = false;
     /// Prompt tokens per second that callers request.
     double tokens_per_second = 0;
 
--- a/src/forward/control_duties.cpp
+++ b/src/forward/control_duties.cpp
@@ -339,6 +339,9 @@
         else if (record.reclaimable)
             ++counts.reclaimable_leaving;
     }
+    const auto rollout = m_rollouts.find(service);
+    view.rollout_running =
+        rollout != m_rollouts.end() && rollout->second.evaluator.state() == rollout_state::running;
     view.tokens_per_second = m_demand_meter.tokens_per_second(service, now);
     return view;
 }
--- a/src/forward/fleet_planner.cpp
+++ b/src/forward/fleet_planner.cpp
@@ -28,7 +28,8 @@
                                 .zone = zone,
                                 .desired = desired_reclaimable,
                                 .reclaimable = true};
-        add_order(orders, order, counts.reclaimable, spec, now);
+        if (may_order(view, order, counts.reclaimable))
+            add_order(orders, order, counts.reclaimable, spec, now);
         expected_reclaimable +=
             expected_serving(m_zones[zone].reclaimable, counts.reclaimable, spec, now);
     }
@@ -53,10 +54,10 @@
         int desired = std::max(ordered_by_zone.at(zone), std::min(current, kept_by_zone.at(zone)));
         if (now - m_zones[zone].on_demand.increased_at < m_options.on_demand_scale_down_delay)
             desired = std::max(desired, m_zones[zone].on_demand.ordered_count.value_or(0));
-        add_order(
-            orders,
-            {.service = m_options.service, .zone = zone, .desired = desired, .reclaimable = false},
-            counts.on_demand, spec, now);
+        const fleet_order order{
+            .service = m_options.service, .zone = zone, .desired = desired, .reclaimable = false};
+        if (may_order(view, order, counts.on_demand))
+            add_order(orders, order, counts.on_demand, spec, now);
     }
     return orders;
 }
@@ -101,6 +102,12 @@
                     max_endpoints);
 }
 
+bool fleet_planner::may_order(const fleet_view& view, const fleet_order& order, int serving)
+{
+    return !view.rollout_running ||
+           order.desired >= std::max(serving, state_of(order).ordered_count.value_or(serving));
+}
+
 int fleet_planner::expected_serving(const kind_state& state, int serving, const scale_spec& spec,
                                     absl::Time now) const
 {
--- a/test/forward_fleet_planner_test.cpp
+++ b/test/forward_fleet_planner_test.cpp
@@ -165,6 +165,25 @@
     EXPECT_GE(on_demand[zone_a] + on_demand[zone_b] + on_demand[zone_c], 16);
 }
 
+// Guards against a roll-out that is taken back for lack of evidence: the endpoints of the new
+// version are on-demand ones that no plan ordered, and were released as soon as they were listed.
+TEST(fleet_planner, releases_no_endpoints_during_a_rollout)
+{
+    fleet_planner planner = make_planner();
+    const scale_spec spec = make_spec();
+    planner.plan(make_view(9, 0, 100000), spec, start);
+    fleet_view view = make_view(9, 9, 100000);
+    view.rollout_running = true;
+    for (int i = 0; i < 30; ++i)
+        for (const fleet_order& order : planner.plan(view, spec, start + i * absl::Seconds(1)))
+            EXPECT_GE(order.desired, 9) << (order.reclaimable ? "reclaimable" : "on-demand");
+    view.rollout_running = false;
+    const auto orders = planner.plan(view, spec, start + absl::Seconds(40));
+    EXPECT_TRUE(std::any_of(orders.begin(), orders.end(), [](const fleet_order& order) {
+        return !order.reclaimable && order.desired == 0;
+    }));
+}
+
 RC_GTEST_PROP(fleet_planner, stays_within_the_bounds_of_each_zone, ())
 {
     fleet_planner planner = make_planner();
