Fail responses without end instead of reading them

An endpoint in trouble may send bytes without end. A node then ran out of memory and ended with all its requests, or served nobody else.

Cause: only response heads had a limit, and a connection was read until it had no more data, however fast the endpoint sends.

Ruled out: heads, header lines and status lines without end; they failed before this change, too.

Change: limits for plain responses, events, discarded responses, interim responses, chunk headers and trailers; at most 256 KiB are read from a connection before others get their turn.

Conclusion: fixed for endpoints; the client of the store has no such limit.

--- a/include/chivedeal/forward/endpoint_connection.hpp
+++ b/include/chivedeal/forward/endpoint_connection.hpp
@@ -7,6 +7,7 @@
 
 #include "absl/time/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -38,6 +39,7 @@
     bool head_processed = false;
     /// The response in progress belongs to another request and is discarded.
     bool discarding_response = false;
+    std::size_t discarded_bytes = 0;
     /// Complete responses read on this connection.
     int response_count = 0;
     absl::Time connect_started;
--- a/include/chivedeal/forward/event_splitter.hpp
+++ b/include/chivedeal/forward/event_splitter.hpp
@@ -1,6 +1,7 @@
 #ifndef CHIVEDEAL_FORWARD_EVENT_SPLITTER_HPP
 #define CHIVEDEAL_FORWARD_EVENT_SPLITTER_HPP
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -17,6 +18,8 @@
     void drop_partial() { m_partial.clear(); }
 
     bool has_partial() const { return !m_partial.empty(); }
+    /// Size of the incomplete event.
+    std::size_t partial_bytes() const { return m_partial.size(); }
 
     /// Empty until an event with an ID is complete.
     const std::string& last_id() const { return m_last_id; }
--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -121,6 +121,8 @@
     void count_outcome(const exchange& current, bool good);
     void count_response(const exchange& current, std::optional<double> pace, bool in_time,
                         absl::Time now);
+    void buffer_body(exchange& current, std::string_view bytes, absl::Time now);
+    void drop_body(exchange& current);
     void on_timeout(exchange& current, absl::Time now);
     void refuse(exchange& current, int status, const char* reason, absl::Duration retry_after,
                 absl::Time now);
@@ -154,6 +156,7 @@
     prompt_quarantine m_quarantine;
     crash_tracker m_crashes{m_quarantine};
     std::map<service_id, std::int64_t> m_requested_prompt_tokens;
+    std::size_t m_buffered_body_bytes = 0;
     absl::InsecureBitGen m_random;
     std::uint64_t m_next_exchange_id = 1;
 };
--- a/include/chivedeal/forward/response_reader.hpp
+++ b/include/chivedeal/forward/response_reader.hpp
@@ -13,7 +13,8 @@
 
 namespace chivedeal::forward {
 
-/// Incrementally parses one response from an endpoint; interim responses (1xx) are skipped.
+/// Incrementally parses one response from an endpoint; interim responses (1xx) are skipped. Fails if
+/// too many bytes arrive that aren't part of the body.
 class response_reader
 {
 public:
@@ -50,6 +51,8 @@
     bool m_has_head = false;
     bool m_complete = false;
     bool m_failed = false;
+    // Bytes of heads, chunk headers and trailers since the last body byte.
+    std::size_t m_bytes_without_body = 0;
 };
 
 } // namespace chivedeal::forward
--- a/src/forward/endpoint_side.cpp
+++ b/src/forward/endpoint_side.cpp
@@ -18,6 +18,14 @@
 namespace {
 
 constexpr std::size_t read_buffer_bytes = 16 * 1024;
+// Limits the data that is read from a connection before other connections and timers get their
+// turn.
+constexpr int max_reads_per_event = 16;
+// Unread head or chunk header of a response, as it has to be parsed as a whole.
+constexpr std::size_t max_unparsed_bytes = 128 * 1024;
+// A late response to another request is read up to this size, so that the connection can be used
+// on.
+constexpr std::size_t max_discarded_bytes = 1024 * 1024;
 // Idle connections are closed this long before the endpoint would close them. A request sent while
 // the endpoint closes the connection may be lost, and not every route allows a retry.
 constexpr absl::Duration idle_close_margin = absl::Milliseconds(700);
@@ -94,6 +102,7 @@
     connection.input.clear();
     connection.head_processed = false;
     connection.discarding_response = false;
+    connection.discarded_bytes = 0;
     connection.paused = false;
     connection.reader = std::make_unique<response_reader>(connection.is_head_request);
     m_connection_id_by_exchange[connection.exchange_id] = connection.id;
@@ -208,8 +217,10 @@
 void endpoint_side::read_all(endpoint_connection& connection, absl::Time now)
 {
     std::array<char, read_buffer_bytes> buffer;
-    while (!connection.closed && connection.current_state == endpoint_connection::state::busy &&
-           !connection.paused) {
+    for (int reads = 0;
+         reads < max_reads_per_event && !connection.closed &&
+         connection.current_state == endpoint_connection::state::busy && !connection.paused;
+         ++reads) {
         const ssize_t received_bytes = recv(connection.descriptor, buffer.data(), buffer.size(), 0);
         if (received_bytes > 0) {
             connection.input.append(buffer.data(), static_cast<std::size_t>(received_bytes));
@@ -256,6 +267,12 @@
             m_handler.on_response_body(connection.exchange_id, body, now);
         if (connection.closed)
             return;
+        connection.discarded_bytes =
+            connection.discarding_response ? connection.discarded_bytes + consumed_bytes : 0;
+        if (connection.discarded_bytes > max_discarded_bytes ||
+            connection.input.size() > max_unparsed_bytes)
+            return fail_attempt(connection, "response without end", now,
+                                attempt_failure::malformed_response);
         if (connection.reader->complete()) {
             if (!connection.discarding_response)
                 return finish_exchange(connection, now);
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -44,6 +44,11 @@
 constexpr absl::Duration unconfigured_retry_after = absl::Milliseconds(300);
 // Reading from the endpoint pauses when the caller has more unsent response data than this.
 constexpr std::size_t max_backlog_bytes = 256 * 1024;
+// Limits for responses that are kept until they are complete: of one, and of all together.
+constexpr std::size_t max_response_body_bytes = 4 * 1024 * 1024;
+constexpr std::size_t max_buffered_body_bytes = 64 * 1024 * 1024;
+// Limit for one event of a stream that may be resumed, as only whole events are passed on.
+constexpr std::size_t max_event_bytes = 1024 * 1024;
 // Fraction of the platform's retry limit that all nodes together may use.
 constexpr double retry_budget_fraction = 0.8;
 // Fraction of the platform's quota tolerance that is added to the workspace limits.
@@ -242,7 +247,7 @@
         current.attempt_started_at = now;
         current.attempt_deadline = absl::InfiniteFuture();
         current.response_head = {};
-        current.response_body.clear();
+        drop_body(current);
         m_pool.on_sent(current.attempt_choice->id, current.attempt_choice->prefill_cost_tokens,
                        now);
         const std::uint64_t exchange_id = current.id;
@@ -413,10 +418,8 @@
     exchange* current = find_exchange(exchange_id);
     if (current == nullptr)
         return;
-    if (!current->relaying) {
-        current->response_body.append(bytes);
-        return;
-    }
+    if (!current->relaying)
+        return buffer_body(*current, bytes, now);
     if (!current->attempt_body_started)
         record_first_byte(*current, now);
     else
@@ -431,6 +434,8 @@
         m_callers.send_stream(current->connection, current->events.feed(bytes), now);
         if (find_exchange(exchange_id) == nullptr)
             return;
+        if (current->events.partial_bytes() > max_event_bytes)
+            return end_attempt(*current, attempt_outcome::broken, "event too long", now);
         current->attempt_deadline =
             current->rule.attempts_sent() < current->match.matched->max_attempts
                 ? now + stream_idle_timeout
@@ -442,6 +447,21 @@
         m_endpoints.pause(exchange_id, true);
 }
 
+void request_runner::buffer_body(exchange& current, std::string_view bytes, absl::Time now)
+{
+    if (current.response_body.size() + bytes.size() > max_response_body_bytes ||
+        m_buffered_body_bytes + bytes.size() > max_buffered_body_bytes)
+        return end_attempt(current, attempt_outcome::broken, "response body too long", now);
+    current.response_body.append(bytes);
+    m_buffered_body_bytes += bytes.size();
+}
+
+void request_runner::drop_body(exchange& current)
+{
+    m_buffered_body_bytes -= current.response_body.size();
+    std::string().swap(current.response_body);
+}
+
 void request_runner::on_caller_writable(std::uint64_t connection)
 {
     const auto found = m_exchange_by_connection.find(connection);
@@ -708,6 +728,7 @@
                                 : format_milliseconds(current.first_byte_at - current.arrived_at)},
                {"total_ms", format_milliseconds(now - current.arrived_at)},
                {"config", absl::StrCat(current.index->config().version)}});
+    drop_body(current);
     m_timers.erase({current.timer_at, current.id});
     m_exchange_by_connection.erase(current.connection);
     m_exchanges.erase(current.id);
--- a/src/forward/response_reader.cpp
+++ b/src/forward/response_reader.cpp
@@ -58,11 +58,16 @@
         consumed_bytes += parsed_bytes;
         if (m_has_head)
             body.resize(old_body_bytes + remaining_bytes - inner.get().body().size);
+        m_bytes_without_body =
+            body.size() > old_body_bytes ? 0 : m_bytes_without_body + parsed_bytes;
+        if (m_bytes_without_body > max_head_bytes)
+            m_failed = true;
         if (parse_error && parse_error != http::error::need_more &&
             parse_error != http::error::need_buffer) {
             m_failed = true;
-            break;
         }
+        if (m_failed)
+            break;
         if (!m_has_head && inner.is_header_done())
             store_head();
         else if (m_has_head && inner.is_done())
--- a/test/forward_endpoint_faults_test.cpp
+++ b/test/forward_endpoint_faults_test.cpp
@@ -104,5 +104,53 @@
     EXPECT_FALSE(post("/stream/x"));
 }
 
+struct endless_response
+{
+    const char* name;
+    std::string begin;
+    std::string filler;
+};
+
+const std::vector<endless_response> endless_responses{
+    {"head", "HTTP/1.1 200 OK\r\n", "Field: value\r\n"},
+    {"header_line", "HTTP/1.1 200 OK\r\nField: ", "value"},
+    {"status_line", "HTTP/1.1 200 ", "OK"},
+    {"interim_responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+    {"body", "HTTP/1.1 200 OK\r\n\r\n", "value"},
+    {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nvalue\r\n"},
+    {"chunk_extension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=", "value"},
+    {"trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "Field: value\r\n"},
+    {"response_to_another_request", "HTTP/1.1 200 OK\r\nChivedeal-Request-Id: other\r\n\r\n",
+     "value"},
+    {"huge_length", "HTTP/1.1 200 OK\r\nContent-Length: 4000000000\r\n\r\n", "value"},
+};
+
+class endless_response_test : public endpoint_faults_test,
+                              public ::testing::WithParamInterface<endless_response>
+{};
+
+// Guards against a node that runs out of memory, or serves nobody else, while an endpoint sends
+// bytes without end.
+TEST_P(endless_response_test, fails_the_request_at_once)
+{
+    std::string filler;
+    while (filler.size() < 64 * 1024)
+        filler += GetParam().filler;
+    start_with(1, [&filler](const std::string& /*request*/) {
+        return raw_response{
+            .bytes = GetParam().begin, .then = raw_response::next::send_forever, .filler = filler};
+    });
+    const absl::Time sent = absl::Now();
+    const auto answer = post("/app/x");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 502);
+    EXPECT_LT(absl::Now() - sent, absl::Seconds(3));
+    EXPECT_TRUE(is_ready());
+}
+
+INSTANTIATE_TEST_SUITE_P(endpoint_faults_test, endless_response_test,
+                         ::testing::ValuesIn(endless_responses),
+                         [](const auto& instance) { return std::string(instance.param.name); });
+
 } // namespace
 } // namespace chivedeal::forward
