Reject deeply nested records instead of crashing on them

Another writer's entry among those of the endpoints, nested some thousand levels deep, ended each node that read the list, again after each restart.

Cause: parse_json_object returned its result through a conditional expression that copies it. A copy recurses, and the threads have stacks of 512 KiB; the parser itself doesn't recurse.

Ruled out: the destructor, which is iterative in this version of the library.

Datagrams between nodes are MessagePack, whose decoder recurses as well; only nodes send them.

--- a/include/chivedeal/core/json_object.hpp
+++ b/include/chivedeal/core/json_object.hpp
@@ -8,7 +8,8 @@
 
 namespace chivedeal {
 
-/// Parses a JSON object; anything else gives an empty object.
+/// Parses a JSON object; anything else gives an empty object, and so does an object with more than
+/// 64 levels, as copying one takes stack space for each level.
 nlohmann::json parse_json_object(const std::string& text);
 
 /// Returns a member, or `fallback` when it is absent or of another type. Unlike `json::value` it
--- a/test/platform_format_test.cpp
+++ b/test/platform_format_test.cpp
@@ -48,6 +48,31 @@
         EXPECT_FALSE(is_ok(format.decode_endpoint(make_record("i", value)))) << value;
 }
 
+// Guards against a node that ends whenever it reads the list of endpoints: a copy of a deeply nested
+// value needs more stack than a thread has.
+TEST(json_wire_format, rejects_a_deeply_nested_record)
+{
+    const std::size_t depth = 120000;
+    const std::string arrays = std::string(depth, '[') + std::string(depth, ']');
+    std::string objects;
+    for (std::size_t i = 0; i < depth / 3; ++i)
+        objects += R"({"a":)";
+    objects += "0" + std::string(depth / 3, '}');
+    const json_wire_format format;
+    for (const std::string& nested : {arrays, objects}) {
+        const std::string value = R"({"service":"s","addr":"10.0.0.1:80","slots":4,)"
+                                  R"("state":"ready","extra":)" +
+                                  nested + "}";
+        EXPECT_FALSE(is_ok(format.decode_endpoint(make_record("i", value))));
+        EXPECT_FALSE(is_ok(format.decode_operator_record(make_record("config", value))));
+    }
+    // Brackets in a string don't nest.
+    const std::string quoted = R"({"service":"s","addr":"10.0.0.1:80","slots":4,)"
+                               R"("state":"ready","extra":"\")" +
+                               std::string(depth, '[') + "\"}";
+    EXPECT_TRUE(is_ok(format.decode_endpoint(make_record("i", quoted))));
+}
+
 // Guards against a crash of the node on a malformed record written by another process.
 RC_GTEST_PROP(json_wire_format, does_not_crash_on_arbitrary_bytes, (const std::string& bytes))
 {
