--- a/include/chivedeal/core/json_object.hpp
+++ b/include/chivedeal/core/json_object.hpp
@@ -3,8 +3,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
 #include <string>
 #include <type_traits>
+#include <utility>
 
 namespace chivedeal {
 
@@ -12,8 +14,8 @@
 /// 64 levels, as copying one takes stack space for each level.
 nlohmann::json parse_json_object(const std::string& text);
 
-/// Returns a member, or `fallback` when it is absent or of another type. Unlike `json::value` it
-/// does not throw on another type, since the text comes from outside.
+/// Returns a member, or `fallback` when it is absent, of another type, or an integer that `T` can't
+/// hold. Unlike `json::value` it does not throw on another type, since the text comes from outside.
 ///
 ///     const auto running = member_or(report, "running", 0);
 template<class T>
@@ -22,6 +24,13 @@
     const auto found = object.find(name);
     if (found == object.end())
         return fallback;
+    if constexpr (std::is_integral_v<T> && !std::is_same_v<T, bool>) {
+        if (found->is_number_unsigned() && !std::in_range<T>(found->get<std::uint64_t>()))
+            return fallback;
+        if (found->is_number_integer() && !found->is_number_unsigned() &&
+            !std::in_range<T>(found->get<std::int64_t>()))
+            return fallback;
+    }
     bool fits = found->type() == nlohmann::json(fallback).type();
     if constexpr (std::is_same_v<T, bool>)
         fits = found->is_boolean();
--- a/test/platform_format_test.cpp
+++ b/test/platform_format_test.cpp
@@ -73,6 +73,26 @@
     EXPECT_TRUE(is_ok(format.decode_endpoint(make_record("i", quoted))));
 }
 
+// Guards against routing to an address or with a size that is the remainder of a larger number, or
+// to the node's own host, as which the system takes an invalid address.
+TEST(json_wire_format, rejects_numbers_and_addresses_out_of_range)
+{
+    const json_wire_format format;
+    const auto decodes = [&format](const std::string& addr, const std::string& slots) {
+        return is_ok(format.decode_endpoint(
+            make_record("i", R"({"service":"s","state":"ready","addr":")" + addr + R"(","slots":)" +
+                                 slots + R"(,"born":1e30,"cold_left_ms":1e300})")));
+    };
+    EXPECT_TRUE(decodes("10.0.0.1:80", "48"));
+    for (const char* addr : {"10.0.0.1:65536", "10.0.0.1:4294967376", "10.0.0.1:-1", "10.0.0.1:8e1",
+                             "10.0.0.256:80", "10.0.0:80", "host:80"})
+        EXPECT_FALSE(decodes(addr, "48")) << addr;
+    for (const char* slots : {"4294967344", "18446744073709551615", "1e400", "-1", "1e3",
+                              "99999999999999999999999", "2147483647"})
+        EXPECT_FALSE(decodes("10.0.0.1:80", slots)) << slots;
+    EXPECT_FALSE(is_ok(format.decode_endpoint(make_record("", endpoint_json))));
+}
+
 // Guards against a crash of the node on a malformed record written by another process.
 RC_GTEST_PROP(json_wire_format, does_not_crash_on_arbitrary_bytes, (const std::string& bytes))
 {
