Read on after a record with a malformed key

One record with a key that is cut off, left by another writer, kept nodes from following a topic: they read it again and again from the same offset.

Cause: such a record was taken for a truncated response, which fails the whole read. In a page of the newest records, a value that isn't base64 was skipped before its key was noted: as the last one of a page it repeated that page.

Ruled out: lengths of whole records; a response with a wrong one is truncated.

Before: log_store.reads_on_after_a_record_with_a_malformed_key got an error. After: it passes. The pages of newest records have no test of their own.

--- a/test/platform_format_test.cpp
+++ b/test/platform_format_test.cpp
@@ -162,6 +162,21 @@
 }
 
 // Guards against an out-of-bounds read when the lengths in a response are corrupted.
+// Guards against a node that no longer follows a topic after a record whose key is cut off.
+TEST(log_store, reads_on_after_a_record_with_a_malformed_key)
+{
+    const std::string offsets(16, '\0');
+    const std::string malformed = encode_record("", std::string("\x09") + "ab");
+    const auto decoded =
+        decode_records(offsets + malformed + encode_record("key", "value"), 7, true);
+    ASSERT_TRUE(is_ok(decoded));
+    ASSERT_EQ(get_value(decoded).records.size(), 2U);
+    EXPECT_EQ(get_value(decoded).records[0].key, "");
+    EXPECT_FALSE(get_value(decoded).records[0].removed);
+    EXPECT_EQ(get_value(decoded).records[1].key, "key");
+    EXPECT_EQ(get_value(decoded).records[1].offset, 8U);
+}
+
 RC_GTEST_PROP(log_store, does_not_crash_on_arbitrary_bytes, (const std::string& bytes))
 {
     (void)decode_records(bytes, 0, true);
