--- a/fakes/raw_endpoint.hpp
+++ b/fakes/raw_endpoint.hpp
@@ -25,7 +25,7 @@
 namespace chivedeal::fakes {
 
 /// An endpoint that sends any bytes as its response, for faults that an HTTP library can't produce.
-/// Requests must have a Content-Length; one thread serves all connections.
+/// One thread serves all connections.
 class raw_endpoint
 {
 public:
@@ -107,8 +107,9 @@
         input.append(buffer.data(), static_cast<std::size_t>(received));
         const std::size_t head_end = input.find("\r\n\r\n");
         const std::size_t length_at = input.find("Content-Length: ");
-        if (head_end == std::string::npos || length_at == std::string::npos ||
-            input.size() < head_end + 4 + std::stoul(input.substr(length_at + 16)))
+        const std::size_t length =
+            length_at == std::string::npos ? 0 : std::stoul(input.substr(length_at + 16));
+        if (head_end == std::string::npos || input.size() < head_end + 4 + length)
             return;
         ++m_request_count;
         const raw_response response = m_respond(std::exchange(input, {}));
@@ -118,6 +119,10 @@
             return;
         case raw_response::next::close:
             return drop(descriptor);
+        case raw_response::next::go_silent:
+            m_inputs.erase(descriptor);
+            m_silent.push_back(descriptor);
+            return;
         case raw_response::next::crash:
             return crash();
         case raw_response::next::send_forever:
@@ -142,6 +147,8 @@
             close(descriptor);
         for (const int descriptor : std::exchange(m_endless, {}))
             close(descriptor);
+        for (const int descriptor : std::exchange(m_silent, {}))
+            close(descriptor);
     }
 
     address m_address;
@@ -152,6 +159,7 @@
     std::atomic<int> m_request_count = 0;
     std::map<int, std::string> m_inputs;
     std::vector<int> m_endless;
+    std::vector<int> m_silent;
     std::string m_filler;
     std::unique_ptr<posix_thread> m_thread;
 };
--- a/fakes/raw_response.hpp
+++ b/fakes/raw_response.hpp
@@ -12,6 +12,8 @@
     {
         keep_open,
         close,
+        /// Reads and sends nothing more on the connection, which stays open.
+        go_silent,
         /// Closes all connections and the listener.
         crash,
         /// Repeats `filler` until the peer closes the connection.
