Read no request after the end of a drain

A caller whose connection stayed open until the process was gone had a request cut off: it was read and sent to an endpoint 4 ms after the drain had ended.

Cause: the forwarder went on serving between its report that the drain is complete and the stop of the node, some 100 ms later.

Ruled out: requests under way; the drain waits for them (cut_off=0).

Change: the forwarder handles no sockets once the drain is complete. Unread requests end with the process, which tells callers that they didn't run.

--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -90,7 +90,9 @@
     if (m_settings.metrics)
         open_listener(*m_settings.metrics, metrics_page);
     absl::Time next_timer = absl::InfiniteFuture();
-    while (!m_event_queue.closed()) {
+    // A request that is read after the drain would be cut off by the exit of the process. One that
+    // is not read is known not to have run.
+    while (!m_event_queue.closed() && !m_drained) {
         const absl::Time due = std::min(next_timer, m_next_periodic_run);
         const auto& events = m_poller.wait(std::max(absl::ZeroDuration(), due - m_time.now()));
         const absl::Time now = m_time.now();
@@ -105,6 +107,8 @@
         m_callers.sweep();
         m_endpoints.sweep();
     }
+    while (!m_event_queue.closed())
+        (void)m_event_queue.pop(absl::InfiniteDuration());
 }
 
 void forwarder::request_stop() { m_event_queue.close(); }
