Split request_runner and share the listener of the raw stand-ins

What requests show of endpoints, versions and prompts moves to request_observations.cpp, unchanged but for the condition of a sound prompt, which moves into record_later_bytes. The raw endpoint and the soak's endpoint open their sockets with listen_tcp. The soak moves to test/platform_soak, as it speaks the platform's formats.

--- a/fakes/raw_endpoint.hpp
+++ b/fakes/raw_endpoint.hpp
@@ -3,11 +3,10 @@
 
 #include "chivedeal/core/address.hpp"
 #include "chivedeal/core/posix_thread.hpp"
+#include "chivedeal/forward/sockets.hpp"
 #include "fakes/free_address.hpp"
 #include "fakes/raw_response.hpp"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -33,18 +32,11 @@
     using handler = std::function<raw_response(const std::string& request)>;
 
     explicit raw_endpoint(handler respond)
-        : m_address(free_address()),
-          m_respond(std::move(respond)),
-          m_listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+        : m_address(free_address()), m_respond(std::move(respond))
     {
-        const int on = 1;
-        setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-        sockaddr_in name{};
-        name.sin_family = AF_INET;
-        name.sin_port = htons(m_address.port);
-        name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        m_listens = bind(m_listener, reinterpret_cast<sockaddr*>(&name), sizeof name) == 0 &&
-                    listen(m_listener, 64) == 0;
+        const auto listener = forward::listen_tcp(m_address);
+        m_listens = is_ok(listener);
+        m_listener = m_listens ? get_value(listener) : -1;
         m_thread = std::make_unique<posix_thread>("endpoint", [this] { run(); });
     }
 
@@ -153,7 +145,7 @@
 
     address m_address;
     handler m_respond;
-    int m_listener;
+    int m_listener = -1;
     std::atomic<bool> m_listens = false;
     std::atomic<bool> m_stopping = false;
     std::atomic<int> m_request_count = 0;
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -9,7 +9,6 @@
 #include "chivedeal/forward/request_format.hpp"
 
 #include "absl/strings/match.h"
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 
@@ -31,8 +30,6 @@
 constexpr absl::Duration attempt_timeout_slack = absl::Milliseconds(300);
 // A resumable stream moves to another endpoint after this time without data.
 constexpr absl::Duration stream_idle_timeout = absl::Milliseconds(1500);
-// Bounds the time for which an endpoint can take itself out of use.
-constexpr absl::Duration max_endpoint_retry_delay = absl::Minutes(10);
 // When all endpoints of a service ask for a pause, callers return after it in the order of their
 // routes' priorities, and spread over part of it, so that they don't fill the endpoints at once.
 constexpr double retry_spread_per_priority = 0.1;
@@ -57,9 +54,6 @@
 // version in a roll-out.
 constexpr double slow_response_factor = 3;
 
-// An endpoint that has sent response data for this long doesn't crash on the prompt.
-constexpr absl::Duration min_sound_response_time = absl::Milliseconds(500);
-
 // Callers interpret these statuses as a guarantee that the request did not and will not run.
 bool implies_not_run(int status)
 {
@@ -317,35 +311,6 @@
         begin_relay(*current, head, now);
 }
 
-void request_runner::record_announced_leaving(const exchange& current,
-                                              const http_response_head& head, absl::Time now)
-{
-    const std::string* announced = find_field(head.fields, m_names.leaving);
-    // A response with status 421 comes from another endpoint.
-    if (announced == nullptr || *announced != "1" || head.status == 421)
-        return;
-    if (m_pool.on_announced_leaving(*current.attempt_choice, now))
-        log_event(
-            event_id::endpoint_announced_leaving,
-            {{"endpoint", current.attempt_choice->id.str()}, {"request", current.head.id.str()}});
-}
-
-void request_runner::record_retry_after(const exchange& current, const http_response_head& head,
-                                        absl::Time now)
-{
-    const std::string* text = find_field(head.fields, "Retry-After");
-    double seconds = 0;
-    if (head.status != 503 || text == nullptr || !absl::SimpleAtod(*text, &seconds) ||
-        !(seconds > 0))
-        return;
-    const absl::Duration delay = std::min(absl::Seconds(seconds), max_endpoint_retry_delay);
-    m_pool.on_retry_after(*current.attempt_choice, now + delay, now);
-    m_counters.add("chivedeal_endpoint_retry_after_total", 1);
-    log_event(event_id::endpoint_retry_after, {{"endpoint", current.attempt_choice->id.str()},
-                                               {"request", current.head.id.str()},
-                                               {"delay_ms", format_milliseconds(delay)}});
-}
-
 void request_runner::begin_relay(exchange& current, const http_response_head& head, absl::Time now)
 {
     current.relaying = true;
@@ -354,64 +319,6 @@
                            now);
 }
 
-void request_runner::record_first_byte(exchange& current, absl::Time now)
-{
-    if (current.first_byte_at == absl::InfiniteFuture())
-        current.first_byte_at = now;
-    const absl::Duration late =
-        now - current.attempt_started_at - current.attempt_choice->predicted_first_byte_time;
-    m_pool.on_first_byte(current.attempt_choice->id, current.query, late, now);
-    current.attempt_body_started = true;
-    current.attempt_body_started_at = now;
-    current.attempt_later_bytes = 0;
-    count_usage(current, now);
-}
-
-void request_runner::record_later_bytes(exchange& current, std::size_t bytes, absl::Time now)
-{
-    m_pool.on_bytes(current.attempt_choice->id, now);
-    current.attempt_later_bytes += bytes;
-    current.attempt_last_byte_at = now;
-}
-
-void request_runner::record_sound_prompt(exchange& current, absl::Time now)
-{
-    if (!std::exchange(current.prompt_is_sound, true))
-        m_quarantine.on_sound(current.head.prefix, now);
-}
-
-void request_runner::record_lost_request(const exchange& current, absl::Time now)
-{
-    if (current.prompt_is_sound || current.head.prefix.size() < 2)
-        return;
-    const endpoint_choice& endpoint = *current.attempt_choice;
-    if (m_crashes.on_request_lost(endpoint, current.head.prefix) &&
-        !m_endpoints.probe(endpoint.id, endpoint.address, now))
-        m_crashes.on_probed(endpoint.id, probe_result::unknown, now);
-}
-
-void request_runner::on_probe_ended(const endpoint_id& endpoint, probe_result result,
-                                    absl::Time now)
-{
-    const std::size_t lost_requests = m_crashes.on_probed(endpoint, result, now);
-    if (lost_requests == 0)
-        return;
-    m_counters.add("chivedeal_endpoint_crashes_total", 1);
-    log_event(event_id::endpoint_crashed,
-              {{"endpoint", endpoint.str()}, {"suspect_requests", absl::StrCat(lost_requests)}});
-}
-
-void request_runner::report_quarantine_changes()
-{
-    for (const quarantine_change& change : m_quarantine.take_changes()) {
-        m_counters.add(change.blocked ? "chivedeal_prompt_parts_blocked_total"
-                                      : "chivedeal_prompt_parts_released_total",
-                       1);
-        log_event(change.blocked ? event_id::prompt_part_blocked : event_id::prompt_part_released,
-                  {{"part", change.part}, {"crashes", absl::StrCat(change.crashes)}});
-    }
-}
-
 void request_runner::on_response_body(std::uint64_t exchange_id, std::string_view bytes,
                                       absl::Time now)
 {
@@ -424,8 +331,6 @@
         record_first_byte(*current, now);
     else
         record_later_bytes(*current, bytes.size(), now);
-    if (now - current->attempt_body_started_at >= min_sound_response_time)
-        record_sound_prompt(*current, now);
     if (!current->match.matched->resumable) {
         current->boundary.feed(bytes);
         m_callers.send_stream(current->connection, bytes, now);
@@ -734,27 +639,6 @@
     m_exchanges.erase(current.id);
 }
 
-void request_runner::count_usage(exchange& current, absl::Time now)
-{
-    if (current.usage_counted || current.match.workspace == nullptr)
-        return;
-    current.usage_counted = true;
-    m_usage.count_start(current.match.workspace->name, now + m_true_time_offset);
-}
-
-void request_runner::count_outcome(const exchange& current, bool good)
-{
-    if (current.attempt_choice)
-        m_outcomes.count(current.query.service, current.attempt_choice->version, good);
-}
-
-void request_runner::count_response(const exchange& current, std::optional<double> pace,
-                                    bool in_time, absl::Time now)
-{
-    m_outcomes.count_response(current.query.service, current.attempt_choice->version,
-                              current.match.matched->name, pace, in_time, now);
-}
-
 void request_runner::schedule(exchange& current)
 {
     const absl::Time due = std::min(current.give_up_at, current.attempt_deadline);
--- a/test/soak/ledger.cpp
+++ b/test/platform_soak/ledger.cpp
@@ -1,4 +1,4 @@
-#include "test/soak/ledger.hpp"
+#include "test/platform_soak/ledger.hpp"
 
 #include "absl/strings/str_cat.h"
 
--- a/test/soak/ledger.hpp
+++ b/test/platform_soak/ledger.hpp
@@ -1,5 +1,5 @@
-#ifndef TEST_SOAK_LEDGER_HPP
-#define TEST_SOAK_LEDGER_HPP
+#ifndef TEST_PLATFORM_SOAK_LEDGER_HPP
+#define TEST_PLATFORM_SOAK_LEDGER_HPP
 
 #include "chivedeal/core/mutex.hpp"
 
--- a/test/soak/main.cpp
+++ b/test/platform_soak/main.cpp
@@ -1,5 +1,5 @@
 // Fault soak: runs the program as several processes and checks what callers and endpoints see.
-#include "test/soak/soak_run.hpp"
+#include "test/platform_soak/soak_run.hpp"
 
 #include <boost/program_options.hpp>
 
--- a/test/soak/request_format.cpp
+++ b/test/platform_soak/request_format.cpp
@@ -1,4 +1,4 @@
-#include "test/soak/request_format.hpp"
+#include "test/platform_soak/request_format.hpp"
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
--- a/test/soak/request_format.hpp
+++ b/test/platform_soak/request_format.hpp
@@ -1,7 +1,7 @@
-#ifndef TEST_SOAK_REQUEST_FORMAT_HPP
-#define TEST_SOAK_REQUEST_FORMAT_HPP
+#ifndef TEST_PLATFORM_SOAK_REQUEST_FORMAT_HPP
+#define TEST_PLATFORM_SOAK_REQUEST_FORMAT_HPP
 
-#include "test/soak/ledger.hpp"
+#include "test/platform_soak/ledger.hpp"
 
 #include <httplib.h>
 
--- a/test/soak/soak_caller.cpp
+++ b/test/platform_soak/soak_caller.cpp
@@ -1,6 +1,6 @@
-#include "test/soak/soak_caller.hpp"
+#include "test/platform_soak/soak_caller.hpp"
 
-#include "test/soak/request_format.hpp"
+#include "test/platform_soak/request_format.hpp"
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
--- a/test/soak/soak_caller.hpp
+++ b/test/platform_soak/soak_caller.hpp
@@ -1,9 +1,9 @@
-#ifndef TEST_SOAK_SOAK_CALLER_HPP
-#define TEST_SOAK_SOAK_CALLER_HPP
+#ifndef TEST_PLATFORM_SOAK_SOAK_CALLER_HPP
+#define TEST_PLATFORM_SOAK_SOAK_CALLER_HPP
 
 #include "chivedeal/core/posix_thread.hpp"
-#include "test/soak/ledger.hpp"
-#include "test/soak/soak_node.hpp"
+#include "test/platform_soak/ledger.hpp"
+#include "test/platform_soak/soak_node.hpp"
 
 #include <httplib.h>
 
--- a/test/soak/soak_endpoint.cpp
+++ b/test/platform_soak/soak_endpoint.cpp
@@ -1,15 +1,14 @@
-#include "test/soak/soak_endpoint.hpp"
+#include "test/platform_soak/soak_endpoint.hpp"
 
+#include "chivedeal/forward/sockets.hpp"
 #include "fakes/free_address.hpp"
-#include "test/soak/request_format.hpp"
+#include "test/platform_soak/request_format.hpp"
 
 #include "absl/hash/hash.h"
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -41,18 +40,13 @@
       m_service(std::move(service)),
       m_ledger(promises),
       m_address(fakes::free_address()),
-      m_started_at_unix_ms(absl::ToUnixMillis(absl::Now())),
-      m_listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0))
+      m_started_at_unix_ms(absl::ToUnixMillis(absl::Now()))
 {
-    const int on = 1;
-    setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    sockaddr_in name{};
-    name.sin_family = AF_INET;
-    name.sin_port = htons(m_address.port);
-    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (bind(m_listener, reinterpret_cast<sockaddr*>(&name), sizeof name) != 0 ||
-        listen(m_listener, 256) != 0)
-        m_ledger.fail(absl::StrCat("the soak could not listen for ", m_id));
+    const auto listener = forward::listen_tcp(m_address);
+    if (is_ok(listener))
+        m_listener = get_value(listener);
+    else
+        m_ledger.fail(get_error(listener).message);
     m_thread = std::make_unique<posix_thread>("endpoint", [this] { run(); });
 }
 
--- a/test/soak/soak_endpoint.hpp
+++ b/test/platform_soak/soak_endpoint.hpp
@@ -1,9 +1,9 @@
-#ifndef TEST_SOAK_SOAK_ENDPOINT_HPP
-#define TEST_SOAK_SOAK_ENDPOINT_HPP
+#ifndef TEST_PLATFORM_SOAK_SOAK_ENDPOINT_HPP
+#define TEST_PLATFORM_SOAK_SOAK_ENDPOINT_HPP
 
 #include "chivedeal/core/address.hpp"
 #include "chivedeal/core/posix_thread.hpp"
-#include "test/soak/ledger.hpp"
+#include "test/platform_soak/ledger.hpp"
 
 #include "absl/time/clock.h"
 #include "absl/time/time.h"
@@ -62,7 +62,7 @@
     ledger& m_ledger;
     address m_address;
     std::int64_t m_started_at_unix_ms;
-    int m_listener;
+    int m_listener = -1;
     std::atomic<bool> m_stopping = false;
     std::atomic<bool> m_leaving = false;
     std::atomic<bool> m_crash_requested = false;
--- a/test/soak/soak_node.cpp
+++ b/test/platform_soak/soak_node.cpp
@@ -1,4 +1,4 @@
-#include "test/soak/soak_node.hpp"
+#include "test/platform_soak/soak_node.hpp"
 
 #include "fakes/free_address.hpp"
 
--- a/test/soak/soak_node.hpp
+++ b/test/platform_soak/soak_node.hpp
@@ -1,5 +1,5 @@
-#ifndef TEST_SOAK_SOAK_NODE_HPP
-#define TEST_SOAK_SOAK_NODE_HPP
+#ifndef TEST_PLATFORM_SOAK_SOAK_NODE_HPP
+#define TEST_PLATFORM_SOAK_SOAK_NODE_HPP
 
 #include "chivedeal/core/address.hpp"
 #include "test/scenario_runner/process.hpp"
--- a/test/soak/soak_run.cpp
+++ b/test/platform_soak/soak_run.cpp
@@ -1,4 +1,4 @@
-#include "test/soak/soak_run.hpp"
+#include "test/platform_soak/soak_run.hpp"
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
--- a/test/soak/soak_run.hpp
+++ b/test/platform_soak/soak_run.hpp
@@ -1,11 +1,11 @@
-#ifndef TEST_SOAK_SOAK_RUN_HPP
-#define TEST_SOAK_SOAK_RUN_HPP
+#ifndef TEST_PLATFORM_SOAK_SOAK_RUN_HPP
+#define TEST_PLATFORM_SOAK_SOAK_RUN_HPP
 
-#include "test/soak/ledger.hpp"
-#include "test/soak/soak_caller.hpp"
-#include "test/soak/soak_endpoint.hpp"
-#include "test/soak/soak_node.hpp"
-#include "test/soak/soak_store.hpp"
+#include "test/platform_soak/ledger.hpp"
+#include "test/platform_soak/soak_caller.hpp"
+#include "test/platform_soak/soak_endpoint.hpp"
+#include "test/platform_soak/soak_node.hpp"
+#include "test/platform_soak/soak_store.hpp"
 
 #include "absl/time/time.h"
 
--- a/test/soak/soak_store.cpp
+++ b/test/platform_soak/soak_store.cpp
@@ -1,4 +1,4 @@
-#include "test/soak/soak_store.hpp"
+#include "test/platform_soak/soak_store.hpp"
 
 #include "fakes/free_address.hpp"
 
--- a/test/soak/soak_store.hpp
+++ b/test/platform_soak/soak_store.hpp
@@ -1,5 +1,5 @@
-#ifndef TEST_SOAK_SOAK_STORE_HPP
-#define TEST_SOAK_SOAK_STORE_HPP
+#ifndef TEST_PLATFORM_SOAK_SOAK_STORE_HPP
+#define TEST_PLATFORM_SOAK_SOAK_STORE_HPP
 
 #include "chivedeal/core/address.hpp"
 #include "chivedeal/core/condition.hpp"
