Limit the crashes that a beacon names for a prompt part

Cause: a part that was at many endpoints when they crashed was reported with all of them. With 1,800 endpoints that exceeds a datagram, and the beacon is lost with all else that it carries.

Ruled out: the number of parts, which was limited.

Test: prompt_quarantine.reports_the_latest_crashes_of_a_part (1,800 before, 8 after, by reading; the test was written with the change).

--- a/include/chivedeal/forward/prompt_quarantine.hpp
+++ b/include/chivedeal/forward/prompt_quarantine.hpp
@@ -41,6 +41,8 @@
         std::size_t max_sound_parts = 8192;
         /// Limits the suspicions in a beacon.
         std::size_t max_reported_parts = 16;
+        /// Limits the crashes that a beacon names for a part, the latest first.
+        std::size_t max_reported_crashes = 8;
     };
 
     prompt_quarantine() : prompt_quarantine(options{}) {}
@@ -82,6 +84,7 @@
     void record_sound(const std::string& part, absl::Time at, absl::Time now);
     // Counts crashes that are apart, without those in `explained`.
     int count_crashes(const suspect& part, const std::set<std::string>& explained) const;
+    part_suspicion report(const std::string& id, const suspect& part, absl::Time now) const;
     void update_blocks(absl::Time now);
     void expire(absl::Time now);
 
--- a/src/forward/prompt_quarantine.cpp
+++ b/src/forward/prompt_quarantine.cpp
@@ -1,6 +1,7 @@
 #include "chivedeal/forward/prompt_quarantine.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <tuple>
 
 namespace chivedeal::forward {
@@ -146,29 +147,40 @@
     });
 }
 
+part_suspicion prompt_quarantine::report(const std::string& id, const suspect& part,
+                                         absl::Time now) const
+{
+    part_suspicion reported{.part = id, .depth = part.depth};
+    std::vector<std::pair<absl::Duration, std::string>> ages;
+    for (const auto& [incarnation, at] : part.crashes)
+        ages.emplace_back(now - at, incarnation);
+    std::sort(ages.begin(), ages.end());
+    for (std::size_t i = 0; i < std::min(ages.size(), m_options.max_reported_crashes); ++i)
+        reported.crashes[ages[i].second] = ages[i].first;
+    if (part.sound_at != absl::InfinitePast())
+        reported.sound_age = now - part.sound_at;
+    if (is_blocked(part, now))
+        reported.blocked_age = now - part.blocked_at;
+    return reported;
+}
+
 std::vector<part_suspicion> prompt_quarantine::suspicions(absl::Time now) const
 {
-    using rank = std::tuple<bool, std::size_t, absl::Time>;
-    std::vector<std::pair<rank, part_suspicion>> ranked;
+    // Blocked parts first, then those with the most crashes.
+    using rank = std::tuple<bool, std::size_t, absl::Time, std::string>;
+    std::vector<rank> ranked;
     for (const auto& [id, part] : m_suspects) {
-        part_suspicion reported{.part = id, .depth = part.depth};
         absl::Time latest = part.sound_at;
-        for (const auto& [incarnation, at] : part.crashes) {
-            reported.crashes[incarnation] = now - at;
+        for (const auto& [incarnation, at] : part.crashes)
             latest = std::max(latest, at);
-        }
-        if (part.sound_at != absl::InfinitePast())
-            reported.sound_age = now - part.sound_at;
-        if (is_blocked(part, now))
-            reported.blocked_age = now - part.blocked_at;
-        ranked.emplace_back(rank(is_blocked(part, now), part.crashes.size(), latest),
-                            std::move(reported));
+        ranked.emplace_back(is_blocked(part, now), part.crashes.size(), latest, id);
     }
-    std::sort(ranked.begin(), ranked.end(),
-              [](const auto& a, const auto& b) { return a.first > b.first; });
+    std::sort(ranked.begin(), ranked.end(), std::greater<>());
     std::vector<part_suspicion> reported;
-    for (std::size_t i = 0; i < std::min(ranked.size(), m_options.max_reported_parts); ++i)
-        reported.push_back(std::move(ranked[i].second));
+    for (std::size_t i = 0; i < std::min(ranked.size(), m_options.max_reported_parts); ++i) {
+        const std::string& id = std::get<std::string>(ranked[i]);
+        reported.push_back(report(id, m_suspects.at(id), now));
+    }
     return reported;
 }
 
--- a/test/forward_prompt_quarantine_test.cpp
+++ b/test/forward_prompt_quarantine_test.cpp
@@ -129,6 +129,18 @@
     EXPECT_EQ(reported.front().part, "deadly");
 }
 
+// Guards against beacons that exceed a datagram after many endpoints crashed with one part.
+TEST(prompt_quarantine, reports_the_latest_crashes_of_a_part)
+{
+    prompt_quarantine quarantine;
+    for (int i = 0; i < 1800; ++i)
+        quarantine.on_crash(absl::StrCat("e", i), deadly_prompt, start + i * absl::Milliseconds(1));
+    const auto reported = quarantine.suspicions(at(2));
+    ASSERT_EQ(reported.size(), 2U);
+    EXPECT_EQ(reported.front().crashes.size(), 8U);
+    EXPECT_EQ(reported.front().crashes.count("e1799"), 1U);
+}
+
 // Guards against beacons that exceed a datagram because a caller sent very long part names.
 TEST(prompt_quarantine, ignores_parts_with_very_long_names)
 {
