--- a/test/forward_forwarder_test.cpp
+++ b/test/forward_forwarder_test.cpp
@@ -46,6 +46,7 @@
                                  .peers = fakes::free_address(),
                                  .address_ttl = absl::Milliseconds(10),
                                  .shutdown_grace = absl::Seconds(2)};
+    const header_names names;
     const platform::json_wire_format format;
     const system_clock time;
     metrics counters;
@@ -55,7 +56,7 @@
         {.settings = settings, .time = time, .listeners = {}, .prompt_listener = queue});
     std::atomic<bool> drained = false;
     forwarder target({.settings = settings,
-                      .names = {},
+                      .names = names,
                       .format = format,
                       .time = time,
                       .counters = counters,
