Give the soak's store enough threads for many nodes

Cause: the stand-in of the store had 320 threads, and each connection takes one; 120 nodes have three each, so that some waited for good.

Change: six threads for each node.

--- a/test/platform_soak/soak_run.cpp
+++ b/test/platform_soak/soak_run.cpp
@@ -23,7 +23,9 @@
 
 } // namespace
 
-soak_run::soak_run(options settings) : m_options(std::move(settings)), m_random(m_options.seed) {}
+soak_run::soak_run(options settings)
+    : m_options(std::move(settings)), m_random(m_options.seed), m_store(m_options.nodes)
+{}
 
 std::vector<std::string> soak_run::run()
 {
--- a/test/platform_soak/soak_store.cpp
+++ b/test/platform_soak/soak_store.cpp
@@ -21,7 +21,8 @@
 using httplib::Response;
 using nlohmann::json;
 
-constexpr int server_threads = 320;
+// Each connection takes a thread. A node has three, and some of a killed one may still be open.
+constexpr int threads_per_node = 6;
 constexpr absl::Duration silence = absl::Seconds(2);
 
 std::int64_t number(const Request& request, const char* name, std::int64_t fallback)
@@ -50,9 +51,10 @@
 
 } // namespace
 
-soak_store::soak_store() : m_address(fakes::free_address())
+soak_store::soak_store(int nodes) : m_address(fakes::free_address())
 {
-    m_server.new_task_queue = [] { return new httplib::ThreadPool(server_threads); };
+    const auto threads = static_cast<std::size_t>(threads_per_node * nodes);
+    m_server.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
     m_server.set_keep_alive_max_count(1000000);
     m_server.set_keep_alive_timeout(60);
     m_server.set_tcp_nodelay(true);
--- a/test/platform_soak/soak_store.hpp
+++ b/test/platform_soak/soak_store.hpp
@@ -31,7 +31,7 @@
         losing_answers,
     };
 
-    soak_store();
+    explicit soak_store(int nodes);
     ~soak_store();
     soak_store(const soak_store&) = delete;
     soak_store& operator=(const soak_store&) = delete;
