Limit the framing of a response as a whole

Cause: the limit for bytes that aren't body began anew with each chunk.

Ruled out: a wait; the thread was parsing all the time.

Change: all heads, chunk headers and trailers of a response together may have 256 KiB.

After: the 26 tests of readers and endpoint faults pass under both sanitizers.

--- a/include/chivedeal/forward/response_reader.hpp
+++ b/include/chivedeal/forward/response_reader.hpp
@@ -51,8 +51,8 @@
     bool m_has_head = false;
     bool m_complete = false;
     bool m_failed = false;
-    // Bytes of heads, chunk headers and trailers since the last body byte.
-    std::size_t m_bytes_without_body = 0;
+    // Bytes of heads, chunk headers and trailers.
+    std::size_t m_overhead_bytes = 0;
 };
 
 } // namespace chivedeal::forward
--- a/src/forward/response_reader.cpp
+++ b/src/forward/response_reader.cpp
@@ -20,6 +20,8 @@
 namespace {
 
 constexpr std::uint32_t max_head_bytes = 64 * 1024;
+// Limits the chunks of a response as well: parsing one takes as long as some hundred body bytes.
+constexpr std::size_t max_overhead_bytes = 256 * 1024;
 
 } // namespace
 
@@ -58,9 +60,9 @@
         consumed_bytes += parsed_bytes;
         if (m_has_head)
             body.resize(old_body_bytes + remaining_bytes - inner.get().body().size);
-        m_bytes_without_body =
-            body.size() > old_body_bytes ? 0 : m_bytes_without_body + parsed_bytes;
-        if (m_bytes_without_body > max_head_bytes)
+        if (body.size() == old_body_bytes)
+            m_overhead_bytes += parsed_bytes;
+        if (m_overhead_bytes > max_overhead_bytes)
             m_failed = true;
         if (parse_error && parse_error != http::error::need_more &&
             parse_error != http::error::need_buffer) {
