Mend a comment without a measurement and a second read of the clock

Cause: reading the change once more. The comment on the framing limit compared costs that were never measured, and make_local_state read the clock again although it is given the time.

Ruled out: other duplicates; the listed pairs share their shape only.

Change: the comment says what the limit covers; the suspicions take `now`. No decision changes.

--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -242,7 +242,7 @@
             .requested_prompt_tokens = m_runner.requested_prompt_tokens(),
             .outcomes = m_runner.outcomes().snapshot(),
             .usage = m_runner.usage().recent_reports(),
-            .suspicions = m_runner.quarantine().suspicions(m_time.now())};
+            .suspicions = m_runner.quarantine().suspicions(now)};
 }
 
 void forwarder::report_local_state(const local_state& state, absl::Time now)
--- a/src/forward/response_reader.cpp
+++ b/src/forward/response_reader.cpp
@@ -20,7 +20,7 @@
 namespace {
 
 constexpr std::uint32_t max_head_bytes = 64 * 1024;
-// Limits the chunks of a response as well: parsing one takes as long as some hundred body bytes.
+// Includes chunk headers, and so limits the number of chunks, each of which is parsed by itself.
 constexpr std::size_t max_overhead_bytes = 256 * 1024;
 
 } // namespace
