Keep what endpoints asked for as long as it holds

A node forgot that an endpoint leaves, or wants no requests, half an hour after it was told, though the endpoint was still listed or its retry time still to come, and cut each Retry-After to ten minutes. Requests would then reach it.

Cause: a retention meant for endpoints without a record applied to all, and a bound on what an endpoint may ask for.

Ruled out: the restart of an endpoint under the same ID, which is told apart by address and start time.

Change: the retention applies only to endpoints that are not listed and whose retry time has passed; Retry-After is limited only against overflow.

Before: endpoint_pool.remembers_demands_for_as_long_as_they_hold chose "e2" and "e3" instead of refusing. After: it passes, with the other tests of the pool.

--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -46,7 +46,8 @@
 // Time for which an endpoint stays in load reports after its last use. A node sends several reports
 // in this time, so that each request is included in at least one that arrives.
 constexpr absl::Duration load_report_window = absl::Milliseconds(1500);
-// Endpoints that leave end within seconds to minutes.
+// How long the demands of an endpoint without a record are kept, which may only have lost its
+// record while it leaves.
 constexpr absl::Duration demand_retention = absl::Minutes(30);
 // Failing endpoints stay in use if they outnumber this fraction of the allowed ones: the cause is
 // then unlikely to be the endpoints alone, and the others can't take all requests.
@@ -132,8 +133,9 @@
 endpoint_pool::endpoint_demand& endpoint_pool::demand_of(const endpoint_choice& endpoint,
                                                          absl::Time now)
 {
-    absl::erase_if(m_demands, [now](const auto& entry) {
-        return now - entry.second.updated_at > demand_retention;
+    absl::erase_if(m_demands, [this, now](const auto& entry) {
+        return !m_endpoints.contains(entry.first) && now > entry.second.retry_at &&
+               now - entry.second.updated_at > demand_retention;
     });
     endpoint_demand& demand = m_demands[endpoint.id];
     if (demand.endpoint_address != endpoint.address ||
--- a/src/forward/request_observations.cpp
+++ b/src/forward/request_observations.cpp
@@ -17,8 +17,8 @@
 
 // An endpoint that has sent response data for this long doesn't crash on the prompt.
 constexpr absl::Duration min_sound_response_time = absl::Milliseconds(500);
-// Bounds the time for which an endpoint can take itself out of use.
-constexpr absl::Duration max_endpoint_retry_delay = absl::Minutes(10);
+// Limits delays that overflow a time.
+constexpr absl::Duration max_endpoint_retry_delay = absl::Hours(24 * 365);
 
 } // namespace
 
--- a/test/forward_endpoint_pool_test.cpp
+++ b/test/forward_endpoint_pool_test.cpp
@@ -134,6 +134,26 @@
     EXPECT_EQ(pool.retry_time(drafts, start + absl::Seconds(3)), std::nullopt);
 }
 
+// Guards against forgetting what endpoints asked for while it still holds.
+TEST(endpoint_pool, remembers_demands_for_as_long_as_they_hold)
+{
+    endpoint_pool pool = make_pool();
+    pool.update(make_record("e1"));
+    pool.on_retry_after(get_value(pool.choose(make_query(), 0.5, start)), start + absl::Hours(2),
+                        start);
+    pool.remove(endpoint_id("e1"));
+    absl::Time now = start;
+    for (const char* id : {"e2", "e3"}) {
+        pool.update(make_record(id));
+        pool.on_announced_leaving(get_value(pool.choose(make_query(), 0.5, now)), now);
+        now += absl::Hours(1);
+    }
+    pool.update(make_record("e1"));
+    pool.update(make_record("e2"));
+    EXPECT_EQ(chosen(pool, make_query(), start + absl::Hours(1)), "no_endpoint");
+    EXPECT_EQ(chosen(pool, make_query(), start + absl::Hours(2)), "e1");
+}
+
 // Guards against a longer refusal than needed while another endpoint accepts requests.
 TEST(endpoint_pool, has_no_retry_time_while_an_endpoint_wants_requests)
 {
