Let callers return in the order of their own priorities

When all endpoints of a service ask for a pause, callers are told to return in the order of priorities. A workspace's priority goes before its route's, and the forwarded request says so, but the order used the route's alone: callers of a less urgent workspace came back first and filled the endpoints.

Cause: the rule stood in format_request only, and retry_delay had a copy of half of it.

Ruled out: a wrong priority on the way to the endpoint.

Change: route_match::priority() holds the rule, and both use it.

Before: endpoint_faults_test. lets_more_urgent_workspaces_return_first_after_a_pause told a caller of priority 9 to return after 71 s where more than 102 s were expected (60 s asked for). After: it passes.

--- a/fakes/node_fixture.hpp
+++ b/fakes/node_fixture.hpp
@@ -60,7 +60,7 @@
         m_node.reset();
     }
 
-    void publish_config(int version)
+    void publish_config(int version, const char* tenants = R"([{"name":"w","api_keys":["key"]}])")
     {
         m_topics->put(
             forward::topic::configuration, "config",
@@ -70,7 +70,8 @@
                          R"("service":"s"},{"name":"stream","host":"h","path_prefix":"/stream/",)"
                          R"("kind":"streaming","timeout_ms":5000,"goal_ms":200,"attempts":1,)"
                          R"("service":"s"}],"services":[{"name":"s","max_conns":20}],)"
-                         R"("tenants":[{"name":"w","api_keys":["key"]}]})"));
+                         R"("tenants":)",
+                         tenants, "}"));
     }
 
     void publish_endpoint(const address& endpoint, const char* state = "ready",
--- a/include/chivedeal/forward/route_match.hpp
+++ b/include/chivedeal/forward/route_match.hpp
@@ -4,6 +4,9 @@
 #include "chivedeal/forward/route.hpp"
 #include "chivedeal/forward/workspace_spec.hpp"
 
+#include <algorithm>
+#include <optional>
+
 namespace chivedeal::forward {
 
 /// The route and the workspace of a request. Both pointers are valid as long as the `route_index`
@@ -13,6 +16,14 @@
     const route* matched = nullptr;
     /// Null on public routes and if the configuration has no workspaces.
     const workspace_spec* workspace = nullptr;
+
+    /// Returns the request's priority from 0, the highest, to 9. That of the workspace goes first.
+    int priority() const
+    {
+        constexpr int lowest_priority = 9;
+        const std::optional<int> own = workspace == nullptr ? std::nullopt : workspace->priority;
+        return std::clamp(own.value_or(matched->priority), 0, lowest_priority);
+    }
 };
 
 } // namespace chivedeal::forward
--- a/src/forward/request_format.cpp
+++ b/src/forward/request_format.cpp
@@ -13,9 +13,6 @@
 
 namespace {
 
-// Priority 0 is the highest.
-constexpr int lowest_priority = 9;
-
 // Fields that callers can't set. The Authorization field is removed because callers' keys must not
 // reach endpoints.
 std::vector<std::string> system_fields(const header_names& names)
@@ -48,12 +45,9 @@
     fields.push_back({names.expected_endpoint, active_exchange.attempt_choice->id.str()});
     const auto remaining_ms = absl::ToInt64Milliseconds(active_exchange.give_up_at - now);
     fields.push_back({names.deadline_ms, absl::StrCat(std::max<std::int64_t>(remaining_ms, 1))});
-    int priority = active_exchange.match.matched->priority;
-    if (active_exchange.match.workspace != nullptr) {
+    if (active_exchange.match.workspace != nullptr)
         fields.push_back({names.workspace, active_exchange.match.workspace->name.str()});
-        priority = active_exchange.match.workspace->priority.value_or(priority);
-    }
-    fields.push_back({names.priority, absl::StrCat(std::clamp(priority, 0, lowest_priority))});
+    fields.push_back({names.priority, absl::StrCat(active_exchange.match.priority())});
     append_fields(out, fields);
     if (!active_exchange.request.body.empty() || active_exchange.request.method == "POST" ||
         active_exchange.request.method == "PUT")
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -31,7 +31,7 @@
 // A resumable stream moves to another endpoint after this time without data.
 constexpr absl::Duration stream_idle_timeout = absl::Milliseconds(1500);
 // When all endpoints of a service ask for a pause, callers return after it in the order of their
-// routes' priorities, and spread over part of it, so that they don't fill the endpoints at once.
+// priorities, and spread over part of it, so that they don't fill the endpoints at once.
 constexpr double retry_spread_per_priority = 0.1;
 constexpr double retry_spread = 0.3;
 constexpr absl::Duration default_retry_after = absl::Milliseconds(400);
@@ -536,7 +536,7 @@
     const auto retry_at = m_pool.retry_time(current.query.service, now);
     if (!retry_at)
         return default_retry_after;
-    const double spread = retry_spread_per_priority * current.match.matched->priority +
+    const double spread = retry_spread_per_priority * current.match.priority() +
                           retry_spread * absl::Uniform(m_random, 0.0, 1.0);
     return std::max(default_retry_after, *retry_at - now) * (1 + spread);
 }
--- a/test/forward_endpoint_faults_test.cpp
+++ b/test/forward_endpoint_faults_test.cpp
@@ -24,9 +24,10 @@
 class endpoint_faults_test : public fakes::node_fixture
 {
 protected:
-    void start_with(int endpoint_count, const raw_endpoint::handler& respond)
+    void start_with(int endpoint_count, const raw_endpoint::handler& respond,
+                    const char* tenants = R"([{"name":"w","api_keys":["key"]}])")
     {
-        publish_config(1);
+        publish_config(1, tenants);
         for (int i = 0; i < endpoint_count; ++i) {
             m_endpoints.push_back(std::make_unique<raw_endpoint>(respond));
             publish_endpoint(m_endpoints.back()->listen_address(), "ready",
@@ -86,6 +87,25 @@
     EXPECT_EQ(request_count(), 1);
 }
 
+// Guards against callers of a less urgent workspace that return first and fill the endpoint.
+TEST_F(endpoint_faults_test, lets_more_urgent_workspaces_return_first_after_a_pause)
+{
+    start_with(
+        1,
+        [](const std::string& /*request*/) {
+            return raw_response{.bytes = "HTTP/1.1 503 Full\r\nChivedeal-Not-Run: 1\r\n"
+                                         "Retry-After: 60\r\nContent-Length: 0\r\n\r\n"};
+        },
+        R"([{"name":"urgent","api_keys":["key"],"priority":0},)"
+        R"({"name":"patient","api_keys":["slow-key"],"priority":9}])");
+    const auto urgent = post("/app/x", "key");
+    const auto patient = post("/app/x", "slow-key");
+    ASSERT_TRUE(urgent);
+    ASSERT_TRUE(patient);
+    EXPECT_LT(std::stod(urgent->get_header_value("Retry-After")), 60 * 1.4);
+    EXPECT_GT(std::stod(patient->get_header_value("Retry-After")), 60 * 1.7);
+}
+
 // Guards against passing on a stream as complete that its endpoint broke off: without a length or
 // chunks, both end with the connection.
 TEST_F(endpoint_faults_test, aborts_a_stream_that_ends_with_its_connection_inside_an_event)
