Limit requests with a suspect prompt part to trials

With many deadly prompts, callers lost nearly all engines within two seconds, each with all its requests, before the part was blocked.

Cause: there was nothing between sending all requests with a part and refusing all. A part that had crashed one endpoint and was never answered went on to the others while three crashes apart from each other were waited for.

Evidence: endpoint_faults_test. loses_few_endpoints_to_a_wave_of_prompts_that_crash_them, a single node without peers, lost 10 of 10 endpoints on the code before; 4 are allowed.

Ruled out: requests that were sent before the first crash explain the crashes of some 0.3 s only.

Change: after the first crash a part is suspect, and requests with it are refused at once, except for one now and then as a trial. Each node waits for another time before a trial. Crashes, trials and answers are told to all nodes at once, at most every 200 ms from each. A request with a suspect part is not sent again. stops_sending_prompts_that_crash_endpoints expected the first three requests to crash an endpoint each; it now allows refusals between them, and expects as before that three endpoints are lost, not more, and that sound prompts are served.

--- a/include/chivedeal/core/log_event.hpp
+++ b/include/chivedeal/core/log_event.hpp
@@ -79,6 +79,7 @@
     endpoint_report_missing = 5013,
     prompt_part_blocked = 5014,
     prompt_part_released = 5015,
+    prompt_trial_sent = 5016,
 
     operator_request_rejected = 6001,
 };
--- a/include/chivedeal/forward/forwarder.hpp
+++ b/include/chivedeal/forward/forwarder.hpp
@@ -78,6 +78,7 @@
     void process_events(absl::Time now);
     void handle_event(const node_event& event, absl::Time now);
     void handle_beacon(const node_event::peer_heard& heard, absl::Time now);
+    void publish_urgent_suspicions(absl::Time now);
     void run_periodic_tasks(absl::Time now);
     local_state make_local_state(absl::Time now) const;
     void report_local_state(const local_state& state, absl::Time now);
@@ -107,6 +108,8 @@
     bool m_endpoints_loaded = false;
     absl::Time m_next_periodic_run = absl::InfinitePast();
     absl::Time m_next_report = absl::InfinitePast();
+    bool m_has_urgent_suspicions = false;
+    absl::Time m_next_urgent_publication = absl::InfinitePast();
     absl::Time m_drain_started_at = absl::InfiniteFuture();
     bool m_drained = false;
 };
--- a/include/chivedeal/forward/part_suspicion.hpp
+++ b/include/chivedeal/forward/part_suspicion.hpp
@@ -22,6 +22,8 @@
     std::optional<absl::Duration> sound_age;
     /// Time since requests with the part have been refused, if they are.
     std::optional<absl::Duration> blocked_age;
+    /// Time since the node itself last sent a request with the part as a trial.
+    std::optional<absl::Duration> trial_age;
 
     friend bool operator==(const part_suspicion&, const part_suspicion&) = default;
 };
--- a/include/chivedeal/forward/peer_exchange.hpp
+++ b/include/chivedeal/forward/peer_exchange.hpp
@@ -52,9 +52,9 @@
     void run() override;
     void request_stop() override;
 
-    /// Sets the state that the next beacon reports. A change of `ready` or `leaving` is sent at
-    /// once. Thread-safe.
-    void publish(local_state state);
+    /// Sets the state that the next beacon reports. An urgent state and a change of `ready` or
+    /// `leaving` are sent to all peers at once. Thread-safe.
+    void publish(local_state state, bool urgent = false);
     void set_lease_token(std::optional<std::uint64_t> token);
     void relay(relayed_batch batch) override;
     /// Sends a notice of a long prompt: to all peers, or, if there are many, to those of the
--- a/include/chivedeal/forward/prompt_quarantine.hpp
+++ b/include/chivedeal/forward/prompt_quarantine.hpp
@@ -1,8 +1,10 @@
 #ifndef CHIVEDEAL_FORWARD_PROMPT_QUARANTINE_HPP
 #define CHIVEDEAL_FORWARD_PROMPT_QUARANTINE_HPP
 
+#include "chivedeal/core/id.hpp"
 #include "chivedeal/forward/part_suspicion.hpp"
 #include "chivedeal/forward/prompt_part.hpp"
+#include "chivedeal/forward/prompt_refusal.hpp"
 #include "chivedeal/forward/quarantine_change.hpp"
 
 #include "absl/container/flat_hash_map.h"
@@ -20,20 +22,32 @@
 
 /// Finds prompt parts that crash endpoints, and keeps requests with such a part from being sent.
 ///
-/// A part is blocked after several crashes of endpoints that had a request with it, if no endpoint
-/// has ever answered one. Nodes merge what they know, as each sees only a few of the crashes. The
-/// last part of a prompt belongs to one request and is never blocked.
+/// A part is suspect after an endpoint crashed that had a request with it, if no endpoint has ever
+/// answered one. Requests with a suspect part are refused, except for one now and then as a trial.
+/// After several crashes the part is blocked; after a response it is sound. Nodes merge what they
+/// know, as each sees only a few of the crashes. The last part of a prompt belongs to one request
+/// and is never suspect.
 class prompt_quarantine
 {
 public:
     struct options
     {
+        node_id self;
         /// Crashes after which a part is blocked.
         int min_crashes = 3;
         /// Crashes that are closer together count as one: endpoints that end together have a common
         /// cause. Covers the delay with which peers report crashes.
         absl::Duration crash_separation = absl::Milliseconds(800);
         absl::Duration crash_retention = absl::Minutes(2);
+        /// Time after a crash without a trial. A trial that follows sooner would count as the same
+        /// crash.
+        absl::Duration crash_delay = absl::Milliseconds(800);
+        /// Time after the begin of a trial without another one: a prompt is read and answered, or
+        /// the crash found, in less.
+        absl::Duration trial_time = absl::Milliseconds(1200);
+        /// Each node waits for a different part of this time in addition, so that usually only one
+        /// of them begins a trial.
+        absl::Duration trial_spread = absl::Seconds(1);
         absl::Duration block_duration = absl::Minutes(10);
         /// How long a response proves that a part is sound.
         absl::Duration soundness_retention = absl::Minutes(30);
@@ -46,7 +60,7 @@
     };
 
     prompt_quarantine() : prompt_quarantine(options{}) {}
-    explicit prompt_quarantine(options settings) : m_options(settings) {}
+    explicit prompt_quarantine(options settings) : m_options(std::move(settings)) {}
 
     /// An endpoint answered a request with these parts.
     void on_sound(const std::vector<prompt_part>& prefix, absl::Time now);
@@ -59,14 +73,22 @@
     /// Returns what the peers should know, the most suspicious parts first.
     std::vector<part_suspicion> suspicions(absl::Time now) const;
 
-    /// Returns for how long a request with these parts remains blocked; nothing if it isn't.
-    std::optional<absl::Duration> time_blocked(const std::vector<prompt_part>& prefix,
-                                               absl::Time now) const;
+    /// Returns why a request with these parts is refused; nothing if it may be sent.
+    std::optional<prompt_refusal> refusal(const std::vector<prompt_part>& prefix,
+                                          absl::Time now) const;
 
     /// Whether an endpoint crashed earlier while it had a request with one of these parts, and none
     /// has answered one.
     bool is_suspect(const std::vector<prompt_part>& prefix) const;
 
+    /// A request with these parts is about to be sent. Returns whether that is a trial of suspect
+    /// parts.
+    bool on_sending(const std::vector<prompt_part>& prefix, absl::Time now);
+
+    /// Whether this node saw a crash, a trial or the soundness of a suspect part since the last
+    /// call. Peers should learn of it at once.
+    bool take_urgent_news() { return std::exchange(m_has_urgent_news, false); }
+
     /// Returns the parts that were blocked or released since the last call.
     std::vector<quarantine_change> take_changes() { return std::exchange(m_changes, {}); }
 
@@ -77,8 +99,11 @@
         std::map<std::string, absl::Time> crashes;
         absl::Time sound_at = absl::InfinitePast();
         absl::Time blocked_at = absl::InfinitePast();
+        absl::Time own_trial_at = absl::InfinitePast();
+        absl::Time next_trial_at = absl::InfinitePast();
     };
 
+    void delay_trial(const std::string& id, suspect& part, absl::Time until) const;
     bool is_blocked(const suspect& part, absl::Time now) const;
     bool is_sound(const std::string& part, absl::Time now) const;
     void record_sound(const std::string& part, absl::Time at, absl::Time now);
@@ -92,6 +117,7 @@
     absl::flat_hash_map<std::string, suspect> m_suspects;
     absl::flat_hash_map<std::string, absl::Time> m_sound_at;
     std::vector<quarantine_change> m_changes;
+    bool m_has_urgent_news = false;
 };
 
 } // namespace chivedeal::forward
--- a/include/chivedeal/forward/request_format.hpp
+++ b/include/chivedeal/forward/request_format.hpp
@@ -7,6 +7,7 @@
 #include "absl/time/time.h"
 
 #include <string>
+#include <vector>
 
 namespace chivedeal::forward {
 
@@ -15,6 +16,10 @@
 std::string format_request(const exchange& active_exchange, const header_names& names,
                            absl::Time now);
 
+/// Returns the IDs of the prompt parts for the log, separated by commas. The last one belongs to
+/// one request and is left out.
+std::string shared_part_ids(const std::vector<prompt_part>& prefix);
+
 } // namespace chivedeal::forward
 
 #endif
--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -115,6 +115,7 @@
     void record_first_byte(exchange& current, absl::Time now);
     void record_later_bytes(exchange& current, std::size_t bytes, absl::Time now);
     void record_sound_prompt(exchange& current, absl::Time now);
+    void record_trial(const exchange& current, absl::Time now);
     void record_lost_request(const exchange& current, absl::Time now);
     void report_quarantine_changes();
     void count_usage(exchange& current, absl::Time now);
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -27,6 +27,8 @@
 constexpr std::uint64_t first_listener_id = 16;
 constexpr absl::Duration periodic_task_interval = absl::Milliseconds(100);
 constexpr absl::Duration report_interval = absl::Milliseconds(500);
+// An urgent publication is a datagram to each node.
+constexpr absl::Duration min_urgent_publication_interval = absl::Milliseconds(200);
 // Callers in a region with fewer ready nodes get the addresses of all nodes.
 constexpr std::size_t min_regional_nodes = 2;
 // Some callers cache the directory response for three times its TTL.
@@ -102,6 +104,7 @@
         next_timer = m_runner.tick(now);
         for (const prompt_notice& notice : m_pool.take_notices())
             m_peers.send_prompt_notice(notice);
+        publish_urgent_suspicions(now);
         if (now >= m_next_periodic_run)
             run_periodic_tasks(now);
         m_callers.sweep();
@@ -221,6 +224,18 @@
     m_runner.set_node_count(m_address_book.ready_count() + 1);
 }
 
+// During the usual interval of beacons, requests with a suspect prompt part would crash further
+// endpoints.
+void forwarder::publish_urgent_suspicions(absl::Time now)
+{
+    m_has_urgent_suspicions |= m_runner.quarantine().take_urgent_news();
+    if (!m_has_urgent_suspicions || now < m_next_urgent_publication)
+        return;
+    m_has_urgent_suspicions = false;
+    m_next_urgent_publication = now + min_urgent_publication_interval;
+    m_peers.publish(make_local_state(now), true);
+}
+
 void forwarder::run_periodic_tasks(absl::Time now)
 {
     m_next_periodic_run = now + periodic_task_interval;
--- a/src/forward/peer_codec.cpp
+++ b/src/forward/peer_codec.cpp
@@ -46,7 +46,8 @@
         for (const auto& [incarnation, age] : suspicion.crashes)
             crashes[incarnation] = absl::ToInt64Milliseconds(age);
         suspicions.push_back({suspicion.part, suspicion.depth, std::move(crashes),
-                              encode_age(suspicion.sound_age), encode_age(suspicion.blocked_age)});
+                              encode_age(suspicion.sound_age), encode_age(suspicion.blocked_age),
+                              encode_age(suspicion.trial_age)});
     }
     return suspicions;
 }
@@ -62,6 +63,9 @@
                              .depth = fields.at(1).get<int>(),
                              .sound_age = decode_age(fields.at(3)),
                              .blocked_age = decode_age(fields.at(4))};
+    // Nodes of the previous version know no trials.
+    if (fields.size() > 5)
+        suspicion.trial_age = decode_age(fields.at(5));
     for (const auto& [incarnation, age] : fields.at(2).items())
         suspicion.crashes[incarnation] = absl::Milliseconds(age.get<std::int64_t>());
     return suspicion;
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -61,12 +61,13 @@
         m_table.add_candidate(seed);
 }
 
-void peer_exchange::publish(local_state state)
+void peer_exchange::publish(local_state state, bool urgent)
 {
     const auto previous = m_local_state.load();
-    const bool urgent = previous->ready != state.ready || previous->leaving != state.leaving;
+    const bool availability_changed =
+        previous->ready != state.ready || previous->leaving != state.leaving;
     m_local_state.store(std::make_shared<const local_state>(std::move(state)));
-    if (urgent) {
+    if (urgent || availability_changed) {
         m_urgent = true;
         m_wake.raise();
     }
--- a/src/forward/prompt_quarantine.cpp
+++ b/src/forward/prompt_quarantine.cpp
@@ -1,6 +1,11 @@
 #include "chivedeal/forward/prompt_quarantine.hpp"
 
+#include "absl/strings/str_cat.h"
+
+#include <xxhash.h>
+
 #include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <tuple>
 
@@ -11,6 +16,12 @@
 // Names of parts come from callers. Longer ones would make beacons exceed a datagram.
 constexpr std::size_t max_part_name_bytes = 64;
 
+double hash_to_unit_interval(const std::string& text)
+{
+    const std::uint64_t hash = XXH3_64bits(text.data(), text.size());
+    return static_cast<double>(hash >> 11) / static_cast<double>(1ULL << 53);
+}
+
 } // namespace
 
 bool prompt_quarantine::is_blocked(const suspect& part, absl::Time now) const
@@ -26,6 +37,7 @@
 
 void prompt_quarantine::on_sound(const std::vector<prompt_part>& prefix, absl::Time now)
 {
+    m_has_urgent_news = m_has_urgent_news || is_suspect(prefix);
     for (std::size_t depth = 0; depth + 1 < prefix.size(); ++depth)
         record_sound(prefix[depth].id, now, now);
 }
@@ -56,13 +68,40 @@
     for (std::size_t depth = 0; depth + 1 < prefix.size(); ++depth) {
         if (is_sound(prefix[depth].id, now) || prefix[depth].id.size() > max_part_name_bytes)
             continue;
-        suspect& part = m_suspects[prefix[depth].id];
+        const std::string& id = prefix[depth].id;
+        suspect& part = m_suspects[id];
         part.depth = static_cast<int>(depth);
-        part.crashes.try_emplace(incarnation, now);
+        if (!part.crashes.try_emplace(incarnation, now).second)
+            continue;
+        delay_trial(id, part, now + m_options.crash_delay);
+        m_has_urgent_news = true;
     }
     update_blocks(now);
 }
 
+// The wait depends on the node and on the crashes, so that another node is first each time.
+void prompt_quarantine::delay_trial(const std::string& id, suspect& part, absl::Time until) const
+{
+    const double share = hash_to_unit_interval(
+        absl::StrCat(m_options.self.str(), "\n", id, "\n", part.crashes.size()));
+    part.next_trial_at = std::max(part.next_trial_at, until + share * m_options.trial_spread);
+}
+
+bool prompt_quarantine::on_sending(const std::vector<prompt_part>& prefix, absl::Time now)
+{
+    if (!is_suspect(prefix))
+        return false;
+    for (std::size_t depth = 0; depth + 1 < prefix.size(); ++depth) {
+        const auto found = m_suspects.find(prefix[depth].id);
+        if (found == m_suspects.end() || found->second.crashes.empty())
+            continue;
+        found->second.own_trial_at = now;
+        delay_trial(found->first, found->second, now + m_options.trial_time);
+    }
+    m_has_urgent_news = true;
+    return true;
+}
+
 void prompt_quarantine::on_peer_suspicions(const std::vector<part_suspicion>& suspicions,
                                            absl::Time now)
 {
@@ -77,7 +116,10 @@
         if (is_sound(reported.part, now))
             continue;
         for (const auto& [incarnation, age] : reported.crashes)
-            part.crashes.try_emplace(incarnation, now - age);
+            if (part.crashes.try_emplace(incarnation, now - age).second)
+                delay_trial(reported.part, part, now - age + m_options.crash_delay);
+        if (reported.trial_age)
+            delay_trial(reported.part, part, now - *reported.trial_age + m_options.trial_time);
         if (reported.blocked_age && !is_blocked(part, now)) {
             part.blocked_at = now - *reported.blocked_age;
             if (is_blocked(part, now))
@@ -161,6 +203,8 @@
         reported.sound_age = now - part.sound_at;
     if (is_blocked(part, now))
         reported.blocked_age = now - part.blocked_at;
+    if (part.own_trial_at != absl::InfinitePast())
+        reported.trial_age = now - part.own_trial_at;
     return reported;
 }
 
@@ -184,17 +228,29 @@
     return reported;
 }
 
-std::optional<absl::Duration>
-prompt_quarantine::time_blocked(const std::vector<prompt_part>& prefix, absl::Time now) const
+std::optional<prompt_refusal> prompt_quarantine::refusal(const std::vector<prompt_part>& prefix,
+                                                         absl::Time now) const
 {
     if (m_suspects.empty())
         return std::nullopt;
+    absl::Time until = absl::InfinitePast();
+    bool blocked = false;
     for (std::size_t depth = 0; depth + 1 < prefix.size(); ++depth) {
         const auto found = m_suspects.find(prefix[depth].id);
-        if (found != m_suspects.end() && is_blocked(found->second, now))
-            return found->second.blocked_at + m_options.block_duration - now;
+        if (found == m_suspects.end())
+            continue;
+        const suspect& part = found->second;
+        if (is_blocked(part, now)) {
+            blocked = true;
+            until = std::max(until, part.blocked_at + m_options.block_duration);
+        }
+        else if (!part.crashes.empty()) {
+            until = std::max(until, part.next_trial_at);
+        }
     }
-    return std::nullopt;
+    if (until <= now)
+        return std::nullopt;
+    return prompt_refusal{.blocked = blocked, .retry_after = until - now};
 }
 
 bool prompt_quarantine::is_suspect(const std::vector<prompt_part>& prefix) const
--- a/src/forward/request_format.cpp
+++ b/src/forward/request_format.cpp
@@ -57,4 +57,12 @@
     return out;
 }
 
+std::string shared_part_ids(const std::vector<prompt_part>& prefix)
+{
+    std::string ids;
+    for (std::size_t i = 0; i + 1 < prefix.size(); ++i)
+        absl::StrAppend(&ids, i == 0 ? "" : ",", prefix[i].id);
+    return ids;
+}
+
 } // namespace chivedeal::forward
--- a/src/forward/request_observations.cpp
+++ b/src/forward/request_observations.cpp
@@ -3,6 +3,7 @@
 #include "chivedeal/core/metrics.hpp"
 #include "chivedeal/forward/endpoint_side.hpp"
 #include "chivedeal/forward/http_fields.hpp"
+#include "chivedeal/forward/request_format.hpp"
 #include "chivedeal/forward/request_runner.hpp"
 
 #include "absl/strings/numbers.h"
@@ -80,6 +81,15 @@
         m_quarantine.on_sound(current.head.prefix, now);
 }
 
+void request_runner::record_trial(const exchange& current, absl::Time now)
+{
+    if (!m_quarantine.on_sending(current.head.prefix, now))
+        return;
+    m_counters.add("chivedeal_prompt_trials_total", 1);
+    log_event(event_id::prompt_trial_sent, {{"request", current.head.id.str()},
+                                            {"parts", shared_part_ids(current.head.prefix)}});
+}
+
 void request_runner::record_lost_request(const exchange& current, absl::Time now)
 {
     if (current.prompt_is_sound || current.head.prefix.size() < 2)
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -65,15 +65,6 @@
     return absl::StrFormat("%.1f", absl::ToDoubleMilliseconds(value));
 }
 
-// The last part belongs to one request and is left out.
-std::string shared_part_ids(const std::vector<prompt_part>& prefix)
-{
-    std::string ids;
-    for (std::size_t i = 0; i + 1 < prefix.size(); ++i)
-        absl::StrAppend(&ids, i == 0 ? "" : ",", prefix[i].id);
-    return ids;
-}
-
 double hash_to_unit_interval(const std::string& text)
 {
     return static_cast<double>(absl::HashOf(text) >> 11) / static_cast<double>(1ULL << 53);
@@ -121,7 +112,8 @@
       m_endpoints(dependencies.endpoints),
       m_pool(dependencies.pool),
       m_counters(dependencies.counters),
-      m_usage(dependencies.settings.usage_window)
+      m_usage(dependencies.settings.usage_window),
+      m_quarantine({.self = dependencies.settings.node})
 {}
 
 request_runner::~request_runner() = default;
@@ -192,10 +184,14 @@
     m_exchange_by_connection[connection] = current.id;
     m_exchanges.emplace(current.id, std::move(new_exchange));
     schedule(current);
-    if (const auto blocked = m_quarantine.time_blocked(current.head.prefix, now))
-        return refuse(current, 503, "a part of the prompt crashes endpoints", *blocked, now);
+    if (const auto refusal = m_quarantine.refusal(current.head.prefix, now))
+        return refuse(current, 503,
+                      refusal->blocked ? "a part of the prompt crashes endpoints"
+                                       : "a part of the prompt may crash endpoints",
+                      refusal->retry_after, now);
     if (!admit(current, now))
         return;
+    record_trial(current, now);
     retry_budget_for(current.query.service).on_first_attempt(now);
     m_requested_prompt_tokens[current.query.service] += current.head.prompt_tokens;
     try_endpoint(current, now);
@@ -495,9 +491,8 @@
 {
     const endpoint_choice failed = *current.attempt_choice;
     const bool is_retry = current.rule.is_retry();
-    const bool may_crash_endpoints =
-        outcome == attempt_outcome::broken && m_quarantine.is_suspect(current.head.prefix);
-    const bool retries = current.rule.may_retry() && !may_crash_endpoints &&
+    const bool retries = current.rule.may_retry() &&
+                         !m_quarantine.is_suspect(current.head.prefix) &&
                          current.give_up_at - now >= min_attempt_time &&
                          (!is_retry || retry_budget_for(current.query.service).try_spend(now));
     if (retries) {
