Round Retry-After up to milliseconds

Callers that were told to return after 2.04 s were sent "2.0", came back before the end of the pause and used up their only retry on another refusal.

Cause: delays were printed with one decimal.

Ruled out: callers that can't read more decimals; the field may have fractions.

Change: one function formats the field for both kinds of refusal, rounded up to milliseconds.

--- a/include/chivedeal/forward/request_format.hpp
+++ b/include/chivedeal/forward/request_format.hpp
@@ -16,6 +16,10 @@
 std::string format_request(const exchange& active_exchange, const header_names& names,
                            absl::Time now);
 
+/// Formats a delay in seconds, rounded up to milliseconds: a caller that returns before the end of
+/// the delay is refused again.
+std::string format_retry_after(absl::Duration delay);
+
 /// Returns the IDs of the prompt parts for the log, separated by commas. The last one belongs to
 /// one request and is left out.
 std::string shared_part_ids(const std::vector<prompt_part>& prefix);
--- a/src/forward/request_format.cpp
+++ b/src/forward/request_format.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -57,6 +58,11 @@
     return out;
 }
 
+std::string format_retry_after(absl::Duration delay)
+{
+    return absl::StrFormat("%.3f", absl::ToDoubleSeconds(absl::Ceil(delay, absl::Milliseconds(1))));
+}
+
 std::string shared_part_ids(const std::vector<prompt_part>& prefix)
 {
     std::string ids;
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -580,8 +580,7 @@
 {
     std::vector<http_field> fields{{m_names.request_id, current.head.id.str()}};
     if (retry_after > absl::ZeroDuration())
-        fields.push_back(
-            {"Retry-After", absl::StrFormat("%.1f", absl::ToDoubleSeconds(retry_after))});
+        fields.push_back({"Retry-After", format_retry_after(retry_after)});
     if (current.quota_cost > 0 && !current.rule.may_have_run() &&
         current.match.workspace != nullptr)
         m_quota.give_back(current.match.workspace->name, current.quota_cost);
@@ -597,8 +596,7 @@
     if (!request_id.empty())
         fields.push_back({m_names.request_id, request_id});
     if (retry_after > absl::ZeroDuration())
-        fields.push_back(
-            {"Retry-After", absl::StrFormat("%.1f", absl::ToDoubleSeconds(retry_after))});
+        fields.push_back({"Retry-After", format_retry_after(retry_after)});
     m_counters.add("chivedeal_requests_refused_total", 1);
     log_event(event_id::request_refused,
               {{"request", request_id}, {"status", absl::StrCat(status)}, {"reason", reason}});
