Don't let peers make each other's reports of sound parts more recent

A prompt part that an endpoint once answered counted as sound for as long as nodes reported it to each other, instead of half an hour, and stayed in their beacons. Had it begun to crash endpoints later, it would never have been found.

Cause: a report carries an age. Each node adds the time that the report took, takes the result as the time of the response, and reports that in turn.

Ruled out: crashes, whose first known time is kept, blocks, which are taken over only once, and trials, which only the node reports that made them.

Change: a report counts only if it is more recent than what is known by more than reports take.

--- a/src/forward/prompt_quarantine.cpp
+++ b/src/forward/prompt_quarantine.cpp
@@ -16,6 +16,10 @@
 // Names of parts come from callers. Longer ones would make beacons exceed a datagram.
 constexpr std::size_t max_part_name_bytes = 64;
 
+// Reports of the same response differ by the time for which they were under way. Without this
+// tolerance, nodes that report to each other would make it ever more recent.
+constexpr absl::Duration max_report_delay = absl::Seconds(5);
+
 double hash_to_unit_interval(const std::string& text)
 {
     const std::uint64_t hash = XXH3_64bits(text.data(), text.size());
@@ -108,10 +112,11 @@
     for (const part_suspicion& reported : suspicions) {
         suspect& part = m_suspects[reported.part];
         part.depth = reported.depth;
-        const auto known_sound = m_sound_at.find(reported.part);
-        if (known_sound != m_sound_at.end())
-            part.sound_at = std::max(part.sound_at, known_sound->second);
-        if (reported.sound_age)
+        const auto known = m_sound_at.find(reported.part);
+        const absl::Time known_sound_at =
+            known == m_sound_at.end() ? absl::InfinitePast() : known->second;
+        part.sound_at = std::max(part.sound_at, known_sound_at);
+        if (reported.sound_age && now - *reported.sound_age > known_sound_at + max_report_delay)
             record_sound(reported.part, now - *reported.sound_age, now);
         if (is_sound(reported.part, now))
             continue;
--- a/test/forward_prompt_quarantine_test.cpp
+++ b/test/forward_prompt_quarantine_test.cpp
@@ -103,6 +103,22 @@
     EXPECT_FALSE(is_blocked(a, deadly_prompt));
 }
 
+// Guards against a part that counts as sound for ever because its nodes repeat each other's reports.
+TEST(prompt_quarantine, forgets_a_response_although_peers_report_it)
+{
+    prompt_quarantine a;
+    prompt_quarantine b;
+    a.on_crash("e1", deadly_prompt, at(0));
+    b.on_peer_suspicions(a.suspicions(at(0)), at(0));
+    a.on_sound(deadly_prompt, at(1));
+    for (int i = 2; i < 300; ++i) {
+        const absl::Duration delay = absl::Milliseconds(500);
+        b.on_peer_suspicions(a.suspicions(at(i) - delay), at(i));
+        a.on_peer_suspicions(b.suspicions(at(i) - delay), at(i));
+    }
+    EXPECT_TRUE(a.suspicions(at(300)).empty());
+}
+
 // Guards against a block that outlives its reason.
 TEST(prompt_quarantine, releases_a_part_that_an_endpoint_answers_later)
 {
