Share the hash that maps texts to the unit interval

request_runner and prompt_quarantine each had one, with different hashes. The one of request_runner depended on the process, so that a request's sample, from which its service and version follow, differed between nodes.

Ruled out: a third use; endpoint_pool compares whole hashes.

Change: one function, on XXH3, which is the same on all machines.

--- a/src/forward/prompt_quarantine.cpp
+++ b/src/forward/prompt_quarantine.cpp
@@ -1,11 +1,10 @@
 #include "chivedeal/forward/prompt_quarantine.hpp"
 
-#include "absl/strings/str_cat.h"
+#include "chivedeal/forward/unit_interval_hash.hpp"
 
-#include <xxhash.h>
+#include "absl/strings/str_cat.h"
 
 #include <algorithm>
-#include <cstdint>
 #include <functional>
 #include <tuple>
 
@@ -20,12 +19,6 @@
 // tolerance, nodes that report to each other would make it ever more recent.
 constexpr absl::Duration max_report_delay = absl::Seconds(5);
 
-double hash_to_unit_interval(const std::string& text)
-{
-    const std::uint64_t hash = XXH3_64bits(text.data(), text.size());
-    return static_cast<double>(hash >> 11) / static_cast<double>(1ULL << 53);
-}
-
 } // namespace
 
 bool prompt_quarantine::is_blocked(const suspect& part, absl::Time now) const
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -7,6 +7,7 @@
 #include "chivedeal/forward/head_parser.hpp"
 #include "chivedeal/forward/http_fields.hpp"
 #include "chivedeal/forward/request_format.hpp"
+#include "chivedeal/forward/unit_interval_hash.hpp"
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
@@ -65,11 +66,6 @@
     return absl::StrFormat("%.1f", absl::ToDoubleMilliseconds(value));
 }
 
-double hash_to_unit_interval(const std::string& text)
-{
-    return static_cast<double>(absl::HashOf(text) >> 11) / static_cast<double>(1ULL << 53);
-}
-
 // Whether a stream ended inside an event, or before its first event if only the end of the
 // connection ended it.
 bool is_stream_cut_off(const exchange& current)
