Disturb the links between nodes and endpoints in the fault soak

The soak killed, froze and stopped processes, but every connection between a node and an endpoint was sound until one of them ended.

Change: each endpoint is reached through a proxy that delays, resets or silences its connections, or loses what the endpoint sends. The faults of links have a generator of their own, so that a seed means the same as before for the others. An endpoint that crashes takes its proxy with it, as nodes tell a crash by refused connections.

Ruled out: the relay of the scenarios, which has a thread for each connection and can only cut.

--- a/test/platform_soak/soak_endpoint.cpp
+++ b/test/platform_soak/soak_endpoint.cpp
@@ -40,6 +40,7 @@
       m_service(std::move(service)),
       m_ledger(promises),
       m_address(fakes::free_address()),
+      m_proxy(m_address),
       m_started_at_unix_ms(absl::ToUnixMillis(absl::Now()))
 {
     const auto listener = forward::listen_tcp(m_address);
@@ -47,6 +48,8 @@
         m_listener = get_value(listener);
     else
         m_ledger.fail(get_error(listener).message);
+    if (!m_proxy.is_listening())
+        m_ledger.fail("the proxy of an endpoint can't listen");
     m_thread = std::make_unique<posix_thread>("endpoint", [this] { run(); });
 }
 
@@ -59,10 +62,10 @@
 
 std::string soak_endpoint::record() const
 {
-    return absl::StrCat(R"({"service":")", m_service, R"(","addr":")", to_string(m_address),
-                        R"(","zone":"z1","version":"v1","slots":64,"state":")",
-                        m_leaving ? "draining" : "ready", R"(","born":)", m_started_at_unix_ms,
-                        "}");
+    return absl::StrCat(
+        R"({"service":")", m_service, R"(","addr":")", to_string(m_proxy.listen_address()),
+        R"(","zone":"z1","version":"v1","slots":64,"state":")", m_leaving ? "draining" : "ready",
+        R"(","born":)", m_started_at_unix_ms, "}");
 }
 
 void soak_endpoint::run()
@@ -71,6 +74,7 @@
         if (m_crash_requested && !m_crashed) {
             m_crashed = true;
             m_ledger.on_crash(absl::Now());
+            m_proxy.shut_down();
             close_all();
         }
         std::vector<pollfd> waiting;
--- a/test/platform_soak/soak_endpoint.hpp
+++ b/test/platform_soak/soak_endpoint.hpp
@@ -4,6 +4,7 @@
 #include "chivedeal/core/address.hpp"
 #include "chivedeal/core/posix_thread.hpp"
 #include "test/platform_soak/ledger.hpp"
+#include "test/platform_soak/soak_proxy.hpp"
 
 #include "absl/time/clock.h"
 #include "absl/time/time.h"
@@ -42,6 +43,8 @@
     bool crashed() const { return m_crashed; }
     /// Ends it like a crash.
     void crash() { m_crash_requested = true; }
+    /// The proxy through which nodes reach it.
+    soak_proxy& proxy() { return m_proxy; }
 
 private:
     struct connection
@@ -61,6 +64,7 @@
     std::string m_service;
     ledger& m_ledger;
     address m_address;
+    soak_proxy m_proxy;
     std::int64_t m_started_at_unix_ms;
     int m_listener = -1;
     std::atomic<bool> m_stopping = false;
--- a/test/platform_soak/soak_run.cpp
+++ b/test/platform_soak/soak_run.cpp
@@ -24,7 +24,10 @@
 } // namespace
 
 soak_run::soak_run(options settings)
-    : m_options(std::move(settings)), m_random(m_options.seed), m_store(m_options.nodes)
+    : m_options(std::move(settings)),
+      m_random(m_options.seed),
+      m_link_random(m_options.seed + 1),
+      m_store(m_options.nodes)
 {}
 
 std::vector<std::string> soak_run::run()
@@ -34,6 +37,7 @@
     // What was begun, such as restarts, is completed while the system settles.
     m_deadly_share = 0;
     m_store.set_mode(soak_store::mode::up);
+    restore_links();
     run_until(absl::Now() + settle_time, false);
     m_ledger.begin_calm();
     run_until(absl::Now() + calm_time, false);
@@ -96,6 +100,8 @@
                 inject_fault(now);
             next_fault = now + random_duration(200, 1500);
         }
+        if (with_faults && now >= m_next_link_fault)
+            disturb_links(now);
         absl::SleepFor(step);
     }
 }
@@ -304,6 +310,34 @@
     after(random_duration(300, 4000), [this] { m_store.set_mode(soak_store::mode::up); });
 }
 
+void soak_run::disturb_links(absl::Time now)
+{
+    m_next_link_fault = now + absl::Milliseconds(500 + m_link_random() % 2500);
+    if (m_endpoints.empty())
+        return;
+    soak_proxy& proxy = m_endpoints[m_link_random() % m_endpoints.size()]->proxy();
+    switch (m_link_random() % 4) {
+    case 0:
+        return proxy.set_delay(absl::Milliseconds(m_link_random() % 400));
+    case 1:
+        return proxy.reset_connections();
+    case 2:
+        proxy.set_mode(soak_proxy::mode::silent);
+        break;
+    default:
+        proxy.set_mode(soak_proxy::mode::one_way);
+    }
+    after(absl::Milliseconds(300 + m_link_random() % 4000), [this] { restore_links(); });
+}
+
+void soak_run::restore_links()
+{
+    for (const auto& endpoint : m_endpoints) {
+        endpoint->proxy().set_mode(soak_proxy::mode::forwarding);
+        endpoint->proxy().set_delay(absl::ZeroDuration());
+    }
+}
+
 void soak_run::send_deadly_prompts(absl::Time /*now*/)
 {
     m_deadly_share = 0.1;
--- a/test/platform_soak/soak_run.hpp
+++ b/test/platform_soak/soak_run.hpp
@@ -54,6 +54,8 @@
     void disturb_node(absl::Time now);
     void disturb_endpoint(absl::Time now);
     void disturb_store(absl::Time now);
+    void disturb_links(absl::Time now);
+    void restore_links();
     void send_deadly_prompts(absl::Time now);
     void kill_all_nodes(absl::Time now);
     void kill_node(soak_node& node, absl::Time now);
@@ -68,6 +70,8 @@
 
     options m_options;
     std::mt19937 m_random;
+    // Apart from the other faults, so that a seed still means the same for those.
+    std::mt19937 m_link_random;
     ledger m_ledger;
     soak_store m_store;
     std::vector<std::unique_ptr<soak_node>> m_nodes;
@@ -78,6 +82,7 @@
     std::map<soak_node*, bool> m_restarting;
     std::map<soak_node*, bool> m_frozen;
     std::atomic<double> m_deadly_share = 0;
+    absl::Time m_next_link_fault = absl::InfinitePast();
     absl::Time m_next_heartbeat = absl::InfinitePast();
     int m_next_endpoint = 1;
     int m_config_version = 0;
