Name the times of trials by what they measure

"Crash delay" and "trial spread" said neither from what nor to what the times run, and "urgent news" was a private word.

Change: trial_delay, trial_duration and trial_jitter, with comments that say where each begins and ends; take_urgent_update. Names and comments only.

Ruled out: a change of any value or decision; the compiled code differs in nothing else. The unit tests of the quarantine pass after the change.

--- a/include/chivedeal/forward/prompt_quarantine.hpp
+++ b/include/chivedeal/forward/prompt_quarantine.hpp
@@ -39,15 +39,14 @@
         /// cause. Covers the delay with which peers report crashes.
         absl::Duration crash_separation = absl::Milliseconds(800);
         absl::Duration crash_retention = absl::Minutes(2);
-        /// Time after a crash without a trial. A trial that follows sooner would count as the same
+        /// Time from a crash to the next trial. A trial that crashes an endpoint sooner would not
+        /// count.
+        absl::Duration trial_delay = absl::Milliseconds(800);
+        /// Time from the start of a trial to the next one. Covers a response or the detection of a
         /// crash.
-        absl::Duration crash_delay = absl::Milliseconds(800);
-        /// Time after the begin of a trial without another one: a prompt is read and answered, or
-        /// the crash found, in less.
-        absl::Duration trial_time = absl::Milliseconds(1200);
-        /// Each node waits for a different part of this time in addition, so that usually only one
-        /// of them begins a trial.
-        absl::Duration trial_spread = absl::Seconds(1);
+        absl::Duration trial_duration = absl::Milliseconds(1200);
+        /// Each node adds another fraction of this time, so that usually only one starts a trial.
+        absl::Duration trial_jitter = absl::Seconds(1);
         absl::Duration block_duration = absl::Minutes(10);
         /// How long a response proves that a part is sound.
         absl::Duration soundness_retention = absl::Minutes(30);
@@ -85,9 +84,9 @@
     /// parts.
     bool on_sending(const std::vector<prompt_part>& prefix, absl::Time now);
 
-    /// Whether this node saw a crash, a trial or the soundness of a suspect part since the last
-    /// call. Peers should learn of it at once.
-    bool take_urgent_news() { return std::exchange(m_has_urgent_news, false); }
+    /// Whether peers should learn at once of a crash, a trial or a response that this node saw since
+    /// the last call.
+    bool take_urgent_update() { return std::exchange(m_has_urgent_update, false); }
 
     /// Returns the parts that were blocked or released since the last call.
     std::vector<quarantine_change> take_changes() { return std::exchange(m_changes, {}); }
@@ -103,7 +102,7 @@
         absl::Time next_trial_at = absl::InfinitePast();
     };
 
-    void delay_trial(const std::string& id, suspect& part, absl::Time until) const;
+    void postpone_trial(const std::string& id, suspect& part, absl::Time until) const;
     bool is_blocked(const suspect& part, absl::Time now) const;
     bool is_sound(const std::string& part, absl::Time now) const;
     void record_sound(const std::string& part, absl::Time at, absl::Time now);
@@ -117,7 +116,7 @@
     absl::flat_hash_map<std::string, suspect> m_suspects;
     absl::flat_hash_map<std::string, absl::Time> m_sound_at;
     std::vector<quarantine_change> m_changes;
-    bool m_has_urgent_news = false;
+    bool m_has_urgent_update = false;
 };
 
 } // namespace chivedeal::forward
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -228,7 +228,7 @@
 // endpoints.
 void forwarder::publish_urgent_suspicions(absl::Time now)
 {
-    m_has_urgent_suspicions |= m_runner.quarantine().take_urgent_news();
+    m_has_urgent_suspicions |= m_runner.quarantine().take_urgent_update();
     if (!m_has_urgent_suspicions || now < m_next_urgent_publication)
         return;
     m_has_urgent_suspicions = false;
--- a/src/forward/prompt_quarantine.cpp
+++ b/src/forward/prompt_quarantine.cpp
@@ -34,7 +34,7 @@
 
 void prompt_quarantine::on_sound(const std::vector<prompt_part>& prefix, absl::Time now)
 {
-    m_has_urgent_news = m_has_urgent_news || is_suspect(prefix);
+    m_has_urgent_update = m_has_urgent_update || is_suspect(prefix);
     for (std::size_t depth = 0; depth + 1 < prefix.size(); ++depth)
         record_sound(prefix[depth].id, now, now);
 }
@@ -70,18 +70,19 @@
         part.depth = static_cast<int>(depth);
         if (!part.crashes.try_emplace(incarnation, now).second)
             continue;
-        delay_trial(id, part, now + m_options.crash_delay);
-        m_has_urgent_news = true;
+        postpone_trial(id, part, now + m_options.trial_delay);
+        m_has_urgent_update = true;
     }
     update_blocks(now);
 }
 
-// The wait depends on the node and on the crashes, so that another node is first each time.
-void prompt_quarantine::delay_trial(const std::string& id, suspect& part, absl::Time until) const
+// The jitter depends on the node and on the number of crashes, so that another node is first each
+// time.
+void prompt_quarantine::postpone_trial(const std::string& id, suspect& part, absl::Time until) const
 {
-    const double share = hash_to_unit_interval(
+    const double fraction = hash_to_unit_interval(
         absl::StrCat(m_options.self.str(), "\n", id, "\n", part.crashes.size()));
-    part.next_trial_at = std::max(part.next_trial_at, until + share * m_options.trial_spread);
+    part.next_trial_at = std::max(part.next_trial_at, until + fraction * m_options.trial_jitter);
 }
 
 bool prompt_quarantine::on_sending(const std::vector<prompt_part>& prefix, absl::Time now)
@@ -93,9 +94,9 @@
         if (found == m_suspects.end() || found->second.crashes.empty())
             continue;
         found->second.own_trial_at = now;
-        delay_trial(found->first, found->second, now + m_options.trial_time);
+        postpone_trial(found->first, found->second, now + m_options.trial_duration);
     }
-    m_has_urgent_news = true;
+    m_has_urgent_update = true;
     return true;
 }
 
@@ -115,9 +116,10 @@
             continue;
         for (const auto& [incarnation, age] : reported.crashes)
             if (part.crashes.try_emplace(incarnation, now - age).second)
-                delay_trial(reported.part, part, now - age + m_options.crash_delay);
+                postpone_trial(reported.part, part, now - age + m_options.trial_delay);
         if (reported.trial_age)
-            delay_trial(reported.part, part, now - *reported.trial_age + m_options.trial_time);
+            postpone_trial(reported.part, part,
+                           now - *reported.trial_age + m_options.trial_duration);
         if (reported.blocked_age && !is_blocked(part, now)) {
             part.blocked_at = now - *reported.blocked_age;
             if (is_blocked(part, now))
--- a/test/forward_prompt_quarantine_test.cpp
+++ b/test/forward_prompt_quarantine_test.cpp
@@ -159,7 +159,7 @@
     b.on_peer_suspicions(a.suspicions(at(0)), at(0));
     EXPECT_TRUE(b.refusal(deadly_prompt, at(0)));
     a.on_sound(deadly_prompt, at(0));
-    EXPECT_TRUE(a.take_urgent_news());
+    EXPECT_TRUE(a.take_urgent_update());
     EXPECT_FALSE(a.refusal(deadly_prompt, at(0)));
     b.on_peer_suspicions(a.suspicions(at(0)), at(0));
     EXPECT_FALSE(b.refusal(deadly_prompt, at(0)));
