Send no order that the limit of a zone turns into a release

Cause: the cloud limits both kinds of endpoints in a zone together, and cuts an order for one kind down to what the other leaves. Beside 9 endpoints of the new version an order for 10 instead of 9 became one for 3.

Change: fleet_planner sends no order that is for at least as many as serve but would be cut down to fewer.

--- a/include/chivedeal/forward/fleet_planner.hpp
+++ b/include/chivedeal/forward/fleet_planner.hpp
@@ -84,9 +84,10 @@
                          absl::Time now) const;
     void add_order(std::vector<fleet_order>& orders, const fleet_order& order, int serving,
                    const scale_spec& spec, absl::Time now);
-    // The cloud releases the newest endpoints first, which are those of a version that is being
-    // rolled out.
-    bool may_order(const fleet_view& view, const fleet_order& order, int serving);
+    // Whether an order does what it says. The cloud limits both kinds of a zone together, and cuts
+    // an order for one down to what the other leaves, even below the number that serves. It releases
+    // the newest endpoints first, which are those of a version that is being rolled out.
+    bool may_order(const fleet_view& view, const fleet_order& order, const scale_spec& spec);
     void detect_reclaims(const fleet_view& view, absl::Time now);
     // Orders that have not been refused since the last plan count as accepted.
     void confirm_orders();
--- a/src/forward/fleet_planner.cpp
+++ b/src/forward/fleet_planner.cpp
@@ -28,7 +28,7 @@
                                 .zone = zone,
                                 .desired = desired_reclaimable,
                                 .reclaimable = true};
-        if (may_order(view, order, counts.reclaimable))
+        if (may_order(view, order, spec))
             add_order(orders, order, counts.reclaimable, spec, now);
         expected_reclaimable +=
             expected_serving(m_zones[zone].reclaimable, counts.reclaimable, spec, now);
@@ -56,7 +56,7 @@
             desired = std::max(desired, m_zones[zone].on_demand.ordered_count.value_or(0));
         const fleet_order order{
             .service = m_options.service, .zone = zone, .desired = desired, .reclaimable = false};
-        if (may_order(view, order, counts.on_demand))
+        if (may_order(view, order, spec))
             add_order(orders, order, counts.on_demand, spec, now);
     }
     return orders;
@@ -102,8 +102,15 @@
                     max_endpoints);
 }
 
-bool fleet_planner::may_order(const fleet_view& view, const fleet_order& order, int serving)
+bool fleet_planner::may_order(const fleet_view& view, const fleet_order& order,
+                              const scale_spec& spec)
 {
+    const fleet_view::zone_counts& counts = view.zones.at(order.zone);
+    const int serving = order.reclaimable ? counts.reclaimable : counts.on_demand;
+    const int other_kind = order.reclaimable ? counts.on_demand : counts.reclaimable;
+    const int granted = std::min(order.desired, spec.max_per_zone - other_kind);
+    if (order.desired >= serving && granted < serving)
+        return false;
     return !view.rollout_running ||
            order.desired >= std::max(serving, state_of(order).ordered_count.value_or(serving));
 }
--- a/test/forward_fleet_planner_test.cpp
+++ b/test/forward_fleet_planner_test.cpp
@@ -184,6 +184,22 @@
     }));
 }
 
+// Guards against losing most endpoints of the proven version to an order for more of them, while
+// those of the new one fill the zone.
+TEST(fleet_planner, orders_nothing_that_the_limit_of_a_zone_turns_into_a_release)
+{
+    fleet_planner planner = make_planner();
+    const scale_spec spec = make_spec();
+    fleet_view view = make_view(9, 9, 650000);
+    view.rollout_running = true;
+    EXPECT_TRUE(planner.plan(view, spec, start).empty());
+    view.rollout_running = false;
+    EXPECT_EQ(total_desired(planner.plan(view, spec, start + absl::Seconds(1)), true), 0);
+    EXPECT_EQ(
+        total_desired(planner.plan(make_view(9, 0, 650000), spec, start + absl::Seconds(9)), true),
+        33);
+}
+
 RC_GTEST_PROP(fleet_planner, stays_within_the_bounds_of_each_zone, ())
 {
     fleet_planner planner = make_planner();
