Convert the factors, not the product, of the soak store's threads

Ruled out: a suppression; the check is right that the cast comes too late.

Change: one factor is converted.

--- a/test/platform_soak/soak_store.cpp
+++ b/test/platform_soak/soak_store.cpp
@@ -53,7 +53,7 @@
 
 soak_store::soak_store(int nodes) : m_address(fakes::free_address())
 {
-    const auto threads = static_cast<std::size_t>(threads_per_node * nodes);
+    const std::size_t threads = threads_per_node * static_cast<std::size_t>(nodes);
     m_server.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
     m_server.set_keep_alive_max_count(1000000);
     m_server.set_keep_alive_timeout(60);
