Tell repeated refusals and errors from the answers of requests

Cause: an endpoint that writes the refusal of an earlier request once more on a kept connection was believed if the refusal bore no identifier, was cut off inside its head so that the next head became its rest, or came as a 421. The caller was told 'not run' while the request ran, or it ran at a second endpoint. A stream that had broken off took a text with another content type, an empty response, or a response head inside the body for its rest, and an endpoint that sent a byte now and then was waited for until the deadline.

Ruled out: refusals with the identifier of the earlier request, refusals behind an answer, error statuses where a stream should be resumed.

Change: response_matcher tells by the echoed identifier and by what the connection carried before whose response it is. Only one that can't belong to an earlier request counts as 'not run'. A head that contains another status line is malformed. Where a stream is resumed, the content type must be the same, at least one event must follow, and no line may begin with a status line. Only whole events count as progress of a stream that may be resumed.

In a stream that ends with its connection, a head that follows in the middle of a line can't be told from text and is still passed on.

--- a/fakes/node_fixture.hpp
+++ b/fakes/node_fixture.hpp
@@ -91,11 +91,11 @@
     }
 
     httplib::Result post(const std::string& path, const std::string& key = "key",
-                         const std::string& prefix = "")
+                         const std::string& prefix = "", const std::string& request_id = "id-1")
     {
         httplib::Client client(m_settings.front.host, m_settings.front.port);
         httplib::Headers headers{{"Host", "h"},
-                                 {"Chivedeal-Request-Id", "id-1"},
+                                 {"Chivedeal-Request-Id", request_id},
                                  {"Chivedeal-Deadline-Ms", "4000"},
                                  {"Chivedeal-Workspace", "forged"},
                                  {"Authorization", "Bearer " + key}};
--- a/fakes/raw_endpoint.hpp
+++ b/fakes/raw_endpoint.hpp
@@ -54,6 +54,9 @@
     bool is_listening() const { return m_listens; }
 
 private:
+    // Also the pause between the bytes of a slow response.
+    static constexpr int poll_timeout_ms = 20;
+
     void run()
     {
         while (!m_stopping) {
@@ -64,9 +67,12 @@
                 waiting.push_back({.fd = descriptor, .events = POLLIN, .revents = 0});
             for (const int descriptor : m_endless)
                 waiting.push_back({.fd = descriptor, .events = POLLOUT, .revents = 0});
-            poll(waiting.data(), waiting.size(), 20);
+            poll(waiting.data(), waiting.size(), poll_timeout_ms);
             for (const pollfd& ready : waiting)
                 handle(ready);
+            for (const int descriptor : m_slow)
+                (void)send(descriptor, m_filler.data(), m_filler.size(),
+                           MSG_NOSIGNAL | MSG_DONTWAIT);
         }
     }
 
@@ -121,6 +127,11 @@
             m_filler = response.filler;
             m_inputs.erase(descriptor);
             m_endless.push_back(descriptor);
+            return;
+        case raw_response::next::send_slowly:
+            m_filler = response.filler;
+            m_inputs.erase(descriptor);
+            m_slow.push_back(descriptor);
         }
     }
 
@@ -141,6 +152,8 @@
             close(descriptor);
         for (const int descriptor : std::exchange(m_silent, {}))
             close(descriptor);
+        for (const int descriptor : std::exchange(m_slow, {}))
+            close(descriptor);
     }
 
     address m_address;
@@ -152,6 +165,7 @@
     std::map<int, std::string> m_inputs;
     std::vector<int> m_endless;
     std::vector<int> m_silent;
+    std::vector<int> m_slow;
     std::string m_filler;
     std::unique_ptr<posix_thread> m_thread;
 };
--- a/fakes/raw_response.hpp
+++ b/fakes/raw_response.hpp
@@ -18,6 +18,8 @@
         crash,
         /// Repeats `filler` until the peer closes the connection.
         send_forever,
+        /// The same, with a pause before each repetition.
+        send_slowly,
     };
 
     std::string bytes;
--- a/include/chivedeal/forward/endpoint_connection.hpp
+++ b/include/chivedeal/forward/endpoint_connection.hpp
@@ -3,6 +3,7 @@
 
 #include "chivedeal/core/address.hpp"
 #include "chivedeal/core/id.hpp"
+#include "chivedeal/forward/response_matcher.hpp"
 #include "chivedeal/forward/response_reader.hpp"
 
 #include "absl/time/time.h"
@@ -35,13 +36,12 @@
     std::unique_ptr<response_reader> reader;
     std::uint64_t exchange_id = 0;
     request_id expected_id;
+    response_matcher matcher;
     bool is_head_request = false;
     bool head_processed = false;
     /// The response in progress belongs to another request and is discarded.
     bool discarding_response = false;
     std::size_t discarded_bytes = 0;
-    /// Complete responses read on this connection.
-    int response_count = 0;
     absl::Time connect_started;
     absl::Time idle_deadline = absl::InfiniteFuture();
     /// Reading is paused because the caller is slow.
--- a/include/chivedeal/forward/endpoint_side.hpp
+++ b/include/chivedeal/forward/endpoint_side.hpp
@@ -85,6 +85,8 @@
     void flush(endpoint_connection& connection, absl::Time now);
     void read_all(endpoint_connection& connection, absl::Time now);
     void process_input(endpoint_connection& connection, absl::Time now);
+    // Returns why the attempt fails, or null.
+    const char* process_head(endpoint_connection& connection, absl::Time now);
     void finish_exchange(endpoint_connection& connection, absl::Time now);
     void fail_attempt(endpoint_connection& connection, const char* reason, absl::Time now,
                       attempt_failure failure = attempt_failure::connection_lost);
--- a/include/chivedeal/forward/exchange.hpp
+++ b/include/chivedeal/forward/exchange.hpp
@@ -10,6 +10,7 @@
 #include "chivedeal/forward/request_head.hpp"
 #include "chivedeal/forward/retry_rule.hpp"
 #include "chivedeal/forward/route_index.hpp"
+#include "chivedeal/forward/status_line_detector.hpp"
 
 #include "absl/time/time.h"
 
@@ -62,7 +63,12 @@
     std::string response_body;
     /// The head of a streamed response has been sent to the caller.
     bool relaying = false;
+    /// The attempt, counted from 1, whose head was sent to the caller.
+    int first_relayed_attempt = 0;
+    /// Content type of the streamed response; resumed parts must have the same.
+    std::string stream_content_type;
     event_splitter events;
+    status_line_detector foreign_head;
     /// Tracks the events of a stream that can't be resumed.
     event_boundary boundary;
     absl::Time first_byte_at = absl::InfiniteFuture();
--- a/include/chivedeal/forward/http_response_head.hpp
+++ b/include/chivedeal/forward/http_response_head.hpp
@@ -15,6 +15,8 @@
     std::vector<http_field> fields;
     /// The body has neither a length nor chunks and ends with the connection.
     bool ends_with_connection = false;
+    /// The response can't belong to an earlier request on the same connection.
+    bool is_attributed = true;
 
     friend bool operator==(const http_response_head&, const http_response_head&) = default;
 };
--- a/include/chivedeal/forward/response_reader.hpp
+++ b/include/chivedeal/forward/response_reader.hpp
@@ -14,7 +14,7 @@
 namespace chivedeal::forward {
 
 /// Incrementally parses one response from an endpoint; interim responses (1xx) are skipped. Fails if
-/// too many bytes arrive that aren't part of the body.
+/// too many bytes arrive that aren't part of the body, or if a head contains another status line.
 class response_reader
 {
 public:
--- a/src/forward/endpoint_side.cpp
+++ b/src/forward/endpoint_side.cpp
@@ -256,12 +256,8 @@
                                 attempt_failure::malformed_response);
         if (connection.reader->has_head() && !connection.head_processed) {
             connection.head_processed = true;
-            const std::string* echoed_id =
-                find_field(connection.reader->head().fields, m_options.id_field);
-            connection.discarding_response =
-                echoed_id != nullptr && *echoed_id != connection.expected_id.str();
-            if (!connection.discarding_response)
-                m_handler.on_response_head(connection.exchange_id, connection.reader->head(), now);
+            if (const char* fault = process_head(connection, now))
+                return fail_attempt(connection, fault, now, attempt_failure::malformed_response);
         }
         if (!connection.closed && !connection.discarding_response && !body.empty())
             m_handler.on_response_body(connection.exchange_id, body, now);
@@ -287,12 +283,34 @@
     }
 }
 
+const char* endpoint_side::process_head(endpoint_connection& connection, absl::Time now)
+{
+    http_response_head head = connection.reader->head();
+    const response_matcher::match match =
+        connection.matcher.on_head(head, m_options.id_field, connection.expected_id);
+    switch (match) {
+    case response_matcher::match::awaited:
+    case response_matcher::match::probably_awaited:
+        head.is_attributed = match == response_matcher::match::awaited;
+        m_handler.on_response_head(connection.exchange_id, head, now);
+        return nullptr;
+    case response_matcher::match::earlier:
+        // Without a length, the response would take in the awaited one that follows.
+        if (head.ends_with_connection)
+            return "response to another request without a length";
+        connection.discarding_response = true;
+        return nullptr;
+    case response_matcher::match::unknown:
+        break;
+    }
+    return "response that names no request or several";
+}
+
 void endpoint_side::finish_exchange(endpoint_connection& connection, absl::Time now)
 {
     const std::uint64_t exchange_id = connection.exchange_id;
     m_connection_id_by_exchange.erase(exchange_id);
     connection.exchange_id = 0;
-    ++connection.response_count;
     // The connection can't be reused if bytes follow the response, as they belong to no request, or
     // if the response came before the whole request was written, as its rest is still to be sent.
     const bool reusable = connection.reader->keep_alive() && connection.input.empty() &&
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -61,17 +61,26 @@
     return status == 503 || status == 429 || status == 408 || status == 421;
 }
 
+std::string content_type(const http_response_head& head)
+{
+    const std::string* type = find_field(head.fields, "Content-Type");
+    return type == nullptr ? std::string() : *type;
+}
+
 std::string format_milliseconds(absl::Duration value)
 {
     return absl::StrFormat("%.1f", absl::ToDoubleMilliseconds(value));
 }
 
 // Whether a stream ended inside an event, or before its first event if only the end of the
-// connection ended it.
+// connection ended it. A stream that broke off earlier is not complete either if the endpoint that
+// resumed it sent no event.
 bool is_stream_cut_off(const exchange& current)
 {
+    const bool was_resumed = current.attempts_sent > current.first_relayed_attempt;
     return current.events.has_partial() || current.boundary.is_inside_event() ||
-           (current.response_head.ends_with_connection && !current.attempt_body_started);
+           (!current.attempt_body_started &&
+            (was_resumed || current.response_head.ends_with_connection));
 }
 
 // Milliseconds per byte after the first data of a stream, which doesn't depend on the time to read
@@ -233,6 +242,7 @@
         current.attempt_started_at = now;
         current.attempt_deadline = absl::InfiniteFuture();
         current.response_head = {};
+        current.foreign_head = {};
         drop_body(current);
         m_pool.on_sent(current.attempt_choice->id, current.attempt_choice->prefill_cost_tokens,
                        now);
@@ -287,25 +297,28 @@
     current->response_head = head;
     current->attempt_head_received = true;
     record_announced_leaving(*current, head, now);
-    record_retry_after(*current, head, now);
-    const bool signed_answer =
+    if (head.is_attributed)
+        record_retry_after(*current, head, now);
+    const bool is_signed =
         m_names.signature.empty() || find_field(head.fields, m_names.signature) != nullptr;
     const bool is_stream = current->match.matched->kind == route_kind::streaming &&
-                           head.status == 200 && signed_answer &&
+                           head.status == 200 && is_signed &&
                            find_field(head.fields, "Content-Encoding") == nullptr;
-    if (!is_stream) {
-        if (current->relaying)
-            end_attempt(*current, attempt_outcome::broken, "endpoint did not resume the stream",
-                        now);
+    if (current->relaying) {
+        if (!is_stream || content_type(head) != current->stream_content_type)
+            end_attempt(*current, refusal(head).value_or(attempt_outcome::broken),
+                        "endpoint did not resume the stream", now);
         return;
     }
-    if (!current->relaying)
+    if (is_stream)
         begin_relay(*current, head, now);
 }
 
 void request_runner::begin_relay(exchange& current, const http_response_head& head, absl::Time now)
 {
     current.relaying = true;
+    current.first_relayed_attempt = current.attempts_sent;
+    current.stream_content_type = content_type(head);
     m_callers.begin_stream(current.connection,
                            {.status = head.status, .fields = end_to_end_fields(head.fields, {})},
                            now);
@@ -319,25 +332,33 @@
         return;
     if (!current->relaying)
         return buffer_body(*current, bytes, now);
-    if (!current->attempt_body_started)
+    const bool is_first = !current->attempt_body_started;
+    if (is_first)
         record_first_byte(*current, now);
     else
         record_later_bytes(*current, bytes.size(), now);
+    if (current->foreign_head.feed(bytes))
+        return end_attempt(*current, attempt_outcome::broken, "response head inside a stream", now);
     if (!current->match.matched->resumable) {
         current->boundary.feed(bytes);
         m_callers.send_stream(current->connection, bytes, now);
     }
     else {
-        m_callers.send_stream(current->connection, current->events.feed(bytes), now);
+        const std::string events = current->events.feed(bytes);
+        m_callers.send_stream(current->connection, events, now);
         if (find_exchange(exchange_id) == nullptr)
             return;
         if (current->events.partial_bytes() > max_event_bytes)
             return end_attempt(*current, attempt_outcome::broken, "event too long", now);
-        current->attempt_deadline =
-            current->rule.attempts_sent() < current->match.matched->max_attempts
-                ? now + stream_idle_timeout
-                : absl::InfiniteFuture();
-        schedule(*current);
+        // Bytes that complete no event don't count as progress: an endpoint that hangs may still
+        // send one now and then.
+        if (is_first || !events.empty()) {
+            current->attempt_deadline =
+                current->rule.attempts_sent() < current->match.matched->max_attempts
+                    ? now + stream_idle_timeout
+                    : absl::InfiniteFuture();
+            schedule(*current);
+        }
     }
     if (find_exchange(exchange_id) != nullptr &&
         m_callers.backlog(current->connection) > max_backlog_bytes)
@@ -387,19 +408,26 @@
     finish(*current, 200, "answered", now);
 }
 
+std::optional<attempt_outcome> request_runner::refusal(const http_response_head& head) const
+{
+    const bool wrong_endpoint = head.status == 421;
+    if (!wrong_endpoint && find_field(head.fields, m_names.not_run) == nullptr)
+        return std::nullopt;
+    // The endpoint may have repeated the refusal of an earlier request while it runs this one.
+    if (!head.is_attributed)
+        return attempt_outcome::broken;
+    return wrong_endpoint ? attempt_outcome::wrong_endpoint : attempt_outcome::refused;
+}
+
 void request_runner::classify_response(exchange& current, absl::Time now)
 {
-    const int status = current.response_head.status;
-    const bool not_run = find_field(current.response_head.fields, m_names.not_run) != nullptr;
-    if (status == 421)
-        return end_attempt(current, attempt_outcome::wrong_endpoint,
-                           "address belongs to another endpoint", now);
-    if (not_run)
-        return end_attempt(current, attempt_outcome::refused, "refused by the endpoint", now);
-    const bool unsigned_success =
-        status / 100 == 2 && !m_names.signature.empty() &&
-        find_field(current.response_head.fields, m_names.signature) == nullptr;
-    if (unsigned_success || find_field(current.response_head.fields, "Content-Encoding") != nullptr)
+    const http_response_head& head = current.response_head;
+    const int status = head.status;
+    if (const auto outcome = refusal(head))
+        return end_attempt(current, *outcome, "refused by the endpoint", now);
+    const bool unsigned_success = status / 100 == 2 && !m_names.signature.empty() &&
+                                  find_field(head.fields, m_names.signature) == nullptr;
+    if (unsigned_success || find_field(head.fields, "Content-Encoding") != nullptr)
         return end_attempt(current, attempt_outcome::broken, "unsigned or content-encoded response",
                            now);
     if (status / 100 == 5 || implies_not_run(status))
--- a/src/forward/response_reader.cpp
+++ b/src/forward/response_reader.cpp
@@ -1,6 +1,7 @@
 #include "chivedeal/forward/response_reader.hpp"
 
 #include "chivedeal/forward/http_fields.hpp"
+#include "chivedeal/forward/status_line_detector.hpp"
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
@@ -23,6 +24,17 @@
 // Includes chunk headers, and so limits the number of chunks, each of which is parsed by itself.
 constexpr std::size_t max_overhead_bytes = 256 * 1024;
 
+// A response that breaks off inside its head and the next one on the connection otherwise look like
+// one response.
+bool contains_status_line(std::string_view text)
+{
+    for (std::size_t at = text.find("HTTP/1."); at != std::string_view::npos;
+         at = text.find("HTTP/1.", at + 1))
+        if (starts_with_status_line(text.substr(at)))
+            return true;
+    return false;
+}
+
 } // namespace
 
 class response_reader::parser
@@ -90,11 +102,16 @@
         m_parser->inner.skip(m_to_head_request);
         return;
     }
-    m_has_head = true;
-    m_head.status = static_cast<int>(message.result_int());
-    for (const auto& field : message)
+    m_failed = contains_status_line(std::string(message.reason()));
+    for (const auto& field : message) {
         m_head.fields.push_back(
             {.name = std::string(field.name_string()), .value = std::string(field.value())});
+        m_failed = m_failed || contains_status_line(m_head.fields.back().value);
+    }
+    if (m_failed)
+        return;
+    m_has_head = true;
+    m_head.status = static_cast<int>(message.result_int());
     m_head.ends_with_connection = m_parser->inner.need_eof();
     m_complete = m_parser->inner.is_done();
 }
