Keep the limit of a workspace across hundreds of nodes and a restart of all

Nodes started with a full bucket, so that the burst was granted twice in the window, and for the first second each knew no peers and granted all of the rate by itself. Apart from that, each node may spend one request beyond its share between two exchanges: with 95 nodes and 12,000 tokens a request that is four times the rate of a second.

Change: a node that isn't part of the first start of the system starts with empty buckets and takes over the levels of older nodes, which reply to it at once; it counts the listed nodes until it has heard of its peers, and what young peers admitted before it heard of them. When a bucket is nearly empty, by the level less what peers have probably admitted unheard, a node admits only at its own share of the rate; a request that costs more than the node's credit is admitted with a probability and repaid.

--- a/fakes/node_fixture.hpp
+++ b/fakes/node_fixture.hpp
@@ -38,6 +38,7 @@
                       .shutdown_grace = absl::Seconds(2),
                       .lease_term = absl::Milliseconds(500),
                       .usage_window = absl::Seconds(1),
+                      .is_first_start = true,
                       .reports_usage = true};
     }
 
--- a/include/chivedeal/forward/forwarder.hpp
+++ b/include/chivedeal/forward/forwarder.hpp
@@ -78,6 +78,9 @@
     void process_events(absl::Time now);
     void handle_event(const node_event& event, absl::Time now);
     void handle_beacon(const node_event::peer_heard& heard, absl::Time now);
+    void record_peer_admissions(const node_event::peer_heard& heard, absl::Time now);
+    double recent_share(const node_beacon& beacon, absl::Time now) const;
+    void update_node_count(absl::Time now);
     void publish_urgent_suspicions(absl::Time now);
     void run_periodic_tasks(absl::Time now);
     local_state make_local_state(absl::Time now) const;
@@ -105,6 +108,10 @@
     endpoint_side m_endpoints;
     request_runner m_runner;
     address_book m_address_book;
+    absl::Time m_started_at;
+    int m_listed_nodes = 0;
+    // Mean time between two beacons of a peer.
+    absl::Duration m_report_delay;
     bool m_endpoints_loaded = false;
     absl::Time m_next_periodic_run = absl::InfinitePast();
     absl::Time m_next_report = absl::InfinitePast();
--- a/include/chivedeal/forward/local_state.hpp
+++ b/include/chivedeal/forward/local_state.hpp
@@ -19,6 +19,7 @@
     bool ready = false;
     bool leaving = false;
     std::map<workspace_id, double> admitted;
+    std::map<workspace_id, double> quota_levels;
     std::vector<endpoint_load> loads;
     std::map<service_id, std::int64_t> requested_prompt_tokens;
     std::vector<version_outcomes> outcomes;
--- a/include/chivedeal/forward/node_beacon.hpp
+++ b/include/chivedeal/forward/node_beacon.hpp
@@ -34,6 +34,8 @@
     std::optional<std::uint64_t> lease_token;
     /// Cost admitted for each workspace since the node started.
     std::map<workspace_id, double> admitted;
+    /// Levels of the workspaces' buckets. Only in the reply to a node that has just started.
+    std::map<workspace_id, double> quota_levels;
     std::vector<endpoint_load> loads;
     /// Prompt tokens of the requests for each service since the node started.
     std::map<service_id, std::int64_t> requested_prompt_tokens;
--- a/include/chivedeal/forward/node_event.hpp
+++ b/include/chivedeal/forward/node_event.hpp
@@ -73,6 +73,12 @@
         node_id node;
     };
 
+    /// The list of all nodes that ever registered was read.
+    struct nodes_listed
+    {
+        int count = 0;
+    };
+
     /// Sets the share of a service's requests that a version receives; no share ends the split.
     struct version_share_changed
     {
@@ -99,7 +105,7 @@
 
     std::variant<config_changed, rollout_ordered, endpoint_changed, endpoint_removed,
                  endpoint_removal_scheduled, endpoints_loaded, peer_heard, prompt_noticed,
-                 peer_lost, version_share_changed, local_counters_updated,
+                 peer_lost, nodes_listed, version_share_changed, local_counters_updated,
                  wall_clock_offset_changed, drain_requested>
         value;
 };
--- a/include/chivedeal/forward/node_settings.hpp
+++ b/include/chivedeal/forward/node_settings.hpp
@@ -49,6 +49,9 @@
     double quota_slack_tokens = 0;
     /// Maximum share of a service's requests that an unproven version receives.
     double unproven_share = 0.1;
+    /// Whether the whole system starts for the first time. Otherwise, requests may have been
+    /// admitted and run shortly before the process started.
+    bool is_first_start = false;
     bool reports_usage = false;
     bool orders_endpoints = false;
 
--- a/src/forward/control_duties.cpp
+++ b/src/forward/control_duties.cpp
@@ -189,6 +189,8 @@
         if (is_ok(parsed))
             m_peers.add_candidate(get_value(parsed));
     }
+    m_forwarder.on_event(
+        {node_event::nodes_listed{static_cast<int>(get_value(nodes).records.size())}});
     if (m_registered)
         m_next_registration = now + registration_interval;
 }
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -35,6 +35,13 @@
 constexpr double address_ttl_factor = 3;
 // Part of the termination grace period that is reserved for process exit.
 constexpr absl::Duration exit_margin = absl::Milliseconds(400);
+// A node that has just started learns in this time which of the listed nodes are running.
+constexpr absl::Duration discovery_time = absl::Seconds(2);
+// What a peer admitted before this node heard of it is counted only while this node is young: later
+// on, the limits of that time have passed.
+constexpr absl::Duration max_catch_up_time = absl::Seconds(4);
+constexpr double report_delay_smoothing = 0.05;
+constexpr absl::Duration max_report_delay = absl::Seconds(2);
 
 std::string query_value(const std::string& target, const std::string& name)
 {
@@ -72,7 +79,8 @@
                 .pool = m_pool,
                 .counters = m_counters})
 {
-    m_runner.set_true_time_offset(m_time.wall_now() - m_time.now());
+    m_started_at = m_time.now();
+    m_runner.set_true_time_offset(m_time.wall_now() - m_started_at);
 }
 
 forwarder::~forwarder()
@@ -174,7 +182,11 @@
     else if (const auto* lost = std::get_if<node_event::peer_lost>(&event.value)) {
         m_address_book.on_lost(lost->node);
         m_pool.forget_peer(lost->node);
-        m_runner.set_node_count(m_address_book.ready_count() + 1);
+        update_node_count(now);
+    }
+    else if (const auto* listed = std::get_if<node_event::nodes_listed>(&event.value)) {
+        m_listed_nodes = listed->count;
+        update_node_count(now);
     }
     else if (const auto* order = std::get_if<node_event::rollout_ordered>(&event.value)) {
         m_runner.outcomes().start_counting(order->order);
@@ -207,21 +219,48 @@
         m_pool.forget_peer(beacon.node);
     m_pool.set_peer_load(beacon.node, beacon.loads, now);
     m_runner.quarantine().on_peer_suspicions(beacon.suspicions, now);
+    record_peer_admissions(heard, now);
+    m_runner.quota().on_peer_levels(beacon.quota_levels, now);
+    update_node_count(now);
+}
+
+void forwarder::record_peer_admissions(const node_event::peer_heard& heard, absl::Time now)
+{
+    const node_beacon& beacon = *heard.beacon;
+    const double share = heard.previous ? 1 : recent_share(beacon, now);
+    if (heard.previous) {
+        const absl::Duration interval =
+            absl::Microseconds(beacon.wall_us - heard.previous->wall_us);
+        const absl::Duration bounded = std::clamp(interval, absl::ZeroDuration(), max_report_delay);
+        m_report_delay += (bounded - m_report_delay) * report_delay_smoothing;
+        m_runner.quota().set_report_delay(m_report_delay);
+    }
     for (const auto& [workspace, admitted] : beacon.admitted) {
         double before = 0;
         if (heard.previous) {
             const auto known = heard.previous->admitted.find(workspace);
             before = known == heard.previous->admitted.end() ? 0 : known->second;
         }
-        else if (beacon.sequence > 1) {
-            // The first beacon received from a process that is already running carries totals since
-            // its start, which don't tell how much was admitted recently.
-            continue;
-        }
         if (admitted != before)
-            m_runner.quota().on_peers_admitted(workspace, admitted - before, now);
+            m_runner.quota().on_peers_admitted(workspace, (admitted - before) * share, now);
     }
-    m_runner.set_node_count(m_address_book.ready_count() + 1);
+}
+
+// The first beacon received from a process that is already running carries totals since its start.
+// Returns the share of them that it admitted since this node's start, if it admits evenly.
+double forwarder::recent_share(const node_beacon& beacon, absl::Time now) const
+{
+    const absl::Duration own_age = now - m_started_at;
+    const absl::Duration peer_age = absl::Microseconds(beacon.wall_us - beacon.started_us);
+    if (beacon.sequence <= 1 || peer_age <= own_age)
+        return 1;
+    return own_age > max_catch_up_time ? 0 : absl::FDivDuration(own_age, peer_age);
+}
+
+void forwarder::update_node_count(absl::Time now)
+{
+    const bool knows_peers = now - m_started_at > discovery_time;
+    m_runner.set_node_count(m_address_book.ready_count() + 1, knows_peers ? 0 : m_listed_nodes);
 }
 
 // During the usual interval of beacons, requests with a suspect prompt part would crash further
@@ -253,6 +292,7 @@
     return {.ready = is_ready(),
             .leaving = m_drain_started_at != absl::InfiniteFuture(),
             .admitted = m_runner.quota().admitted(),
+            .quota_levels = m_runner.quota().levels(now),
             .loads = m_pool.own_load(now),
             .requested_prompt_tokens = m_runner.requested_prompt_tokens(),
             .outcomes = m_runner.outcomes().snapshot(),
--- a/src/forward/peer_codec.cpp
+++ b/src/forward/peer_codec.cpp
@@ -116,6 +116,10 @@
     if (fields.size() > 17)
         for (const json& suspicion : fields.at(17))
             beacon.suspicions.push_back(decode_suspicion(suspicion));
+    // Nodes of the previous version send no levels.
+    if (fields.size() > 18)
+        for (const auto& [workspace, level] : fields.at(18).items())
+            beacon.quota_levels[workspace_id(workspace)] = level.get<double>();
     return beacon;
 }
 
@@ -161,6 +165,9 @@
     json admitted = json::object();
     for (const auto& [workspace, cost] : beacon.admitted)
         admitted[workspace.str()] = cost;
+    json levels = json::object();
+    for (const auto& [workspace, level] : beacon.quota_levels)
+        levels[workspace.str()] = level;
     json prompt_tokens = json::object();
     for (const auto& [service, tokens] : beacon.requested_prompt_tokens)
         prompt_tokens[service.str()] = tokens;
@@ -185,7 +192,8 @@
             encode_usage(beacon),
             std::move(prompt_tokens),
             beacon.relay_in_region,
-            encode_suspicions(beacon)};
+            encode_suspicions(beacon),
+            std::move(levels)};
 }
 
 // Message kinds; the first element of an encoded message.
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -305,7 +305,8 @@
         log_event(event_id::peer_joined,
                   {{"peer", beacon.node.str()}, {"address", to_string(beacon.peer_address)}});
         // Answers a new peer at once, so that it doesn't wait for the next beacon.
-        const node_beacon own = make_beacon();
+        node_beacon own = make_beacon();
+        own.quota_levels = m_local_state.load()->quota_levels;
         const std::string bytes =
             encode_message(is_in_own_region(beacon) ? own : trim_for_other_regions(own, true));
         (void)send_datagram(socket, beacon.peer_address, bytes.data(), bytes.size());
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -117,6 +117,7 @@
       m_endpoints(dependencies.endpoints),
       m_pool(dependencies.pool),
       m_counters(dependencies.counters),
+      m_quota({.starts_empty = !dependencies.settings.is_first_start}),
       m_usage(dependencies.settings.usage_window),
       m_quarantine({.self = dependencies.settings.node})
 {}
@@ -144,10 +145,10 @@
     return workspaces;
 }
 
-void request_runner::set_node_count(int node_count)
+void request_runner::set_node_count(int ready_nodes, int listed_nodes)
 {
-    m_node_count = std::max(1, node_count);
-    m_quota.set_node_count(m_node_count);
+    m_node_count = std::max(1, ready_nodes);
+    m_quota.set_node_count(std::max(m_node_count, listed_nodes));
 }
 
 void request_runner::on_request(std::uint64_t connection, http_request request, absl::Time started,
@@ -213,7 +214,8 @@
             static_cast<double>(current.head.has_token_counts
                                     ? current.head.prompt_tokens + current.head.max_output_tokens
                                     : workspace->default_cost_tokens);
-    if (m_quota.try_admit(workspace->name, current.quota_cost, now))
+    if (m_quota.try_admit(workspace->name, current.quota_cost, absl::Uniform(m_random, 0.0, 1.0),
+                          now))
         return true;
     const absl::Duration wait = m_quota.time_until_available(workspace->name, current.quota_cost);
     current.quota_cost = 0;
--- a/src/forward/token_quota.cpp
+++ b/src/forward/token_quota.cpp
@@ -1,25 +1,42 @@
 #include "chivedeal/forward/token_quota.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace chivedeal::forward {
 
 namespace {
 
-// A node may spend this multiple of its equal share between two exchanges. Callers pick nodes at
-// random, so traffic is uneven within a fraction of a second.
-constexpr double traffic_imbalance_factor = 2;
+// Below this fraction of the burst a bucket counts as nearly empty. A lower one leaves too little
+// for what peers admit unheard; with a higher one, uneven traffic within the limit is refused.
+constexpr double nearly_empty_fraction = 0.25;
+// A node may spend these multiples of its equal share: of the bucket between two exchanges, and of
+// the rate while the bucket is nearly empty. Callers pick nodes at random, so traffic is uneven, and
+// some nodes leave part of their share.
+constexpr double max_bucket_share_factor = 2;
+constexpr double rate_share_factor = 1.5;
+// A node that had no requests may spend the share of this time at once.
+constexpr absl::Duration max_credit_time = absl::Seconds(1);
+// Time constant of the average of what peers admit. Several reports arrive in this time.
+constexpr absl::Duration peer_rate_time = absl::Milliseconds(500);
+// How long a node with empty buckets takes over the levels of other nodes. They reply to a new node
+// at once.
+constexpr absl::Duration level_transfer_time = absl::Seconds(2);
 
 } // namespace
 
 void token_quota::set_workspaces(const std::vector<workspace_spec>& workspaces, absl::Time now)
 {
+    const bool is_first = m_started_at == absl::InfiniteFuture();
+    if (is_first)
+        m_started_at = now;
     std::map<workspace_id, token_bucket> next;
     for (const workspace_spec& spec : workspaces) {
         if (spec.rate <= 0)
             continue;
         const auto existing = m_buckets.find(spec.name);
-        token_bucket bucket{.level = spec.burst, .refilled_at = now};
+        token_bucket bucket{.level = is_first && m_options.starts_empty ? 0 : spec.burst,
+                            .refilled_at = now};
         if (existing != m_buckets.end()) {
             bucket = existing->second;
             refill(bucket, now);
@@ -32,7 +49,8 @@
     m_buckets.swap(next);
 }
 
-bool token_quota::try_admit(const workspace_id& workspace, double cost, absl::Time now)
+bool token_quota::try_admit(const workspace_id& workspace, double cost, double sample,
+                            absl::Time now)
 {
     const auto found = m_buckets.find(workspace);
     if (found == m_buckets.end())
@@ -41,24 +59,32 @@
     refill(bucket, now);
     if (bucket.level < cost)
         return false;
-    const double fair_share =
-        (bucket.level + bucket.spent_since_exchange) * traffic_imbalance_factor / m_nodes;
-    // A single request may exceed the share; otherwise large requests would never be admitted.
-    if (m_nodes > 1 && bucket.spent_since_exchange > 0 &&
-        bucket.spent_since_exchange + cost > fair_share)
+    if (m_nodes > 1 && !is_within_share(bucket, cost, sample, now))
         return false;
     bucket.level -= cost;
     bucket.spent_since_exchange += cost;
+    bucket.credit = std::max(bucket.credit - cost, -cost);
     m_admitted[workspace] += cost;
     return true;
 }
 
+bool token_quota::is_within_share(const token_bucket& bucket, double cost, double sample,
+                                  absl::Time now) const
+{
+    if (bucket.level - unreported(bucket, now) < bucket.burst * nearly_empty_fraction)
+        return sample * cost < bucket.credit;
+    const double share =
+        (bucket.level + bucket.spent_since_exchange) * max_bucket_share_factor / m_nodes;
+    return bucket.spent_since_exchange <= share;
+}
+
 void token_quota::give_back(const workspace_id& workspace, double cost)
 {
     const auto found = m_buckets.find(workspace);
     if (found == m_buckets.end())
         return;
     found->second.level = std::min(found->second.level + cost, found->second.burst);
+    found->second.credit += cost;
     m_admitted[workspace] -= cost;
 }
 
@@ -67,8 +93,12 @@
     const auto found = m_buckets.find(workspace);
     if (found == m_buckets.end())
         return;
-    refill(found->second, now);
-    found->second.level = std::min(found->second.level - cost, found->second.burst);
+    token_bucket& bucket = found->second;
+    refill(bucket, now);
+    bucket.level = std::min(bucket.level - cost, bucket.burst);
+    const double kept = std::exp(-absl::FDivDuration(now - bucket.peer_rate_at, peer_rate_time));
+    bucket.peer_rate = bucket.peer_rate * kept + cost / absl::ToDoubleSeconds(peer_rate_time);
+    bucket.peer_rate_at = now;
 }
 
 void token_quota::on_exchange()
@@ -77,6 +107,32 @@
         bucket.spent_since_exchange = 0;
 }
 
+void token_quota::on_peer_levels(const std::map<workspace_id, double>& levels, absl::Time now)
+{
+    if (!m_options.starts_empty || now - m_started_at > level_transfer_time)
+        return;
+    for (const auto& [workspace, level] : levels) {
+        const auto found = m_buckets.find(workspace);
+        if (found == m_buckets.end())
+            continue;
+        token_bucket& bucket = found->second;
+        refill(bucket, now);
+        // Nodes that have just started themselves report less than those that know of more.
+        bucket.level = std::min(std::max(bucket.level, level), bucket.burst);
+    }
+}
+
+std::map<workspace_id, double> token_quota::levels(absl::Time now) const
+{
+    std::map<workspace_id, double> levels;
+    for (const auto& [workspace, bucket] : m_buckets) {
+        token_bucket current = bucket;
+        refill(current, now);
+        levels[workspace] = current.level;
+    }
+    return levels;
+}
+
 absl::Duration token_quota::time_until_available(const workspace_id& workspace, double cost) const
 {
     const auto found = m_buckets.find(workspace);
@@ -85,13 +141,26 @@
     return absl::Seconds((cost - found->second.level) / found->second.rate);
 }
 
-void token_quota::refill(token_bucket& bucket, absl::Time now)
+void token_quota::refill(token_bucket& bucket, absl::Time now) const
 {
     if (now <= bucket.refilled_at)
         return;
-    bucket.level = std::min(
-        bucket.burst, bucket.level + bucket.rate * absl::ToDoubleSeconds(now - bucket.refilled_at));
+    const double earned = bucket.rate * absl::ToDoubleSeconds(now - bucket.refilled_at);
+    bucket.level = std::min(bucket.burst, bucket.level + earned);
+    const double share = rate_share_factor / m_nodes;
+    bucket.credit = std::min(bucket.credit + earned * share,
+                             bucket.rate * absl::ToDoubleSeconds(max_credit_time) * share);
     bucket.refilled_at = now;
 }
 
+// The bucket has been refilled up to `now`, while the peers' amounts are as of `m_report_delay`
+// ago. A bucket that is full has lost as much of the refill as it already holds.
+double token_quota::unreported(const token_bucket& bucket, absl::Time now) const
+{
+    const double kept = std::exp(-absl::FDivDuration(now - bucket.peer_rate_at, peer_rate_time));
+    const double delay_s = absl::ToDoubleSeconds(m_report_delay);
+    const double refill_lost = std::max(0.0, bucket.rate * delay_s - (bucket.burst - bucket.level));
+    return std::max(0.0, bucket.peer_rate * kept * delay_s - refill_lost);
+}
+
 } // namespace chivedeal::forward
--- a/test/forward_peers_test.cpp
+++ b/test/forward_peers_test.cpp
@@ -35,6 +35,7 @@
     node_beacon beacon = make_beacon("n2", 3);
     beacon.lease_token = 9;
     beacon.admitted[workspace_id("w")] = 12.5;
+    beacon.quota_levels[workspace_id("w")] = -3.5;
     beacon.loads = {{endpoint_id("e1"), 2, 500, 7, 1, true}};
     beacon.relay_in_region = true;
     beacon.requested_prompt_tokens[service_id("s")] = 2;
