Use more of the limit of small workspaces that ask for all of it

A request costs a third of what its limit grants in a second, so that the credit of a node rarely covered it.

Ruled out: a larger share of the rate, which exceeds the bound with 95 nodes at 8 times the rate before it helps.

Change: a bucket counts as nearly empty below 0.15 of the burst, not 0.25, and a node keeps credit of four seconds, not one.

--- a/src/forward/token_quota.cpp
+++ b/src/forward/token_quota.cpp
@@ -9,7 +9,7 @@
 
 // Below this fraction of the burst a bucket counts as nearly empty. A lower one leaves too little
 // for what peers admit unheard; with a higher one, uneven traffic within the limit is refused.
-constexpr double nearly_empty_fraction = 0.25;
+constexpr double nearly_empty_fraction = 0.15;
 // A node may spend these multiples of its equal share: of the bucket between two exchanges, and of
 // the rate while the bucket is nearly empty. Callers pick nodes at random, so traffic is uneven, and
 // some nodes leave part of their share.
@@ -20,7 +20,7 @@
 // of the burst while the bucket isn't nearly empty.
 constexpr double min_share_of_burst = 0.1;
 // A node that had no requests may spend the share of this time at once.
-constexpr absl::Duration max_credit_time = absl::Seconds(1);
+constexpr absl::Duration max_credit_time = absl::Seconds(4);
 // Time constant of the average of what peers admit. Several reports arrive in this time.
 constexpr absl::Duration peer_rate_time = absl::Milliseconds(500);
 // How long a node with empty buckets takes over the levels of other nodes. They reply to a new node
--- a/test/platform_format_test.cpp
+++ b/test/platform_format_test.cpp
@@ -203,11 +203,12 @@
 {
     const auto parsed = parse_settings(
         R"({"node":"n","zone":"z","region":"r","zones":{"z":"r"},"later":1,"seeds":["10.0.0.1:2"],)"
-        R"("listen":{"front":"10.0.0.1:1","control":"10.0.0.1:2"},"bounds":{"retry_slack":58},)"
+        R"("bootstrap":true,"listen":{"front":"10.0.0.1:1","control":"10.0.0.1:2"},"bounds":{"retry_slack":58},)"
         R"("provider":{"addr":"10.0.0.2:3"},"cloud":{"addr":"10.0.0.3:4","duties":["usage"]}})");
     ASSERT_TRUE(std::holds_alternative<platform_settings>(parsed));
     const auto& settings = std::get<platform_settings>(parsed);
     EXPECT_EQ(settings.node.retry_slack_requests, 58);
+    EXPECT_TRUE(settings.node.is_first_start);
     EXPECT_TRUE(settings.node.reports_usage);
     EXPECT_FALSE(settings.node.orders_endpoints);
     EXPECT_EQ(settings.node.seeds.size(), 1U);
