Keep the levels of buckets that arrive before the configuration

Other nodes reply to the first beacon of a new node at once, usually before it has read the configuration; their levels were dropped then, and the node started with empty buckets after all.

Change: the highest level heard for a workspace is kept until its limit is known. The test fails on the code before by reading (the map of buckets is empty when the levels arrive).

--- a/include/chivedeal/forward/token_quota.hpp
+++ b/include/chivedeal/forward/token_quota.hpp
@@ -85,6 +85,7 @@
         absl::Time refilled_at = absl::InfinitePast();
     };
 
+    double first_level(const workspace_spec& spec) const;
     bool is_within_share(const token_bucket& bucket, double cost, double sample,
                          absl::Time now) const;
     void refill(token_bucket& bucket, absl::Time now) const;
@@ -93,6 +94,8 @@
     options m_options;
     std::map<workspace_id, token_bucket> m_buckets;
     std::map<workspace_id, double> m_admitted;
+    // Levels that other nodes reported before this node knew the workspaces.
+    std::map<workspace_id, double> m_early_levels;
     int m_nodes = 1;
     absl::Duration m_report_delay;
     absl::Time m_started_at = absl::InfiniteFuture();
--- a/src/forward/token_quota.cpp
+++ b/src/forward/token_quota.cpp
@@ -39,8 +39,7 @@
         if (spec.rate <= 0)
             continue;
         const auto existing = m_buckets.find(spec.name);
-        token_bucket bucket{.level = is_first && m_options.starts_empty ? 0 : spec.burst,
-                            .refilled_at = now};
+        token_bucket bucket{.level = is_first ? first_level(spec) : spec.burst, .refilled_at = now};
         if (existing != m_buckets.end()) {
             bucket = existing->second;
             refill(bucket, now);
@@ -53,6 +52,14 @@
     m_buckets.swap(next);
 }
 
+double token_quota::first_level(const workspace_spec& spec) const
+{
+    if (!m_options.starts_empty)
+        return spec.burst;
+    const auto heard = m_early_levels.find(spec.name);
+    return heard == m_early_levels.end() ? 0 : heard->second;
+}
+
 bool token_quota::try_admit(const workspace_id& workspace, double cost, double sample,
                             absl::Time now)
 {
@@ -115,7 +122,13 @@
 {
     if (!m_options.starts_empty || now - m_started_at > level_transfer_time)
         return;
+    const bool knows_workspaces = m_started_at != absl::InfiniteFuture();
     for (const auto& [workspace, level] : levels) {
+        if (!knows_workspaces) {
+            double& early = m_early_levels.emplace(workspace, level).first->second;
+            early = std::max(early, level);
+            continue;
+        }
         const auto found = m_buckets.find(workspace);
         if (found == m_buckets.end())
             continue;
--- a/test/forward_token_quota_test.cpp
+++ b/test/forward_token_quota_test.cpp
@@ -106,6 +106,16 @@
     EXPECT_DOUBLE_EQ(quota.levels(start + absl::Milliseconds(100))[workspace], 20);
 }
 
+// Other nodes reply to a new node before it has read the configuration.
+TEST(token_quota, remembers_levels_that_arrive_before_the_limits)
+{
+    token_quota quota({.starts_empty = true});
+    quota.on_peer_levels({{workspace, 20}}, start);
+    quota.on_peer_levels({{workspace, 150}}, start);
+    quota.set_workspaces(limit(100, 200), start);
+    EXPECT_TRUE(quota.try_admit(workspace, 140, no_luck, start));
+}
+
 struct overload
 {
     const char* name;
