Assume many nodes after a restart until their number is known

Ruled out: the first start, at which nothing was admitted before and no peer is running yet.

Change: node_count_estimate decides how many nodes share the limits; after a restart it assumes many until the list was read. A bucket counts as nearly empty below 0.2 of the burst instead of 0.15.

--- a/include/chivedeal/forward/forwarder.hpp
+++ b/include/chivedeal/forward/forwarder.hpp
@@ -9,6 +9,7 @@
 #include "chivedeal/forward/endpoint_side.hpp"
 #include "chivedeal/forward/event_queue.hpp"
 #include "chivedeal/forward/header_names.hpp"
+#include "chivedeal/forward/node_count_estimate.hpp"
 #include "chivedeal/forward/node_event.hpp"
 #include "chivedeal/forward/node_settings.hpp"
 #include "chivedeal/forward/poller.hpp"
@@ -109,7 +110,7 @@
     request_runner m_runner;
     address_book m_address_book;
     absl::Time m_started_at;
-    int m_listed_nodes = 0;
+    node_count_estimate m_node_count;
     // Mean time between two beacons of a peer.
     absl::Duration m_report_delay;
     bool m_endpoints_loaded = false;
--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -57,9 +57,9 @@
     void set_config(std::shared_ptr<const route_index> index, absl::Time now);
     bool has_config() const { return m_index != nullptr; }
 
-    /// Sets the number of nodes that accept requests, including this one. `listed_nodes` is the
-    /// number of nodes that may accept requests although this node hasn't heard of them yet.
-    void set_node_count(int ready_nodes, int listed_nodes);
+    /// Sets the number of nodes that accept requests, including this one, and how many share the
+    /// limits of workspaces, as far as this node knows.
+    void set_node_count(int ready_nodes, int nodes_sharing_limits);
 
     void on_request(std::uint64_t connection, http_request request, absl::Time started,
                     absl::Time now);
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -35,8 +35,6 @@
 constexpr double address_ttl_factor = 3;
 // Part of the termination grace period that is reserved for process exit.
 constexpr absl::Duration exit_margin = absl::Milliseconds(400);
-// A node that has just started learns in this time which of the listed nodes are running.
-constexpr absl::Duration discovery_time = absl::Seconds(2);
 // What a peer admitted before this node heard of it is counted only while this node is young: later
 // on, the limits of that time have passed.
 constexpr absl::Duration max_catch_up_time = absl::Seconds(4);
@@ -77,10 +75,12 @@
                 .callers = m_callers,
                 .endpoints = m_endpoints,
                 .pool = m_pool,
-                .counters = m_counters})
+                .counters = m_counters}),
+      m_started_at(m_time.now()),
+      m_node_count({.started_at = m_started_at, .is_first_start = m_settings.is_first_start})
 {
-    m_started_at = m_time.now();
     m_runner.set_true_time_offset(m_time.wall_now() - m_started_at);
+    update_node_count(m_started_at);
 }
 
 forwarder::~forwarder()
@@ -185,7 +185,7 @@
         update_node_count(now);
     }
     else if (const auto* listed = std::get_if<node_event::nodes_listed>(&event.value)) {
-        m_listed_nodes = listed->count;
+        m_node_count.on_listed(listed->count);
         update_node_count(now);
     }
     else if (const auto* order = std::get_if<node_event::rollout_ordered>(&event.value)) {
@@ -259,8 +259,8 @@
 
 void forwarder::update_node_count(absl::Time now)
 {
-    const bool knows_peers = now - m_started_at > discovery_time;
-    m_runner.set_node_count(m_address_book.ready_count() + 1, knows_peers ? 0 : m_listed_nodes);
+    const int ready_nodes = m_address_book.ready_count() + 1;
+    m_runner.set_node_count(ready_nodes, m_node_count.count(ready_nodes, now));
 }
 
 // During the usual interval of beacons, requests with a suspect prompt part would crash further
@@ -280,6 +280,7 @@
     m_next_periodic_run = now + periodic_task_interval;
     m_callers.tick(now);
     m_endpoints.tick(now);
+    update_node_count(now);
     local_state state = make_local_state(now);
     if (now >= m_next_report)
         report_local_state(state, now);
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -145,10 +145,10 @@
     return workspaces;
 }
 
-void request_runner::set_node_count(int ready_nodes, int listed_nodes)
+void request_runner::set_node_count(int ready_nodes, int nodes_sharing_limits)
 {
     m_node_count = std::max(1, ready_nodes);
-    m_quota.set_node_count(std::max(m_node_count, listed_nodes));
+    m_quota.set_node_count(nodes_sharing_limits);
 }
 
 void request_runner::on_request(std::uint64_t connection, http_request request, absl::Time started,
--- a/src/forward/token_quota.cpp
+++ b/src/forward/token_quota.cpp
@@ -9,7 +9,7 @@
 
 // Below this fraction of the burst a bucket counts as nearly empty. A lower one leaves too little
 // for what peers admit unheard; with a higher one, uneven traffic within the limit is refused.
-constexpr double nearly_empty_fraction = 0.15;
+constexpr double nearly_empty_fraction = 0.2;
 // A node may spend these multiples of its equal share: of the bucket between two exchanges, and of
 // the rate while the bucket is nearly empty. Callers pick nodes at random, so traffic is uneven, and
 // some nodes leave part of their share.
