Write the decay of the peers' admissions once

Cause: found by reading the change again; token_quota had the same formula in two functions.

Change: kept_weight serves both. Behaviour is the same.

The other tests were not run again.

--- a/src/forward/token_quota.cpp
+++ b/src/forward/token_quota.cpp
@@ -27,6 +27,12 @@
 // at once.
 constexpr absl::Duration level_transfer_time = absl::Seconds(2);
 
+// Weight that the average of what peers admit keeps after `elapsed`.
+double kept_weight(absl::Duration elapsed)
+{
+    return std::exp(-absl::FDivDuration(elapsed, peer_rate_time));
+}
+
 } // namespace
 
 void token_quota::set_workspaces(const std::vector<workspace_spec>& workspaces, absl::Time now)
@@ -107,8 +113,8 @@
     token_bucket& bucket = found->second;
     refill(bucket, now);
     bucket.level = std::min(bucket.level - cost, bucket.burst);
-    const double kept = std::exp(-absl::FDivDuration(now - bucket.peer_rate_at, peer_rate_time));
-    bucket.peer_rate = bucket.peer_rate * kept + cost / absl::ToDoubleSeconds(peer_rate_time);
+    bucket.peer_rate = bucket.peer_rate * kept_weight(now - bucket.peer_rate_at) +
+                       cost / absl::ToDoubleSeconds(peer_rate_time);
     bucket.peer_rate_at = now;
 }
 
@@ -174,10 +180,10 @@
 // ago. A bucket that is full has lost as much of the refill as it already holds.
 double token_quota::unreported(const token_bucket& bucket, absl::Time now) const
 {
-    const double kept = std::exp(-absl::FDivDuration(now - bucket.peer_rate_at, peer_rate_time));
     const double delay_s = absl::ToDoubleSeconds(m_report_delay);
     const double refill_lost = std::max(0.0, bucket.rate * delay_s - (bucket.burst - bucket.level));
-    return std::max(0.0, bucket.peer_rate * kept * delay_s - refill_lost);
+    const double peer_rate = bucket.peer_rate * kept_weight(now - bucket.peer_rate_at);
+    return std::max(0.0, peer_rate * delay_s - refill_lost);
 }
 
 } // namespace chivedeal::forward
