--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <random>
 #include <unistd.h>
 
 using nlohmann::json;
@@ -15,10 +16,13 @@
 constexpr std::size_t request_bytes = 4 * 1000 * 1000;
 constexpr std::size_t answer_bytes = 4000;
 constexpr int server_count = 4;
-constexpr int client_count = 16;
+constexpr int client_count = 24;
 constexpr double traffic_s = 10;
 constexpr double crash_after_s = 5;
 
+// In the process of a server: its id.
+std::string server_id;
+
 // An application that takes uploads: it sends the first half of its answer as soon as it has read the
 // head, reads the upload a second later, sends the other half and ends the answer with its connection.
 void serve(connection caller)
@@ -27,7 +31,7 @@
     if (!caller.receive_head(head))
         return;
     const std::string id = field(head, "Request-Id");
-    record("server: runs request " + id);
+    record("server " + server_id + ": runs request " + id);
     const std::string answer = pattern(id, answer_bytes);
     if (!caller.send("HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: s." + id +
                      "\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n" +
@@ -37,11 +41,12 @@
     std::string body;
     if (!caller.receive_exactly(body, request_bytes) || !caller.send(answer.substr(answer_bytes / 2)))
         return;
-    record("server: has read request " + id + " and sent its whole answer");
+    record("server " + server_id + ": has read request " + id + " and sent its whole answer");
 }
 
-int run_server(const std::string& record_path)
+int run_server(const std::string& record_path, const std::string& id)
 {
+    server_id = id;
     signal(SIGPIPE, SIG_IGN);
     open_record(record_path, false);
     // A usual segment size; that of the loopback device would let the kernel buffer megabytes.
@@ -88,7 +93,7 @@
 int main(int argc, char** arguments)
 {
     if (argc == 3)
-        return run_server(arguments[1]);
+        return run_server(arguments[1], arguments[2]);
     begin(arguments[1]);
     platform store;
     store.put_config(
@@ -103,11 +108,11 @@
          {"tenants", {{{"name", "t1"}, {"api_keys", {"key-1"}}}}}});
     std::vector<std::unique_ptr<child>> servers;
     for (int i = 1; i <= server_count; ++i) {
-        servers.push_back(std::make_unique<child>("server", arguments[1]));
+        servers.push_back(std::make_unique<child>("i-" + std::to_string(i), arguments[1]));
         store.add_server("i-" + std::to_string(i),
                          {{"service", "app"},
                           {"addr", "127.0.0.1:" + std::to_string(servers.back()->port())},
-                          {"zone", "z1"}, {"version", "1"}, {"slots", 8},
+                          {"zone", "z1"}, {"version", "1"}, {"slots", 12},
                           {"state", "ready"}, {"cold_left_ms", 0}, {"born", 1}});
     }
     const auto nodes = start_nodes(3, store);
@@ -119,9 +124,14 @@
     std::vector<std::thread> clients;
     for (int i = 0; i < client_count; ++i)
         clients.emplace_back([&, i] {
-            for (int n = 0; now_s() < start_at + traffic_s; ++n)
+            // Pauses of 0 to 0.6 s keep the clients out of step.
+            std::mt19937 random(static_cast<unsigned>(i));
+            std::uniform_real_distribution<double> pause_s(0, 0.6);
+            for (int n = 0; now_s() < start_at + traffic_s; ++n) {
+                sleep_s(pause_s(random));
                 send_request("u" + std::to_string(i + 1) + "-" + std::to_string(n),
                              fronts[static_cast<std::size_t>(i + n) % fronts.size()], seen);
+            }
         });
     sleep_until_s(start_at + crash_after_s);
     if (with_trouble()) {
--- a/review/common/harness.cc
+++ b/review/common/harness.cc
@@ -8,6 +8,7 @@
 #include <fcntl.h>
 #include <fstream>
 #include <netinet/tcp.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -33,6 +34,28 @@
 std::mutex record_mutex;
 std::ofstream record_file;
 std::string work_folder;
+std::mutex process_mutex;
+std::vector<pid_t> processes;
+
+void remember(pid_t process)
+{
+    const std::lock_guard<std::mutex> lock(process_mutex);
+    processes.push_back(process);
+}
+
+// To be called when the process has been waited for: its id may then belong to another one.
+void forget(pid_t process)
+{
+    const std::lock_guard<std::mutex> lock(process_mutex);
+    processes.erase(std::remove(processes.begin(), processes.end(), process), processes.end());
+}
+
+void kill_all()
+{
+    const std::lock_guard<std::mutex> lock(process_mutex);
+    for (const pid_t process : processes)
+        kill(process, SIGKILL);
+}
 
 sockaddr_in loopback(int port)
 {
@@ -178,6 +201,7 @@
 {
     record("the case could not run: " + why);
     std::fprintf(stderr, "the case could not run: %s\n", why.c_str());
+    kill_all();
     std::filesystem::remove_all(work_folder);
     std::_Exit(2);
 }
@@ -538,6 +562,7 @@
     if (m_process > 0 && !has_ended()) {
         kill(m_process, SIGKILL);
         waitpid(m_process, nullptr, 0);
+        forget(m_process);
     }
 }
 
@@ -578,6 +603,7 @@
     m_ended = false;
     m_process = fork();
     if (m_process == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int file = open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         dup2(file, 1);
         dup2(file, 2);
@@ -588,6 +614,7 @@
     }
     if (m_process < 0)
         cannot_run("no process could be started");
+    remember(m_process);
     record("node " + m_options.name + " started, front at " + to_address(m_front));
 }
 
@@ -625,6 +652,7 @@
         cannot_run("no pipe");
     m_process = fork();
     if (m_process == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         dup2(ends[1], 1);
         ::close(ends[0]);
         ::close(ends[1]);
@@ -633,6 +661,7 @@
         execve("/proc/self/exe", const_cast<char**>(arguments), const_cast<char**>(environment));
         _exit(127);
     }
+    remember(m_process);
     ::close(ends[1]);
     std::string text;
     char c = 0;
@@ -649,6 +678,7 @@
     if (m_process > 0) {
         kill(m_process, SIGKILL);
         waitpid(m_process, nullptr, 0);
+        forget(m_process);
     }
     m_process = -1;
 }
@@ -661,6 +691,7 @@
     if (waitpid(m_process, &state, WNOHANG) != m_process)
         return false;
     m_ended = true;
+    forget(m_process);
     record("node " + m_options.name + " has ended" +
            (WIFSIGNALED(state) ? " by signal " + std::to_string(WTERMSIG(state))
                                : " with " + std::to_string(WEXITSTATUS(state))));
