Complete no response by the end of a connection that failed while the request was written

Cause: a failed write consumes the socket's pending error. The read that follows returns 0, and a response without a length counted as complete. The same happens without a failed write if the crashed endpoint's kernel ends the connection with a FIN in the middle of the request.

Change: a connection remembers a failed write, after which its end completes nothing, and attempt_failed gives it a reason of its own. A success without a length also needs the whole request to be written. An error that comes early and ends in order is passed on as before.

Ruled out: the client of the store reads nothing after a failed write; callers' connections are closed.

--- a/fakes/raw_endpoint.hpp
+++ b/fakes/raw_endpoint.hpp
@@ -7,6 +7,8 @@
 #include "fakes/free_address.hpp"
 #include "fakes/raw_response.hpp"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -31,12 +33,22 @@
     /// Returns the response to a request, whose head and body are in the text.
     using handler = std::function<raw_response(const std::string& request)>;
 
-    explicit raw_endpoint(handler respond)
-        : m_address(free_address()), m_respond(std::move(respond))
+    struct options
+    {
+        /// Without it, the endpoint responds to the head of a request and leaves the rest unread.
+        bool reads_bodies = true;
+    };
+
+    explicit raw_endpoint(handler respond) : raw_endpoint(std::move(respond), options{}) {}
+
+    raw_endpoint(handler respond, options behaviour)
+        : m_address(free_address()), m_respond(std::move(respond)), m_options(behaviour)
     {
         const auto listener = forward::listen_tcp(m_address);
         m_listens = is_ok(listener);
         m_listener = m_listens ? get_value(listener) : -1;
+        if (!m_options.reads_bodies)
+            limit_buffers();
         m_thread = std::make_unique<posix_thread>("endpoint", [this] { run(); });
     }
 
@@ -56,6 +68,17 @@
 private:
     // Also the pause between the bytes of a slow response.
     static constexpr int poll_timeout_ms = 20;
+    static constexpr int receive_buffer_bytes = 64 * 1024;
+    static constexpr int max_segment_bytes = 1448;
+
+    // The buffers of a loopback connection otherwise take in megabytes that nobody reads.
+    void limit_buffers()
+    {
+        setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
+                   sizeof receive_buffer_bytes);
+        setsockopt(m_listener, IPPROTO_TCP, TCP_MAXSEG, &max_segment_bytes,
+                   sizeof max_segment_bytes);
+    }
 
     void run()
     {
@@ -107,7 +130,8 @@
         const std::size_t length_at = input.find("Content-Length: ");
         const std::size_t length =
             length_at == std::string::npos ? 0 : std::stoul(input.substr(length_at + 16));
-        if (head_end == std::string::npos || input.size() < head_end + 4 + length)
+        if (head_end == std::string::npos ||
+            (m_options.reads_bodies && input.size() < head_end + 4 + length))
             return;
         ++m_request_count;
         const raw_response response = m_respond(std::exchange(input, {}));
@@ -117,6 +141,9 @@
             return;
         case raw_response::next::close:
             return drop(descriptor);
+        case raw_response::next::end_output:
+            shutdown(descriptor, SHUT_WR);
+            [[fallthrough]];
         case raw_response::next::go_silent:
             m_inputs.erase(descriptor);
             m_silent.push_back(descriptor);
@@ -158,6 +185,7 @@
 
     address m_address;
     handler m_respond;
+    options m_options;
     int m_listener = -1;
     std::atomic<bool> m_listens = false;
     std::atomic<bool> m_stopping = false;
--- a/fakes/raw_response.hpp
+++ b/fakes/raw_response.hpp
@@ -12,6 +12,8 @@
     {
         keep_open,
         close,
+        /// Sends the end of its output; reads nothing more on the connection, which stays open.
+        end_output,
         /// Reads and sends nothing more on the connection, which stays open.
         go_silent,
         /// Closes all connections and the listener.
--- a/include/chivedeal/forward/endpoint_connection.hpp
+++ b/include/chivedeal/forward/endpoint_connection.hpp
@@ -47,6 +47,9 @@
     /// Reading is paused because the caller is slow.
     bool paused = false;
     bool wants_write = true;
+    /// A write failed, which also took the socket's pending error: reads then report an orderly end
+    /// even if the endpoint reset the connection.
+    bool write_failed = false;
     /// The descriptor is closed and the connection waits for `endpoint_side::sweep`.
     bool closed = false;
 };
--- a/src/forward/endpoint_side.cpp
+++ b/src/forward/endpoint_side.cpp
@@ -30,6 +30,17 @@
 // the endpoint closes the connection may be lost, and not every route allows a retry.
 constexpr absl::Duration idle_close_margin = absl::Milliseconds(700);
 
+// Whether the end of the connection is also the end of a response without a length. An endpoint
+// that crashes may end the connection in the same way, so a success counts only if the endpoint
+// could read the whole request.
+bool ends_response(const endpoint_connection& connection)
+{
+    const bool request_written = connection.output_sent_bytes == connection.output.size();
+    const bool is_success =
+        connection.reader->has_head() && connection.reader->head().status / 100 == 2;
+    return !connection.write_failed && (request_written || !is_success);
+}
+
 } // namespace
 
 endpoint_side::~endpoint_side()
@@ -198,6 +209,7 @@
         if (sent_bytes < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
             break;
         // The endpoint may have responded before it closed the connection, so read what it sent.
+        connection.write_failed = true;
         return read_all(connection, now);
     }
     if (connection.output_sent_bytes == connection.output.size())
@@ -234,10 +246,14 @@
         if (received_bytes < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
             return;
         if (received_bytes == 0) {
-            connection.reader->on_eof();
+            if (ends_response(connection))
+                connection.reader->on_eof();
             if (connection.reader->complete() && !connection.discarding_response)
                 return finish_exchange(connection, now);
-            return fail_attempt(connection, "connection closed before the response was complete",
+            return fail_attempt(connection,
+                                connection.write_failed
+                                    ? "connection failed before the request was written"
+                                    : "connection closed before the response was complete",
                                 now);
         }
         return fail_attempt(connection, "connection failed", now);
