Limit the size of responses in all HTTP clients of a node

A store, engine or cloud that sends bytes without end made the node run out of memory, which ends the requests of all its callers (reported by operators of similar systems).

Cause: httplib's client keeps heads, lines, chunk sizes and bodies of any size.

Only the line of a stream had a limit.

Ruled out: a content receiver, as it sees neither heads nor chunk sizes.

--- a/include/chivedeal/core/control_traffic.hpp
+++ b/include/chivedeal/core/control_traffic.hpp
@@ -3,12 +3,9 @@
 
 #include <cstdint>
 
-namespace httplib {
-class Client;
-}
-
 namespace chivedeal {
 
+class bounded_http_client;
 class metrics;
 
 /// What a control message is for.
@@ -34,7 +31,7 @@
     void add_received(control_purpose purpose, std::uint64_t bytes);
 
     /// Counts every answered call of the client, heads and bodies.
-    void watch(httplib::Client& client, control_purpose purpose);
+    void watch(bounded_http_client& client, control_purpose purpose);
 
 private:
     metrics& m_counters;
--- a/include/chivedeal/state/http_log_service.hpp
+++ b/include/chivedeal/state/http_log_service.hpp
@@ -10,9 +10,12 @@
 #include <set>
 
 namespace httplib {
-class Client;
 class Result;
-} // namespace httplib
+}
+
+namespace chivedeal {
+class bounded_http_client;
+}
 
 namespace chivedeal::state {
 
@@ -44,11 +47,11 @@
 
 private:
     result<std::string> call(control_purpose purpose, absl::Duration limit,
-                             const std::function<httplib::Result(httplib::Client&)>& request);
+                             const std::function<httplib::Result(bounded_http_client&)>& request);
 
     options m_options;
     mutex m_mutex;
-    std::set<httplib::Client*> m_active;
+    std::set<bounded_http_client*> m_active;
     bool m_stopped = false;
 };
 
--- a/src/control/http_cloud_api.cpp
+++ b/src/control/http_cloud_api.cpp
@@ -70,8 +70,8 @@
     const json body{{"token", to_string(order.token)},   {"zone", order.pool.zone.str()},
                     {"class", order.pool.machine_class}, {"reclaimable", order.pool.reclaimable},
                     {"service", order.service.str()},    {"version", order.version.str()}};
-    httplib::Client client = detail::make_http_client(m_platform);
-    const httplib::Result response = client.Post("/cloud/start", body.dump(), "application/json");
+    const auto client = detail::make_http_client(m_platform);
+    const httplib::Result response = client->Post("/cloud/start", body.dump(), "application/json");
     if (response && response->status == detail::http_conflict)
         return error{.code = result_code::start_refused, .message = "the pool has no capacity"};
     if (!response || response->status != 200)
@@ -86,8 +86,8 @@
 status http_cloud_api::stop(const order_stop& order)
 {
     const json body{{"token", to_string(order.token)}, {"instance", order.instance.str()}};
-    httplib::Client client = detail::make_http_client(m_platform);
-    const httplib::Result response = client.Post("/cloud/stop", body.dump(), "application/json");
+    const auto client = detail::make_http_client(m_platform);
+    const httplib::Result response = client->Post("/cloud/stop", body.dump(), "application/json");
     if (!response || response->status != 200)
         return call_error("stop", response);
     return ok_status();
@@ -95,8 +95,8 @@
 
 result<instances_listed> http_cloud_api::list()
 {
-    httplib::Client client = detail::make_http_client(m_platform);
-    const httplib::Result response = client.Get("/instances");
+    const auto client = detail::make_http_client(m_platform);
+    const httplib::Result response = client->Get("/instances");
     if (!response || response->status != 200)
         return call_error("list", response);
     const json document = json::parse(response->body, nullptr, false);
@@ -113,8 +113,8 @@
 
 result<std::vector<pool_price>> http_cloud_api::prices()
 {
-    httplib::Client client = detail::make_http_client(m_platform);
-    const httplib::Result response = client.Get("/cloud/prices");
+    const auto client = detail::make_http_client(m_platform);
+    const httplib::Result response = client->Get("/cloud/prices");
     if (!response || response->status != 200)
         return call_error("prices", response);
     return parse_prices(response->body);
--- a/src/control/http_engine_api.cpp
+++ b/src/control/http_engine_api.cpp
@@ -17,8 +17,8 @@
                     {"model", order.model},
                     {"adapter", order.adapter},
                     {"fence", order.fence}};
-    httplib::Client client = detail::make_http_client(engine);
-    const httplib::Result response = client.Post("/v1/orders", body.dump(), "application/json");
+    const auto client = detail::make_http_client(engine);
+    const httplib::Result response = client->Post("/v1/orders", body.dump(), "application/json");
     if (response && response->status == detail::http_conflict)
         return error{.code = result_code::stale_fence,
                      .message = "the engine has accepted an order from a newer lease holder"};
@@ -30,8 +30,8 @@
 
 result<std::vector<version_id>> http_engine_api::loaded(const address& engine)
 {
-    httplib::Client client = detail::make_http_client(engine);
-    const httplib::Result response = client.Get("/v1/orders");
+    const auto client = detail::make_http_client(engine);
+    const httplib::Result response = client->Get("/v1/orders");
     if (!response || response->status != 200)
         return error{.code = result_code::io_error,
                      .message = "the engine did not return its loaded versions"};
--- a/src/core/control_traffic.cpp
+++ b/src/core/control_traffic.cpp
@@ -1,5 +1,6 @@
 #include "chivedeal/core/control_traffic.hpp"
 
+#include "chivedeal/core/bounded_http_client.hpp"
 #include "chivedeal/core/metrics.hpp"
 
 #include "absl/strings/str_cat.h"
@@ -62,7 +63,7 @@
     m_counters.add(counter_of(purpose, "received"), static_cast<double>(bytes));
 }
 
-void control_traffic::watch(httplib::Client& client, control_purpose purpose)
+void control_traffic::watch(bounded_http_client& client, control_purpose purpose)
 {
     client.set_logger([this, purpose](const httplib::Request& sent, const httplib::Response& got) {
         add_sent(purpose, request_line_bytes + sent.method.size() + sent.path.size() +
--- a/src/membership/http_instance_source.cpp
+++ b/src/membership/http_instance_source.cpp
@@ -1,5 +1,6 @@
 #include "chivedeal/membership/http_instance_source.hpp"
 
+#include "chivedeal/core/bounded_http_client.hpp"
 #include "chivedeal/core/clock.hpp"
 #include "chivedeal/core/control_traffic.hpp"
 
@@ -125,7 +126,7 @@
 result<http_instance_source::tagged_body>
 http_instance_source::get(const std::string& path, const std::string& known_tag) const
 {
-    httplib::Client client(m_options.platform.host, m_options.platform.port);
+    bounded_http_client client(m_options.platform);
     const auto limit = absl::ToChronoMilliseconds(m_options.timeout);
     client.set_connection_timeout(limit);
     client.set_read_timeout(limit);
--- a/src/requests/http_endpoint_client.cpp
+++ b/src/requests/http_endpoint_client.cpp
@@ -1,5 +1,6 @@
 #include "chivedeal/requests/http_endpoint_client.hpp"
 
+#include "chivedeal/core/bounded_http_client.hpp"
 #include "chivedeal/core/clock.hpp"
 #include "chivedeal/core/json_object.hpp"
 #include "chivedeal/core/mechanism.hpp"
@@ -35,6 +36,9 @@
 // prefill of the fake engines and of the latency target (1.2 s).
 constexpr auto read_timeout = std::chrono::seconds(20);
 
+// Limit for a whole response or stream, several times the longest that a model can generate.
+constexpr std::size_t max_response_bytes = std::size_t{16} * 1024 * 1024;
+
 constexpr int service_unavailable = 503;
 
 // The HTTP exchange of one attempt; keeps the state that determines the failure code.
@@ -42,7 +46,7 @@
 {
 public:
     exchange(const attempt_start& start, const std::function<bool(attempt_event)>& report,
-             httplib::Client& client)
+             bounded_http_client& client)
         : m_start(start), m_report(report), m_client(client)
     {}
 
@@ -62,7 +66,7 @@
 
     const attempt_start& m_start;
     const std::function<bool(attempt_event)>& m_report;
-    httplib::Client& m_client;
+    bounded_http_client& m_client;
     sse_parser m_parser;
     bool m_finished = false;
     bool m_complete = false;
@@ -203,9 +207,10 @@
     emit(attempt_failed{.reason = {.code = code, .message = std::move(message)}});
 }
 
-std::unique_ptr<httplib::Client> make_client(const address& target)
+std::unique_ptr<bounded_http_client> make_client(const address& target)
 {
-    auto client = std::make_unique<httplib::Client>(target.host, target.port);
+    auto client = std::make_unique<bounded_http_client>(
+        target, bounded_http_client::options{.max_response_bytes = max_response_bytes});
     client->set_connection_timeout(connect_timeout);
     client->set_read_timeout(read_timeout);
     client->set_tcp_nodelay(true);
@@ -233,7 +238,7 @@
 {
 public:
     // Returns false if the attempt was cancelled before it was added.
-    bool add(const attempt_start& start, httplib::Client& client)
+    bool add(const attempt_start& start, bounded_http_client& client)
     {
         const std::lock_guard<mutex> lock(m_mutex);
         const key added(start.request, start.attempt);
@@ -267,7 +272,7 @@
     static constexpr std::size_t max_cancelled_attempts = 512;
 
     mutex m_mutex;
-    std::map<key, httplib::Client*> m_running;
+    std::map<key, bounded_http_client*> m_running;
     std::deque<key> m_cancelled;
 };
 
@@ -276,7 +281,7 @@
 class http_endpoint_client::client_pool
 {
 public:
-    std::unique_ptr<httplib::Client> take(const address& target)
+    std::unique_ptr<bounded_http_client> take(const address& target)
     {
         const std::lock_guard<mutex> lock(m_mutex);
         auto& idle = m_idle[target];
@@ -287,7 +292,7 @@
         return client;
     }
 
-    void put(const address& target, std::unique_ptr<httplib::Client> client)
+    void put(const address& target, std::unique_ptr<bounded_http_client> client)
     {
         const std::lock_guard<mutex> lock(m_mutex);
         if (m_idle.size() > max_addresses)
@@ -303,7 +308,7 @@
     static constexpr std::size_t max_addresses = 256;
 
     mutex m_mutex;
-    std::map<address, std::vector<std::unique_ptr<httplib::Client>>> m_idle;
+    std::map<address, std::vector<std::unique_ptr<bounded_http_client>>> m_idle;
 };
 
 http_endpoint_client::http_endpoint_client(const clock& time)
--- a/src/requests/load_watcher.cpp
+++ b/src/requests/load_watcher.cpp
@@ -2,6 +2,7 @@
 
 #include "chivedeal/control/load_sink.hpp"
 #include "chivedeal/control/placement_event.hpp"
+#include "chivedeal/core/bounded_http_client.hpp"
 #include "chivedeal/core/clock.hpp"
 #include "chivedeal/core/control_traffic.hpp"
 #include "chivedeal/core/json_object.hpp"
@@ -28,7 +29,7 @@
 // other endpoints of its thread for long.
 constexpr auto poll_timeout = std::chrono::milliseconds(300);
 
-std::optional<json> get_json(httplib::Client& client, const std::string& path)
+std::optional<json> get_json(bounded_http_client& client, const std::string& path)
 {
     const httplib::Result answer = client.Get(path);
     if (!answer || answer->status != 200)
@@ -87,7 +88,7 @@
 void load_watcher::poll(const poll_schedule::poll& request)
 {
     const endpoint_id& endpoint = request.target.id;
-    httplib::Client client(request.target.listen.host, request.target.listen.port);
+    bounded_http_client client(request.target.listen);
     client.set_connection_timeout(poll_timeout);
     client.set_read_timeout(poll_timeout);
     client.set_keep_alive(true);
--- a/src/state/http_log_service.cpp
+++ b/src/state/http_log_service.cpp
@@ -1,5 +1,6 @@
 #include "chivedeal/state/http_log_service.hpp"
 
+#include "chivedeal/core/bounded_http_client.hpp"
 #include "chivedeal/state/log_batch.hpp"
 #include "json_fields.hpp"
 
@@ -64,7 +65,7 @@
         body["records"].push_back(
             {{"id", absl::StrCat(absl::Hex(XXH64(data.data(), data.size(), 0)))}, {"data", data}});
     const auto answer =
-        call(control_purpose::log_append, m_options.timeout, [&](httplib::Client& client) {
+        call(control_purpose::log_append, m_options.timeout, [&](bounded_http_client& client) {
             return client.Post("/log/" + stream, body.dump(), "application/json");
         });
     if (!is_ok(answer))
@@ -83,7 +84,7 @@
     const std::string path = absl::StrCat("/log/", stream, "?from=", from, "&max=", max,
                                           "&wait_ms=", absl::ToInt64Milliseconds(wait));
     const auto answer = call(control_purpose::log_read, m_options.timeout + wait,
-                             [&](httplib::Client& client) { return client.Get(path); });
+                             [&](bounded_http_client& client) { return client.Get(path); });
     if (!is_ok(answer))
         return get_error(answer);
     return parse_batch(stream, get_value(answer));
@@ -93,15 +94,15 @@
 {
     const std::lock_guard<mutex> lock(m_mutex);
     m_stopped = true;
-    for (httplib::Client* client : m_active)
+    for (bounded_http_client* client : m_active)
         client->stop();
 }
 
 result<std::string>
 http_log_service::call(control_purpose purpose, absl::Duration limit,
-                       const std::function<httplib::Result(httplib::Client&)>& request)
+                       const std::function<httplib::Result(bounded_http_client&)>& request)
 {
-    httplib::Client client(m_options.platform.host, m_options.platform.port);
+    bounded_http_client client(m_options.platform);
     client.set_connection_timeout(absl::ToChronoMilliseconds(m_options.timeout));
     client.set_read_timeout(absl::ToChronoMilliseconds(limit));
     client.set_write_timeout(absl::ToChronoMilliseconds(m_options.timeout));
--- a/test/core_control_traffic_test.cpp
+++ b/test/core_control_traffic_test.cpp
@@ -1,5 +1,6 @@
 #include "chivedeal/core/control_traffic.hpp"
 
+#include "chivedeal/core/bounded_http_client.hpp"
 #include "chivedeal/core/metrics.hpp"
 #include "chivedeal/core/posix_thread.hpp"
 
@@ -73,7 +74,8 @@
     raw_server server;
     {
         const posix_thread thread("server", [&] { server.serve_one(); });
-        httplib::Client client("127.0.0.1", server.port());
+        bounded_http_client client(
+            {.host = "127.0.0.1", .port = static_cast<std::uint16_t>(server.port())});
         traffic.watch(client, control_purpose::log_append);
         ASSERT_TRUE(client.Post("/log/control", "records!", "application/json"));
     }
--- a/test/requests_http_endpoint_client_test.cpp
+++ b/test/requests_http_endpoint_client_test.cpp
@@ -6,6 +6,7 @@
 #include "chivedeal/requests/attempt_event.hpp"
 #include "chivedeal/requests/attempt_start.hpp"
 #include "chivedeal/requests/flow_command.hpp"
+#include "fakes/raw_endpoint.hpp"
 
 #include <gtest/gtest.h>
 #include <httplib.h>
@@ -99,6 +100,20 @@
     return failed == nullptr ? result_code::ok : failed->reason.code;
 }
 
+attempt_start make_start(const fakes::raw_endpoint& endpoint, state::service_kind kind)
+{
+    return {.request = request_id("r1"),
+            .attempt = 1,
+            .endpoint = endpoint_id("e1"),
+            .target = endpoint.listen_address(),
+            .kind = kind,
+            .version = {},
+            .idempotency_key = {},
+            .body = R"({"prompt": "oak"})",
+            .tokens_so_far = {},
+            .kv_handle = {}};
+}
+
 const std::string token = "id: 0 1 r1\ndata: oak\n\n";
 const std::string end_marker = "event: end\ndata: {}\n\n";
 
@@ -184,3 +199,67 @@
         EXPECT_EQ(run(client, engine.start()).size(), 2U);
     EXPECT_EQ(engine.connections(), 1U);
 }
+
+// Guards against a success with an empty or short body after a response whose head was cut off.
+TEST(http_endpoint_client, fails_an_attempt_whose_response_ends_inside_its_head_or_body)
+{
+    const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    std::size_t size = 0;
+    const fakes::raw_endpoint endpoint([&](const std::string& /*request*/) {
+        return fakes::raw_response{.bytes = whole.substr(0, size),
+                                   .then = fakes::raw_response::next::close};
+    });
+    const system_clock clock;
+    http_endpoint_client client(clock);
+    for (const auto kind : {state::service_kind::plain, state::service_kind::engine})
+        for (size = 0; size < whole.size(); ++size)
+            EXPECT_EQ(failure_of(run(client, make_start(endpoint, kind))),
+                      result_code::endpoint_lost)
+                << whole.substr(0, size);
+}
+
+namespace {
+
+struct endless_attempt
+{
+    const char* name;
+    state::service_kind kind;
+    std::string begin;
+    std::string filler;
+};
+
+const std::vector<endless_attempt> endless_attempts{
+    {"head", state::service_kind::plain, "HTTP/1.1 200 OK\r\n", "Field: value\r\n"},
+    {"header_line", state::service_kind::plain, "HTTP/1.1 200 OK\r\nField: ", "value"},
+    {"status_line", state::service_kind::plain, "HTTP/1.1 200 ", "OK"},
+    {"body", state::service_kind::plain, "HTTP/1.1 200 OK\r\n\r\n", "value"},
+    {"head_of_a_stream", state::service_kind::engine, "HTTP/1.1 200 OK\r\n", "Field: value\r\n"},
+    {"line_of_a_stream", state::service_kind::engine, "HTTP/1.1 200 OK\r\n\r\n", "value"},
+    {"comments_of_a_stream", state::service_kind::engine, "HTTP/1.1 200 OK\r\n\r\n", ": a\n"},
+};
+
+class endless_attempt_test : public ::testing::TestWithParam<endless_attempt>
+{};
+
+} // namespace
+
+// Guards against a node that runs out of memory because an endpoint sends bytes without end.
+TEST_P(endless_attempt_test, fails)
+{
+    std::string filler;
+    while (filler.size() < 64 * 1024)
+        filler += GetParam().filler;
+    const fakes::raw_endpoint endpoint([&filler](const std::string& /*request*/) {
+        return fakes::raw_response{.bytes = GetParam().begin,
+                                   .then = fakes::raw_response::next::send_forever,
+                                   .filler = filler};
+    });
+    const system_clock clock;
+    http_endpoint_client client(clock);
+    EXPECT_EQ(failure_of(run(client, make_start(endpoint, GetParam().kind))),
+              result_code::endpoint_lost);
+}
+
+INSTANTIATE_TEST_SUITE_P(http_endpoint_client, endless_attempt_test,
+                         ::testing::ValuesIn(endless_attempts),
+                         [](const auto& instance) { return std::string(instance.param.name); });
