Fail the longest response when responses use too much memory

While responses of a faulty endpoint filled the memory for responses, those of sound endpoints failed, although they may have run.

Cause: the limit for all responses together was charged to the response that came last.

Evidence: delivers_responses_while_another_endpoint_fills_the_buffers, with 16 unfinished responses of 4 MB, fails on and passes with the change.

Ruled out: a limit for each endpoint, which lets several faulty ones fill the memory all the same.

--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -126,6 +126,7 @@
     void count_response(const exchange& current, std::optional<double> pace, bool in_time,
                         absl::Time now);
     void buffer_body(exchange& current, std::string_view bytes, absl::Time now);
+    exchange& exchange_with_longest_body();
     void drop_body(exchange& current);
     void on_timeout(exchange& current, absl::Time now);
     void refuse(exchange& current, int status, const char* reason, absl::Duration retry_after,
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -369,11 +369,23 @@
 
 void request_runner::buffer_body(exchange& current, std::string_view bytes, absl::Time now)
 {
-    if (current.response_body.size() + bytes.size() > max_response_body_bytes ||
-        m_buffered_body_bytes + bytes.size() > max_buffered_body_bytes)
+    if (current.response_body.size() + bytes.size() > max_response_body_bytes)
         return end_attempt(current, attempt_outcome::broken, "response body too long", now);
     current.response_body.append(bytes);
     m_buffered_body_bytes += bytes.size();
+    if (m_buffered_body_bytes > max_buffered_body_bytes)
+        end_attempt(exchange_with_longest_body(), attempt_outcome::broken,
+                    "response bodies use too much memory", now);
+}
+
+// The longest body is the most likely not to end, and its end frees the most memory.
+exchange& request_runner::exchange_with_longest_body()
+{
+    const auto longest = std::max_element(
+        m_exchanges.begin(), m_exchanges.end(), [](const auto& left, const auto& right) {
+            return left.second->response_body.size() < right.second->response_body.size();
+        });
+    return *longest->second;
 }
 
 void request_runner::drop_body(exchange& current)
--- a/test/forward_endpoint_faults_test.cpp
+++ b/test/forward_endpoint_faults_test.cpp
@@ -146,6 +146,49 @@
     EXPECT_FALSE(post("/stream/x"));
 }
 
+// Guards against failing the responses of sound endpoints because another endpoint's responses,
+// which don't end, take all the memory for responses.
+TEST_F(endpoint_faults_test, delivers_responses_while_another_endpoint_fills_the_buffers)
+{
+    constexpr int unfinished_count = 16;
+    constexpr std::size_t unfinished_bytes = 4'000'000;
+    constexpr std::size_t sound_bytes = 3'500'000;
+    m_topics->put(topic::configuration, "config",
+                  R"({"version":1,"routes":[{"name":"app","host":"h","path_prefix":"/app/",)"
+                  R"("kind":"unsafe","timeout_ms":5000,"goal_ms":200,"attempts":1,"service":"s"},)"
+                  R"({"name":"bad","host":"h","path_prefix":"/bad/","kind":"unsafe",)"
+                  R"("timeout_ms":5000,"goal_ms":200,"attempts":1,"service":"bad"}],)"
+                  R"("services":[{"name":"s","max_conns":40},{"name":"bad","max_conns":40}],)"
+                  R"("tenants":[{"name":"w","api_keys":["key"]}]})");
+    const raw_endpoint faulty([](const std::string& /*request*/) {
+        return raw_response{
+            .bytes = absl::StrCat("HTTP/1.1 200 OK\r\n\r\n", std::string(unfinished_bytes, 'x')),
+            .then = raw_response::next::go_silent};
+    });
+    const raw_endpoint sound([](const std::string& /*request*/) {
+        return raw_response{.bytes =
+                                absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", sound_bytes,
+                                             "\r\n\r\n", std::string(sound_bytes, 's'))};
+    });
+    publish_endpoint(sound.listen_address(), "ready", "e1");
+    m_topics->put(topic::endpoints, "e2",
+                  absl::StrCat(R"({"service":"bad","addr":")", to_string(faulty.listen_address()),
+                               R"(","zone":"z","version":"v1","slots":64,"state":"ready"})"));
+    start();
+    ASSERT_TRUE(fakes::eventually(max_wait, [this] { return is_ready(); }));
+    std::vector<std::unique_ptr<posix_thread>> callers;
+    for (int i = 0; i < unfinished_count; ++i)
+        callers.push_back(std::make_unique<posix_thread>(
+            "caller", [this, i] { (void)post("/bad/x", "key", "", absl::StrCat("bad-", i)); }));
+    ASSERT_TRUE(fakes::eventually(
+        max_wait, [&faulty] { return faulty.request_count() == unfinished_count; }));
+    absl::SleepFor(absl::Seconds(1));
+    const auto answer = post("/app/x", "key", "", "sound");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 200);
+    EXPECT_EQ(answer->body.size(), sound_bytes);
+}
+
 struct endless_response
 {
     const char* name;
