Refuse requests whose framing does not end

A caller that sends a chunk size, a chunk extension or a trailer without end made the node keep all of it. Found while looking for the cause of endless responses on other paths.

Cause: the parser limits heads and bodies only, and consumes nothing of the rest before it is complete.

Evidence: 3 of 4 cases of endless_request_test fail on (no response to 256 KB within 5 s) and pass with the limit of 64 KiB.

--- a/src/forward/caller_side.cpp
+++ b/src/forward/caller_side.cpp
@@ -22,6 +22,9 @@
 // Limits the pipelined input buffered while a response is in progress; further input stays in the
 // kernel's socket buffer.
 constexpr std::size_t max_pipelined_bytes = 64 * 1024;
+// Limits a chunk size, its extension and a trailer, for which the parser has no limit. They have to
+// be complete before it consumes them.
+constexpr std::size_t max_unparsed_bytes = 64 * 1024;
 // Written bytes are erased from the front of the output only beyond this size, so that the rest
 // isn't copied on every event.
 constexpr std::size_t min_compact_bytes = 32 * 1024;
@@ -121,6 +124,9 @@
         release_capacity(connection.input);
         if (connection.reader->current_state() == request_reader::state::failed)
             return reject(connection, connection.reader->failure_status(), now);
+        if (connection.reader->current_state() == request_reader::state::body &&
+            connection.input.size() > max_unparsed_bytes)
+            return reject(connection, 431, now);
         if (!connection.sent_continue && connection.reader->expects_continue()) {
             connection.sent_continue = true;
             connection.output += "HTTP/1.1 100 Continue\r\n\r\n";
--- /dev/null
+++ b/test/forward_caller_faults_test.cpp
@@ -0,0 +1,57 @@
+#include "fakes/eventually.hpp"
+#include "fakes/node_fixture.hpp"
+#include "fakes/raw_caller.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace chivedeal::forward {
+namespace {
+
+constexpr absl::Duration max_wait = absl::Seconds(30);
+const std::string chunked_head = "POST /app/x HTTP/1.1\r\nHost: h\r\nChivedeal-Request-Id: id-1\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n";
+
+struct endless_request
+{
+    const char* name;
+    std::string begin;
+    std::string filler;
+};
+
+const std::vector<endless_request> endless_requests{
+    {"header_line", "GET / HTTP/1.1\r\nHost: h\r\nField: ", "value"},
+    {"chunk_size", chunked_head, "0"},
+    {"chunk_extension", chunked_head + "5;a=", "value"},
+    {"trailer", chunked_head + "0\r\n", "Field: value\r\n"},
+};
+
+class endless_request_test : public fakes::node_fixture,
+                             public ::testing::WithParamInterface<endless_request>
+{};
+
+// Guards against a node that runs out of memory because a caller sends the framing of a request
+// without end.
+TEST_P(endless_request_test, is_refused)
+{
+    publish_config(1);
+    start();
+    ASSERT_TRUE(fakes::eventually(max_wait, [this] { return is_ready(); }));
+    std::string bytes = GetParam().begin;
+    while (bytes.size() < 256 * 1024)
+        bytes += GetParam().filler;
+    fakes::raw_caller caller(m_settings.front, absl::Seconds(5));
+    ASSERT_TRUE(caller.is_connected());
+    ASSERT_TRUE(caller.send(bytes));
+    EXPECT_EQ(caller.receive_all().substr(0, 13), "HTTP/1.1 431 ");
+    EXPECT_TRUE(is_ready());
+}
+
+INSTANTIATE_TEST_SUITE_P(caller_faults_test, endless_request_test,
+                         ::testing::ValuesIn(endless_requests),
+                         [](const auto& instance) { return std::string(instance.param.name); });
+
+} // namespace
+} // namespace chivedeal::forward
