Refuse requests that would outlast a planned stop, and respond to those that do

Requests that came late in the grace period of a planned stop were passed on and cut off without a response at its end, unsafe ones among them (reported by operators of similar systems).

Cause: the node accepted requests until it ended, whatever time was left, and closed the connections of those under way.

Evidence: planned_stop_test on: a late unsafe request reaches the endpoint and gets no response, and neither does the one that was under way.

Change: shutdown_admission compares the time left with the usual response time of the route (RFC 6298: mean plus four mean deviations) and refuses with 503 what may not end in time. 0.5 s before the end of the grace period the rest gets 502, or 503 if it hasn't run.

Ruled out: refusing everything after a fixed part of the grace period, as short requests are served well until shortly before its end; the route's timeout as the time needed, as it exceeds the whole period for streams.

--- a/include/chivedeal/forward/forwarder.hpp
+++ b/include/chivedeal/forward/forwarder.hpp
@@ -87,6 +87,8 @@
     local_state make_local_state(absl::Time now) const;
     void report_local_state(const local_state& state, absl::Time now);
     void advance_drain(absl::Time now);
+    // From the start of the drain.
+    absl::Duration time_for_responses() const;
     bool is_ready() const;
     void respond_to_directory_request(std::uint64_t connection, const std::string& target,
                                       absl::Time now);
@@ -120,6 +122,7 @@
     absl::Time m_next_urgent_publication = absl::InfinitePast();
     absl::Time m_drain_started_at = absl::InfiniteFuture();
     bool m_drained = false;
+    std::size_t m_cut_off_requests = 0;
 };
 
 } // namespace chivedeal::forward
--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -10,6 +10,7 @@
 #include "chivedeal/forward/node_settings.hpp"
 #include "chivedeal/forward/outcome_counter.hpp"
 #include "chivedeal/forward/prompt_quarantine.hpp"
+#include "chivedeal/forward/shutdown_admission.hpp"
 #include "chivedeal/forward/token_quota.hpp"
 #include "chivedeal/forward/usage_ledger.hpp"
 #include "chivedeal/requests/retry_budget.hpp"
@@ -61,6 +62,11 @@
     /// limits of workspaces, as far as this node knows.
     void set_node_count(int ready_nodes, int nodes_sharing_limits);
 
+    /// Refuses, from now on, requests that may still be under way at `end`.
+    void begin_shutdown(absl::Time end) { m_shutdown.begin(end); }
+    /// Gives all requests under way their final responses; streams end incomplete.
+    void end_all(absl::Time now);
+
     void on_request(std::uint64_t connection, http_request request, absl::Time started,
                     absl::Time now);
     void on_caller_disconnected(std::uint64_t connection, absl::Time now);
@@ -160,6 +166,7 @@
     outcome_counter m_outcomes;
     prompt_quarantine m_quarantine;
     crash_tracker m_crashes{m_quarantine};
+    shutdown_admission m_shutdown;
     std::map<service_id, std::int64_t> m_requested_prompt_tokens;
     std::size_t m_buffered_body_bytes = 0;
     absl::InsecureBitGen m_random;
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -33,8 +33,10 @@
 constexpr std::size_t min_regional_nodes = 2;
 // Some callers cache the directory response for three times its TTL.
 constexpr double address_ttl_factor = 3;
-// Part of the termination grace period that is reserved for process exit.
+// Parts of the termination grace period that are reserved for process exit, and before it for
+// writing the responses to requests that are still under way.
 constexpr absl::Duration exit_margin = absl::Milliseconds(400);
+constexpr absl::Duration final_response_margin = absl::Milliseconds(100);
 // What a peer admitted before this node heard of it is counted only while this node is young: later
 // on, the limits of that time have passed.
 constexpr absl::Duration max_catch_up_time = absl::Seconds(4);
@@ -204,6 +206,7 @@
     else if (std::holds_alternative<node_event::drain_requested>(event.value) &&
              m_drain_started_at == absl::InfiniteFuture()) {
         m_drain_started_at = now;
+        m_runner.begin_shutdown(now + time_for_responses());
         m_callers.close_after_responses();
         log_event(event_id::drain_started, {{"under_way", absl::StrCat(m_runner.active_count())}});
         m_peers.publish(make_local_state(now));
@@ -319,16 +322,28 @@
     if (m_drain_started_at == absl::InfiniteFuture() || m_drained)
         return;
     const absl::Duration elapsed = now - m_drain_started_at;
-    if (elapsed < m_settings.address_ttl * address_ttl_factor + periodic_task_interval)
+    const absl::Duration last_response = time_for_responses();
+    if (elapsed < std::min(last_response,
+                           m_settings.address_ttl * address_ttl_factor + periodic_task_interval))
         return;
     m_callers.close_idle(now);
-    if (m_runner.active_count() > 0 && elapsed < m_settings.shutdown_grace - exit_margin)
+    if (m_runner.active_count() > 0) {
+        if (elapsed < last_response)
+            return;
+        m_cut_off_requests += m_runner.active_count();
+        m_runner.end_all(now);
         return;
+    }
     m_drained = true;
-    log_event(event_id::drain_finished, {{"cut_off", absl::StrCat(m_runner.active_count())}});
+    log_event(event_id::drain_finished, {{"cut_off", absl::StrCat(m_cut_off_requests)}});
     m_on_drained();
 }
 
+absl::Duration forwarder::time_for_responses() const
+{
+    return m_settings.shutdown_grace - exit_margin - final_response_margin;
+}
+
 bool forwarder::is_ready() const
 {
     return m_runner.has_config() && m_endpoints_loaded &&
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -40,6 +40,8 @@
 // short because callers retry at another node.
 constexpr absl::Duration local_quota_retry_after = absl::Milliseconds(100);
 constexpr absl::Duration unconfigured_retry_after = absl::Milliseconds(300);
+// The other nodes are ready while this one shuts down.
+constexpr absl::Duration shutdown_retry_after = absl::Milliseconds(100);
 // Reading from the endpoint pauses when the caller has more unsent response data than this.
 constexpr std::size_t max_backlog_bytes = 256 * 1024;
 // Limits for responses that are kept until they are complete: of one, and of all together.
@@ -129,6 +131,7 @@
     m_index = std::move(index);
     m_quota.set_workspaces(limits_with_tolerance(), now);
     m_callers.set_limits(m_index->config().limits);
+    m_shutdown.retain(m_index->config().routes);
 }
 
 // Nodes learn of each other's admissions with a delay. Part of the platform's tolerance is added to
@@ -190,6 +193,9 @@
     m_exchange_by_connection[connection] = current.id;
     m_exchanges.emplace(current.id, std::move(new_exchange));
     schedule(current);
+    if (!m_shutdown.accepts(matched.name, current.give_up_at, now))
+        return refuse(current, 503, "the node shuts down before the request would end",
+                      shutdown_retry_after, now);
     if (const auto refusal = m_quarantine.refusal(current.head.prefix, now))
         return refuse(current, 503,
                       refusal->blocked ? "a part of the prompt crashes endpoints"
@@ -594,6 +600,21 @@
     refuse(current, 503, "timeout before the request ran", default_retry_after, now);
 }
 
+void request_runner::end_all(absl::Time now)
+{
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, current] : m_exchanges)
+        ids.push_back(id);
+    for (const std::uint64_t id : ids) {
+        exchange* current = find_exchange(id);
+        if (current == nullptr)
+            continue;
+        m_endpoints.cancel(id);
+        release_attempt(*current);
+        finish_failed(*current, "the node shuts down", now);
+    }
+}
+
 void request_runner::on_caller_disconnected(std::uint64_t connection, absl::Time now)
 {
     const auto found = m_exchange_by_connection.find(connection);
@@ -644,6 +665,8 @@
 void request_runner::finish(exchange& current, int status, const char* reason, absl::Time now)
 {
     m_counters.add("chivedeal_requests_total", 1);
+    if (status / 100 == 2 || status == 504)
+        m_shutdown.on_response(current.match.matched->name, now - current.arrived_at);
     if (current.first_byte_at != absl::InfiniteFuture())
         m_counters.observe("chivedeal_first_byte_seconds",
                            absl::ToDoubleSeconds(current.first_byte_at - current.arrived_at));
--- /dev/null
+++ b/src/forward/shutdown_admission.cpp
@@ -0,0 +1,34 @@
+#include "chivedeal/forward/shutdown_admission.hpp"
+
+#include "chivedeal/forward/route.hpp"
+
+#include <iterator>
+#include <set>
+#include <string_view>
+
+namespace chivedeal::forward {
+
+void shutdown_admission::on_response(const std::string& route_name, absl::Duration response_time)
+{
+    m_response_times[route_name].add(response_time);
+}
+
+void shutdown_admission::retain(const std::vector<route>& routes)
+{
+    std::set<std::string_view> names;
+    for (const route& known : routes)
+        names.insert(known.name);
+    for (auto entry = m_response_times.begin(); entry != m_response_times.end();)
+        entry = names.count(entry->first) > 0 ? std::next(entry) : m_response_times.erase(entry);
+}
+
+bool shutdown_admission::accepts(const std::string& route_name, absl::Time give_up_at,
+                                 absl::Time now) const
+{
+    if (give_up_at <= m_end)
+        return true;
+    const auto known = m_response_times.find(route_name);
+    return known != m_response_times.end() && now + known->second.upper_bound() <= m_end;
+}
+
+} // namespace chivedeal::forward
