--- a/test/forward_broken_stream_test.cpp
+++ b/test/forward_broken_stream_test.cpp
@@ -75,6 +75,8 @@
     {"head_behind_interim_response",
      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 500 Error\r\nContent-Length: 7\r\n\r\nerror\n\n"},
     {"text_without_head", "error\n\n"},
+    {"head_cut_off", "HTTP/1.1 200 OK\r\nContent-Type: text/ev"},
+    {"head_without_its_last_line", stream_head},
 };
 
 class failed_resumption_test : public broken_stream_test,
