Choose only unfinished responses when memory is used up

Found by reading: a response that is complete and about to be delivered has no attempt any more, but could be chosen as the longest one to fail. Its missing attempt would then be used. Not seen in a run; the tests of endpoint faults pass (44 tests).

--- a/include/chivedeal/forward/shutdown_admission.hpp
+++ b/include/chivedeal/forward/shutdown_admission.hpp
@@ -27,7 +27,7 @@
     /// Sets the time from which on no request may be under way.
     void begin(absl::Time end) { m_end = end; }
 
-    /// Whether a request ends in time. At `give_up_at` it ends without a response.
+    /// Whether a request that the node gives up at `give_up_at` can be expected to end in time.
     bool accepts(const std::string& route_name, absl::Time give_up_at, absl::Time now) const;
 
 private:
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -384,13 +384,18 @@
                     "response bodies use too much memory", now);
 }
 
-// The longest body is the most likely not to end, and its end frees the most memory.
+// The longest body is the most likely not to end, and its end frees the most memory. A body without
+// an attempt is complete and about to be delivered.
 exchange& request_runner::exchange_with_longest_body()
 {
-    const auto longest = std::max_element(
-        m_exchanges.begin(), m_exchanges.end(), [](const auto& left, const auto& right) {
-            return left.second->response_body.size() < right.second->response_body.size();
-        });
+    const auto unfinished_bytes = [](const exchange& candidate) {
+        return candidate.attempt_choice ? candidate.response_body.size() : 0;
+    };
+    const auto longest = std::max_element(m_exchanges.begin(), m_exchanges.end(),
+                                          [&unfinished_bytes](const auto& left, const auto& right) {
+                                              return unfinished_bytes(*left.second) <
+                                                     unfinished_bytes(*right.second);
+                                          });
     return *longest->second;
 }
 
