Log stop signals and how a drain ends

Cause: after a stop, the log could not tell a completed drain from an immediate stop or a SIGKILL. Only the first stop signal left a line (drain_started); requests cut off by an immediate stop, and output that was still unsent, left none.

Change: stop_signal_received for each SIGTERM and SIGINT with its effect, in both modes; drain_finished also when the node stops before its drain is complete, with the requests under way and the connections and bytes that callers' hosts have not acknowledged (output buffers plus SIOCOUTQ); node_stopped from 'chivedeal forward' too, by glog since the log thread has ended by then. No decision changes.

--- a/include/chivedeal/core/log_event.hpp
+++ b/include/chivedeal/core/log_event.hpp
@@ -20,6 +20,7 @@
     supervisor_gave_up = 1004,
     settings_reloaded = 1005,
     log_lines_dropped = 1006,
+    stop_signal_received = 1007,
 
     change_accepted = 2001,
     change_rejected = 2002,
--- a/include/chivedeal/core/log_writer.hpp
+++ b/include/chivedeal/core/log_writer.hpp
@@ -25,7 +25,6 @@
     };
 
     explicit log_writer(options settings);
-    /// Writes what is left.
     ~log_writer() override;
 
     std::string name() const override { return "log_writer"; }
@@ -40,6 +39,8 @@
     /// The writer that `log_event` uses; null when lines are written by glog in the caller's thread.
     static log_writer* installed();
     void install();
+    /// Makes `log_event` write by glog again.
+    void uninstall();
 
 private:
     void write_batch(std::string first);
--- a/include/chivedeal/forward/caller_side.hpp
+++ b/include/chivedeal/forward/caller_side.hpp
@@ -4,6 +4,7 @@
 #include "chivedeal/forward/caller_connection.hpp"
 #include "chivedeal/forward/caller_limits.hpp"
 #include "chivedeal/forward/http_response_head.hpp"
+#include "chivedeal/forward/unsent_output.hpp"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
@@ -52,6 +53,7 @@
 
     /// Number of buffered output bytes that aren't written to the socket yet.
     std::size_t backlog(std::uint64_t id) const;
+    unsent_output unsent() const;
 
     /// Makes every later response close its connection.
     void close_after_responses() { m_draining = true; }
--- a/include/chivedeal/forward/sockets.hpp
+++ b/include/chivedeal/forward/sockets.hpp
@@ -20,6 +20,10 @@
 /// Returns the errno of a finished connection attempt, 0 if it succeeded.
 int connect_error(int descriptor);
 
+/// Returns the number of sent bytes that the peer's host has not acknowledged, 0 if the kernel
+/// doesn't tell.
+std::size_t unacknowledged_bytes(int descriptor);
+
 /// Opens a non-blocking UDP socket. Errors: `io_error`.
 result<int> bind_udp(const address& local);
 
--- a/src/core/log_event.cpp
+++ b/src/core/log_event.cpp
@@ -39,6 +39,8 @@
         return "settings_reloaded";
     case event_id::log_lines_dropped:
         return "log_lines_dropped";
+    case event_id::stop_signal_received:
+        return "stop_signal_received";
     case event_id::change_accepted:
         return "change_accepted";
     case event_id::change_rejected:
@@ -166,6 +168,7 @@
         event_id::supervisor_gave_up,
         event_id::settings_reloaded,
         event_id::log_lines_dropped,
+        event_id::stop_signal_received,
         event_id::change_accepted,
         event_id::change_rejected,
         event_id::log_unreachable,
--- a/src/core/log_writer.cpp
+++ b/src/core/log_writer.cpp
@@ -35,16 +35,18 @@
     : m_descriptor(settings.descriptor), m_lines(settings.capacity)
 {}
 
-log_writer::~log_writer()
-{
-    log_writer* self = this;
-    current.compare_exchange_strong(self, nullptr);
-}
+log_writer::~log_writer() { uninstall(); }
 
 log_writer* log_writer::installed() { return current; }
 
 void log_writer::install() { current = this; }
 
+void log_writer::uninstall()
+{
+    log_writer* self = this;
+    current.compare_exchange_strong(self, nullptr);
+}
+
 void log_writer::write(std::string line)
 {
     if (!m_lines.try_push(stamp(line)))
--- a/src/forward/caller_side.cpp
+++ b/src/forward/caller_side.cpp
@@ -215,6 +215,21 @@
                : found->second->output.size() - found->second->output_sent_bytes;
 }
 
+unsent_output caller_side::unsent() const
+{
+    unsent_output total;
+    for (const auto& [id, connection] : m_connections) {
+        if (connection->closed)
+            continue;
+        const std::size_t bytes = connection->output.size() - connection->output_sent_bytes +
+                                  unacknowledged_bytes(connection->descriptor);
+        if (bytes > 0)
+            ++total.connections;
+        total.bytes += bytes;
+    }
+    return total;
+}
+
 void caller_side::finish_response(caller_connection& connection, absl::Time now)
 {
     connection.awaiting_response = false;
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -120,6 +120,8 @@
         m_callers.sweep();
         m_endpoints.sweep();
     }
+    if (!m_drained && m_drain_started_at != absl::InfiniteFuture())
+        log_drain_end(m_time.now());
     while (!m_event_queue.closed())
         (void)m_event_queue.pop(absl::InfiniteDuration());
 }
@@ -335,10 +337,22 @@
         return;
     }
     m_drained = true;
-    log_event(event_id::drain_finished, {{"cut_off", absl::StrCat(m_cut_off_requests)}});
+    log_drain_end(now);
     m_on_drained();
 }
 
+void forwarder::log_drain_end(absl::Time now) const
+{
+    const unsent_output unsent = m_callers.unsent();
+    log_event(event_id::drain_finished,
+              {{"complete", m_drained ? "yes" : "no"},
+               {"elapsed_ms", absl::StrCat(absl::ToInt64Milliseconds(now - m_drain_started_at))},
+               {"cut_off", absl::StrCat(m_cut_off_requests)},
+               {"under_way", absl::StrCat(m_runner.active_count())},
+               {"unsent_connections", absl::StrCat(unsent.connections)},
+               {"unsent_bytes", absl::StrCat(unsent.bytes)}});
+}
+
 absl::Duration forwarder::time_for_responses() const
 {
     return m_settings.shutdown_grace - exit_margin - final_response_margin;
--- a/src/forward/forwarding_node.cpp
+++ b/src/forward/forwarding_node.cpp
@@ -13,6 +13,7 @@
 #include "chivedeal/forward/forwarder.hpp"
 #include "chivedeal/forward/peer_exchange.hpp"
 
+#include <exception>
 #include <utility>
 #include <vector>
 
@@ -54,6 +55,8 @@
     void request_stop() { m_root.request_stop(); }
 
 private:
+    void log_stop(const char* reason);
+
     const node_settings m_settings;
     const header_names m_names;
     const std::unique_ptr<wire_format> m_format;
@@ -135,7 +138,21 @@
                                        {"region", m_settings.region.str()},
                                        {"zone", m_settings.zone.str()},
                                        {"address", to_string(m_settings.front)}});
-    m_root.run();
+    try {
+        m_root.run();
+    }
+    catch (const std::exception& fault) {
+        log_stop(fault.what());
+        throw;
+    }
+    log_stop("asked");
+}
+
+// The thread that writes log lines has ended with the other duties.
+void forwarding_node::impl::log_stop(const char* reason)
+{
+    m_log.uninstall();
+    log_event(event_id::node_stopped, {{"node", m_settings.node.str()}, {"reason", reason}});
 }
 
 void forwarding_node::impl::request_drain()
--- a/src/forward/sockets.cpp
+++ b/src/forward/sockets.cpp
@@ -3,8 +3,10 @@
 #include "absl/strings/str_cat.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -107,6 +109,14 @@
     return failure;
 }
 
+std::size_t unacknowledged_bytes(int descriptor)
+{
+    int bytes = 0;
+    if (ioctl(descriptor, SIOCOUTQ, &bytes) != 0 || bytes < 0)
+        return 0;
+    return static_cast<std::size_t>(bytes);
+}
+
 result<int> bind_udp(const address& local)
 {
     const int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/src/operators/serve_command.cpp
+++ b/src/operators/serve_command.cpp
@@ -42,6 +42,9 @@
         sigwait(&signals, &received);
         if (received == node_ended)
             return;
+        log_event(event_id::stop_signal_received,
+                  {{"signal", received == SIGTERM ? "SIGTERM" : "SIGINT"},
+                   {"effect", draining ? "stop" : "drain"}});
         if (draining) {
             entry.request_stop();
             continue;
