--- a/fakes/raw_caller.hpp
+++ b/fakes/raw_caller.hpp
@@ -2,19 +2,23 @@
 #define FAKES_RAW_CALLER_HPP
 
 #include "chivedeal/core/address.hpp"
+#include "fakes/slow_link.hpp"
 
+#include "absl/time/clock.h"
 #include "absl/time/time.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
 
-#include <array>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace chivedeal::fakes {
 
@@ -23,9 +27,12 @@
 {
 public:
     /// `timeout` applies to each call.
-    raw_caller(const address& node, absl::Duration timeout)
-        : m_socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    raw_caller(const address& node, absl::Duration timeout,
+               const std::optional<slow_link>& link = std::nullopt)
+        : m_socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)), m_link(link)
     {
+        if (m_link)
+            limit_buffers();
         const timeval limit = absl::ToTimeval(timeout);
         setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
         setsockopt(m_socket, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
@@ -58,17 +65,32 @@
     std::string receive_all()
     {
         std::string received;
-        std::array<char, 4096> buffer;
+        std::vector<char> buffer(m_link ? m_link->bytes_per_read : 4096);
         while (true) {
-            const ssize_t received_bytes = recv(m_socket, buffer.data(), buffer.size(), 0);
+            const ssize_t received_bytes =
+                recv(m_socket, buffer.data(), buffer.size(), m_link ? MSG_WAITALL : 0);
             if (received_bytes <= 0)
                 return received;
             received.append(buffer.data(), static_cast<std::size_t>(received_bytes));
+            if (m_link)
+                absl::SleepFor(m_link->pause_between_reads);
         }
     }
 
 private:
+    // The usual segment size of a network; with that of the loopback device, the kernel buffers
+    // megabytes.
+    static constexpr int max_segment_bytes = 1448;
+
+    void limit_buffers()
+    {
+        setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &m_link->receive_buffer_bytes,
+                   sizeof m_link->receive_buffer_bytes);
+        setsockopt(m_socket, IPPROTO_TCP, TCP_MAXSEG, &max_segment_bytes, sizeof max_segment_bytes);
+    }
+
     int m_socket;
+    std::optional<slow_link> m_link;
     bool m_connected = false;
 };
 
--- a/fakes/raw_endpoint.hpp
+++ b/fakes/raw_endpoint.hpp
@@ -18,6 +18,7 @@
 #include <atomic>
 #include <cstddef>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <string>
@@ -98,6 +99,7 @@
             for (const int descriptor : m_slow)
                 (void)send(descriptor, m_filler.data(), m_filler.size(),
                            MSG_NOSIGNAL | MSG_DONTWAIT);
+            send_events();
         }
     }
 
@@ -164,12 +166,26 @@
             m_filler = response.filler;
             m_inputs.erase(descriptor);
             m_slow.push_back(descriptor);
+            return;
+        case raw_response::next::send_events:
+            m_event_streams[descriptor] = response;
+        }
+    }
+
+    void send_events()
+    {
+        for (auto entry = m_event_streams.begin(); entry != m_event_streams.end();) {
+            auto& [descriptor, stream] = *entry;
+            const std::string& bytes = stream.repetitions > 0 ? stream.filler : stream.last;
+            (void)send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            entry = stream.repetitions-- > 0 ? std::next(entry) : m_event_streams.erase(entry);
         }
     }
 
     void drop(int descriptor)
     {
         m_inputs.erase(descriptor);
+        m_event_streams.erase(descriptor);
         close(descriptor);
     }
 
@@ -178,6 +194,7 @@
         m_listens = false;
         if (const int listener = std::exchange(m_listener, -1); listener >= 0)
             close(listener);
+        m_event_streams.clear();
         for (const auto& [descriptor, input] : std::exchange(m_inputs, {}))
             close(descriptor);
         for (const int descriptor : std::exchange(m_endless, {}))
@@ -200,6 +217,8 @@
     std::vector<int> m_silent;
     std::vector<int> m_slow;
     std::string m_filler;
+    // What is left to send on connections that are also in `m_inputs`.
+    std::map<int, raw_response> m_event_streams;
     std::unique_ptr<posix_thread> m_thread;
 };
 
--- a/fakes/raw_response.hpp
+++ b/fakes/raw_response.hpp
@@ -22,11 +22,16 @@
         send_forever,
         /// The same, with a pause before each repetition.
         send_slowly,
+        /// Sends `filler` `repetitions` times with a pause before each, then `last`, and reads the
+        /// next request.
+        send_events,
     };
 
     std::string bytes;
     next then = next::keep_open;
     std::string filler;
+    int repetitions = 0;
+    std::string last;
 
     friend bool operator==(const raw_response&, const raw_response&) = default;
 };
--- a/test/forward_planned_stop_test.cpp
+++ b/test/forward_planned_stop_test.cpp
@@ -1,13 +1,18 @@
 // Requests around the planned stop of a node.
 #include "fakes/eventually.hpp"
 #include "fakes/node_fixture.hpp"
+#include "fakes/raw_caller.hpp"
 #include "fakes/raw_endpoint.hpp"
 
 #include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <atomic>
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -18,16 +23,38 @@
 using fakes::raw_response;
 
 constexpr absl::Duration max_wait = absl::Seconds(30);
+// More than the kernel buffers for a caller that doesn't read.
+constexpr std::size_t long_data_bytes = 4'000'000;
+// Less than that.
+constexpr std::size_t middling_data_bytes = 400'000;
+
+raw_response one_event(std::size_t data_bytes)
+{
+    const std::string body = absl::StrCat("data: ", std::string(data_bytes, 'x'), "\n\n");
+    return {.bytes =
+                absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", body.size(), "\r\n\r\n", body)};
+}
+
+std::size_t count_data_bytes(const std::string& received)
+{
+    const std::size_t head_end = received.find("\r\n\r\n");
+    if (head_end == std::string::npos)
+        return 0;
+    return static_cast<std::size_t>(
+        std::count(received.begin() + static_cast<std::ptrdiff_t>(head_end), received.end(), 'x'));
+}
 
 /// A node and an endpoint that answers some requests and keeps others until it is closed. Those
 /// that it keeps hold up the stop of the node until the end of its grace period.
 class planned_stop_test : public fakes::node_fixture
 {
 protected:
+    explicit planned_stop_test(absl::Duration grace = absl::Seconds(3)) : m_grace(grace) {}
+
     void SetUp() override
     {
         node_fixture::SetUp();
-        m_settings.shutdown_grace = absl::Seconds(3);
+        m_settings.shutdown_grace = m_grace;
         publish_config(1);
         publish_endpoint(m_endpoint.listen_address());
         start();
@@ -57,6 +84,10 @@
     }
 
     raw_endpoint m_endpoint{[](const std::string& request) {
+        if (absl::StrContains(request, "/long"))
+            return one_event(long_data_bytes);
+        if (absl::StrContains(request, "/middling"))
+            return one_event(middling_data_bytes);
         if (absl::StrContains(request, "/keep"))
             return raw_response{.bytes = "", .then = raw_response::next::go_silent};
         if (absl::StrContains(request, "/begin"))
@@ -66,6 +97,44 @@
     }};
     httplib::Result m_background{nullptr, httplib::Error::Unknown};
     std::unique_ptr<posix_thread> m_caller;
+
+private:
+    absl::Duration m_grace;
+};
+
+/// The grace period outlasts the responses, however slow the machine is.
+class slow_caller_stop_test : public planned_stop_test
+{
+protected:
+    slow_caller_stop_test() : planned_stop_test(absl::Minutes(1)) {}
+
+    /// Sends a request whose response takes a caller on a slow link longer than the rest of the
+    /// stop, and waits until the node has it.
+    std::unique_ptr<fakes::raw_caller> begin_slow_call(const std::string& path,
+                                                       const fakes::slow_link& link = {})
+    {
+        auto caller = std::make_unique<fakes::raw_caller>(m_settings.front, max_wait, link);
+        const int before = m_endpoint.request_count();
+        EXPECT_TRUE(caller->send(slow_request(path)));
+        EXPECT_TRUE(
+            fakes::eventually(max_wait, [&] { return m_endpoint.request_count() == before + 1; }));
+        return caller;
+    }
+
+    static std::string slow_request(const std::string& path)
+    {
+        return absl::StrCat("POST ", path,
+                            " HTTP/1.1\r\nHost: h\r\nChivedeal-Request-Id: slow\r\n"
+                            "Chivedeal-Deadline-Ms: 30000\r\nAuthorization: Bearer key\r\n"
+                            "Content-Length: 0\r\n\r\n");
+    }
+
+    /// Ends the process's part of the connections, as its exit does.
+    void await_end_of_node()
+    {
+        m_thread->join();
+        m_node.reset();
+    }
 };
 
 // Guards against taking a request that can't end before the process does: it was passed on and then
@@ -113,5 +182,39 @@
     EXPECT_FALSE(m_background);
 }
 
+// Guards against ending the process while a finished response is still in its buffers.
+TEST_F(slow_caller_stop_test, sends_the_rest_of_responses_to_slow_callers)
+{
+    const auto caller = begin_slow_call("/app/long");
+    begin_stop();
+    EXPECT_EQ(count_data_bytes(caller->receive_all()), long_data_bytes);
+}
+
+// Guards against ending the process while the last part of a stream is still in its buffers.
+TEST_F(slow_caller_stop_test, sends_the_rest_of_streams_to_slow_callers)
+{
+    const auto caller =
+        begin_slow_call("/stream/long", {.pause_between_reads = absl::Milliseconds(60)});
+    begin_stop();
+    EXPECT_EQ(count_data_bytes(caller->receive_all()), long_data_bytes);
+}
+
+// Guards against resetting a connection whose caller sends while it reads: the kernel then discards
+// the part of the response that it has not delivered.
+TEST_F(slow_caller_stop_test, delivers_responses_to_callers_that_go_on_sending)
+{
+    const auto caller = begin_slow_call(
+        "/app/middling", {.bytes_per_read = 20'000, .pause_between_reads = absl::Milliseconds(50)});
+    std::atomic<bool> stopping = false;
+    posix_thread sender("sender", [&] {
+        while (!stopping && caller->send(slow_request("/app/x")))
+            absl::SleepFor(absl::Milliseconds(20));
+    });
+    begin_stop();
+    posix_thread end("end", [this] { await_end_of_node(); });
+    EXPECT_EQ(count_data_bytes(caller->receive_all()), middling_data_bytes);
+    stopping = true;
+}
+
 } // namespace
 } // namespace chivedeal::forward
--- a/test/scenario_runner/stage.cpp
+++ b/test/scenario_runner/stage.cpp
@@ -149,6 +149,8 @@
                                                    {"await-tokens", &stage::await_tokens},
                                                    {"kill", &stage::signal},
                                                    {"term", &stage::signal},
+                                                   {"interrupt", &stage::signal},
+                                                   {"hang-up", &stage::signal},
                                                    {"freeze", &stage::signal},
                                                    {"thaw", &stage::signal},
                                                    {"exited", &stage::await_exit},
@@ -412,8 +414,9 @@
 
 void stage::signal(const statement& one)
 {
-    static const std::map<std::string, int> numbers{
-        {"kill", SIGKILL}, {"term", SIGTERM}, {"freeze", SIGSTOP}, {"thaw", SIGCONT}};
+    static const std::map<std::string, int> numbers{{"kill", SIGKILL},     {"term", SIGTERM},
+                                                    {"interrupt", SIGINT}, {"hang-up", SIGHUP},
+                                                    {"freeze", SIGSTOP},   {"thaw", SIGCONT}};
     for (const std::string& name : one.words)
         find(one, name).program->signal(numbers.at(one.verb));
 }
