Let repeated stop signals leave the drain alone

Callers saw running streams end with a closed connection after status 200 when their node got a stop signal while it drained.

Cause: run_signal_loop and await_signals took the second SIGTERM or SIGINT for an order to stop at once. Supervisors repeat SIGTERM, and overlapping stops of several nodes send it twice to the same one. 'chivedeal serve' did not handle SIGHUP at all, so that it ended the process, and SIGUSR1 from elsewhere ended the signal loop of both modes.

Change: one class, process_signals, serves both modes. Each stop signal asks for a drain, which has no effect on one under way; asking again also restores a drain that a restarted router of 'chivedeal serve' has lost. The loop ends only when the node has ended. SIGKILL remains for an immediate stop.

Ruled out: restarting the grace period with each signal, as the platform counts it from the first one.

--- a/src/operators/serve_command.cpp
+++ b/src/operators/serve_command.cpp
@@ -2,13 +2,12 @@
 
 #include "chivedeal/core/log_event.hpp"
 #include "chivedeal/core/posix_thread.hpp"
+#include "chivedeal/core/process_signals.hpp"
 #include "chivedeal/core/settings_parser.hpp"
+#include "chivedeal/core/signal_listener.hpp"
 #include "chivedeal/node/node.hpp"
 #include "chivedeal/operators/exit_code.hpp"
 
-#include <pthread.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
@@ -19,50 +18,24 @@
 
 namespace {
 
-// Tells the signal loop that the node has ended by itself.
-constexpr int node_ended = SIGUSR1;
-
-sigset_t handled_signals()
+class node_signals : public signal_listener
 {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, node_ended);
-    return signals;
-}
+public:
+    explicit node_signals(node& entry) : m_entry(entry) {}
 
-// The first signal starts the graceful shutdown, the second one stops at once.
-void await_signals(node& entry)
-{
-    const sigset_t signals = handled_signals();
-    bool draining = false;
-    while (true) {
-        int received = 0;
-        sigwait(&signals, &received);
-        if (received == node_ended)
-            return;
-        log_event(event_id::stop_signal_received,
-                  {{"signal", received == SIGTERM ? "SIGTERM" : "SIGINT"},
-                   {"effect", draining ? "stop" : "drain"}});
-        if (draining) {
-            entry.request_stop();
-            continue;
-        }
-        draining = true;
-        entry.request_drain();
-    }
-}
+    void on_stop_requested() override { m_entry.request_drain(); }
+    // The settings are flags and don't change.
+    void on_settings_check() override {}
+
+private:
+    node& m_entry;
+};
 
 int run_node(const settings& config)
 {
-    // Blocked before any thread starts, so that every thread inherits it and `sigwait` alone
-    // receives them.
-    const sigset_t signals = handled_signals();
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    signal(SIGPIPE, SIG_IGN);
-
     node entry(config);
+    node_signals listener(entry);
+    process_signals signals({.listener = listener});
     int code = 0;
     posix_thread root("node", [&] {
         try {
@@ -74,9 +47,9 @@
                       {{"node", config.node.str()}, {"reason", fault.what()}});
             code = 1;
         }
-        kill(getpid(), node_ended);
+        signals.end();
     });
-    await_signals(entry);
+    signals.run();
     root.join();
     return code;
 }
@@ -87,12 +60,14 @@
 
 int serve_command::run(const std::vector<std::string>& arguments)
 {
+    process_signals::block();
+    signal(SIGPIPE, SIG_IGN);
     const settings_parser parser;
     if (std::find(arguments.begin(), arguments.end(), "--help") != arguments.end()) {
         std::printf(
             "Usage: chivedeal serve FLAGS\n"
-            "Runs an entry node until SIGTERM or SIGINT, then stops it gracefully; a second "
-            "signal stops it at once.\n\n%s",
+            "Runs an entry node until SIGTERM or SIGINT, then stops it gracefully. Repeated "
+            "signals don't shorten the stop; SIGKILL ends it at once.\n\n%s",
             parser.help().c_str());
         return 0;
     }
