Deliver finished responses before a drained node exits

Callers on slow links lost the last part of their response when their node stopped.

Cause: advance_drain asked only for requests in progress. A request ends when its response has been handed to caller_side, so the process could exit with output in its buffers. Besides, a connection that closes lingered for one second from the last write, whatever the kernel still had to deliver: when the caller goes on sending, the kernel resets the connection and discards that.

Change: a drain is complete when the callers' hosts have acknowledged all output (output buffers and SIOCOUTQ), or at the end of the grace period. A connection that closes lingers until its output is delivered, bounded by the idle timeout, and then for the second. While it closes, further input is discarded; it was kept without limit before the output was written.

Ruled out: SO_LINGER, which blocks the event loop, and larger send buffers, which the kernel limits.

--- a/include/chivedeal/forward/caller_connection.hpp
+++ b/include/chivedeal/forward/caller_connection.hpp
@@ -5,6 +5,7 @@
 
 #include "absl/time/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -31,11 +32,13 @@
     bool sent_continue = false;
     bool is_head_request = false;
     bool keep_alive = true;
-    /// The connection closes once `output` is written.
+    /// The connection closes once `output` is written. Further input is discarded.
     bool closing = false;
+    /// Output that the caller's host had not acknowledged when it was last looked at.
+    std::size_t last_unsent_bytes = 0;
     /// End of the lingering close: the write side is shut down and input is read and discarded
-    /// until this time. Closing a socket with unread input resets the connection, and the caller
-    /// may then lose the response.
+    /// until the output is delivered, and then until this time. Closing a socket with unread input
+    /// resets the connection, and the caller may then lose the response.
     absl::Time linger_until = absl::InfinitePast();
     bool lingering = false;
     /// The descriptor is closed and the connection waits for `caller_side::sweep`.
--- a/include/chivedeal/forward/caller_side.hpp
+++ b/include/chivedeal/forward/caller_side.hpp
@@ -75,6 +75,7 @@
     void flush(caller_connection& connection, absl::Time now);
     void after_flush(caller_connection& connection, absl::Time now);
     void update_interest(caller_connection& connection);
+    bool is_delivering(caller_connection& connection, absl::Time now) const;
     void close(caller_connection& connection);
     caller_connection* find(std::uint64_t id);
 
--- a/src/forward/caller_side.cpp
+++ b/src/forward/caller_side.cpp
@@ -31,6 +31,12 @@
 constexpr absl::Duration linger_timeout = absl::Seconds(1);
 constexpr std::size_t max_retained_bytes = 4 * 1024;
 
+std::size_t unsent_bytes(const caller_connection& connection)
+{
+    return connection.output.size() - connection.output_sent_bytes +
+           unacknowledged_bytes(connection.descriptor);
+}
+
 void release_capacity(std::string& text)
 {
     if (text.empty() && text.capacity() > max_retained_bytes)
@@ -81,7 +87,7 @@
         const ssize_t received_bytes = recv(connection.descriptor, buffer.data(), buffer.size(), 0);
         if (received_bytes > 0) {
             connection.last_activity = now;
-            if (connection.lingering)
+            if (connection.closing)
                 continue;
             if (connection.input.empty() && !connection.awaiting_response && !connection.reader)
                 connection.request_started = now;
@@ -221,8 +227,7 @@
     for (const auto& [id, connection] : m_connections) {
         if (connection->closed)
             continue;
-        const std::size_t bytes = connection->output.size() - connection->output_sent_bytes +
-                                  unacknowledged_bytes(connection->descriptor);
+        const std::size_t bytes = unsent_bytes(*connection);
         if (bytes > 0)
             ++total.connections;
         total.bytes += bytes;
@@ -318,7 +323,9 @@
         if (connection->closed || connection->awaiting_response)
             continue;
         if (connection->lingering) {
-            if (now >= connection->linger_until)
+            if (is_delivering(*connection, now))
+                connection->linger_until = now + linger_timeout;
+            else if (now >= connection->linger_until)
                 close(*connection);
             continue;
         }
@@ -333,6 +340,17 @@
     }
 }
 
+// Whether the caller's host still takes in output. It may stall for the idle timeout.
+bool caller_side::is_delivering(caller_connection& connection, absl::Time now) const
+{
+    const std::size_t unsent = unsent_bytes(connection);
+    if (unsent != connection.last_unsent_bytes) {
+        connection.last_unsent_bytes = unsent;
+        connection.last_activity = now;
+    }
+    return unsent > 0 && now - connection.last_activity <= m_limits.idle_timeout;
+}
+
 void caller_side::sweep()
 {
     for (const std::uint64_t id : m_closed_ids)
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -336,6 +336,10 @@
         m_runner.end_all(now);
         return;
     }
+    // The exit discards output that is still buffered, and resets connections whose callers go on
+    // sending, with what the kernel has not delivered.
+    if (elapsed < m_settings.shutdown_grace - exit_margin && m_callers.unsent().connections > 0)
+        return;
     m_drained = true;
     log_drain_end(now);
     m_on_drained();
