Count the idle timeout of callers from their last progress

Callers that read a response for longer than the idle timeout after it was complete lost the rest of it.

Cause: last_activity is set when bytes arrive and when a response ends, not while its output is written.

Class of fault: a connection is closed while a finished response is still being delivered, as at the end of a drain.

Change: a connection whose caller's host has acknowledged output since the last look is not idle. A caller that takes in nothing for the timeout still loses its connection.

Conclusion: the timeout bounds silence, not the length of a response.

--- a/src/forward/caller_side.cpp
+++ b/src/forward/caller_side.cpp
@@ -335,7 +335,8 @@
             reject(*connection, 408, now);
             continue;
         }
-        if (now - connection->last_activity > m_limits.idle_timeout)
+        if (now - connection->last_activity > m_limits.idle_timeout &&
+            !is_delivering(*connection, now))
             close(*connection);
     }
 }
--- a/test/forward_caller_faults_test.cpp
+++ b/test/forward_caller_faults_test.cpp
@@ -1,9 +1,13 @@
 #include "fakes/eventually.hpp"
 #include "fakes/node_fixture.hpp"
 #include "fakes/raw_caller.hpp"
+#include "fakes/raw_endpoint.hpp"
+
+#include "absl/strings/str_cat.h"
 
 #include <gtest/gtest.h>
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -49,6 +53,29 @@
     EXPECT_TRUE(is_ready());
 }
 
+class slow_caller_test : public fakes::node_fixture
+{};
+
+// Guards against taking a caller that still reads a response for idle.
+TEST_F(slow_caller_test, gets_a_response_that_takes_longer_than_the_idle_timeout)
+{
+    constexpr std::size_t body_bytes = 4'000'000;
+    fakes::raw_endpoint endpoint([](const std::string& /*request*/) {
+        return fakes::raw_response{
+            .bytes = absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", body_bytes, "\r\n\r\n",
+                                  std::string(body_bytes, 'x'))};
+    });
+    publish_config(1, R"([{"name":"w","api_keys":["key"]}],"limits":{"idle_timeout_ms":500})");
+    publish_endpoint(endpoint.listen_address());
+    start();
+    ASSERT_TRUE(fakes::eventually(max_wait, [this] { return is_ready(); }));
+    fakes::raw_caller caller(m_settings.front, absl::Seconds(5), fakes::slow_link{});
+    ASSERT_TRUE(caller.send("POST /app/x HTTP/1.1\r\nHost: h\r\nChivedeal-Request-Id: id-1\r\n"
+                            "Authorization: Bearer key\r\nContent-Length: 0\r\n\r\n"));
+    const std::string received = caller.receive_all();
+    EXPECT_GT(received.size(), body_bytes);
+}
+
 INSTANTIATE_TEST_SUITE_P(caller_faults_test, endless_request_test,
                          ::testing::ValuesIn(endless_requests),
                          [](const auto& instance) { return std::string(instance.param.name); });
