Respond to requests under way when a node ends at once

Callers saw the connection end without a response when a duty of their node failed, as for any other immediate stop.

Cause: forwarder::run returned with requests in progress; their sockets closed without a response and without a line in the log.

Change: the loop ends all requests as at the end of a grace period: 502 if an endpoint may have run them, 503 otherwise, streams cut off, one request_finished each.

Figures: planned_stop_test.answers_requests_when_the_node_ends_at_once fails on (no response) and holds now.

A crash of the process still cuts off what it has.

--- a/include/chivedeal/forward/forwarder.hpp
+++ b/include/chivedeal/forward/forwarder.hpp
@@ -87,6 +87,7 @@
     local_state make_local_state(absl::Time now) const;
     void report_local_state(const local_state& state, absl::Time now);
     void advance_drain(absl::Time now);
+    void end_without_drain(absl::Time now);
     void log_drain_end(absl::Time now) const;
     // From the start of the drain.
     absl::Duration time_for_responses() const;
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -120,8 +120,8 @@
         m_callers.sweep();
         m_endpoints.sweep();
     }
-    if (!m_drained && m_drain_started_at != absl::InfiniteFuture())
-        log_drain_end(m_time.now());
+    if (!m_drained)
+        end_without_drain(m_time.now());
     while (!m_event_queue.closed())
         (void)m_event_queue.pop(absl::InfiniteDuration());
 }
@@ -345,6 +345,15 @@
     m_on_drained();
 }
 
+// The node stops at once, for example because a duty has failed.
+void forwarder::end_without_drain(absl::Time now)
+{
+    m_cut_off_requests += m_runner.active_count();
+    m_runner.end_all(now);
+    if (m_drain_started_at != absl::InfiniteFuture())
+        log_drain_end(now);
+}
+
 void forwarder::log_drain_end(absl::Time now) const
 {
     const unsent_output unsent = m_callers.unsent();
--- a/test/forward_planned_stop_test.cpp
+++ b/test/forward_planned_stop_test.cpp
@@ -102,6 +102,16 @@
     absl::Duration m_grace;
 };
 
+// Guards against closing connections without a response because a duty fails.
+TEST_F(planned_stop_test, answers_requests_when_the_node_ends_at_once)
+{
+    post_in_background("/app/keep");
+    m_node->request_stop();
+    m_caller->join();
+    ASSERT_TRUE(m_background);
+    EXPECT_EQ(m_background->status, 502);
+}
+
 /// The grace period outlasts the responses, however slow the machine is.
 class slow_caller_stop_test : public planned_stop_test
 {
