Refuse late streams that may outlast a planned stop

A stream that a stopping node accepted late in its grace period, by the usual length of its route's streams, was cut off when it took longer.

Cause: shutdown_admission trusts the mean response time plus four mean deviations. Streams of similar length in a row shrink the deviation, running streams aren't in it, and a stream that the end of the grace period cuts off has no final response, as a plain request has.

Change: once callers know other nodes (three lifetimes of a directory response after the signal), a stream is accepted only if it is given up before the end of the stop. Before that, the estimate still decides, as a refusal would cost each caller an attempt. Plain requests are not affected.

Streams accepted earlier can still outlast the grace period.

--- a/include/chivedeal/forward/forwarder.hpp
+++ b/include/chivedeal/forward/forwarder.hpp
@@ -91,6 +91,8 @@
     void log_drain_end(absl::Time now) const;
     // From the start of the drain.
     absl::Duration time_for_responses() const;
+    // How long callers use an address after it has left the directory.
+    absl::Duration max_address_age() const;
     bool is_ready() const;
     void respond_to_directory_request(std::uint64_t connection, const std::string& target,
                                       absl::Time now);
--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -63,7 +63,10 @@
     void set_node_count(int ready_nodes, int nodes_sharing_limits);
 
     /// Refuses, from now on, requests that may still be under way at `end`.
-    void begin_shutdown(absl::Time end) { m_shutdown.begin(end); }
+    void begin_shutdown(absl::Time end, absl::Time callers_informed)
+    {
+        m_shutdown.begin(end, callers_informed);
+    }
     /// Gives all requests under way their final responses; streams end incomplete.
     void end_all(absl::Time now);
 
--- a/include/chivedeal/forward/shutdown_admission.hpp
+++ b/include/chivedeal/forward/shutdown_admission.hpp
@@ -24,14 +24,18 @@
     /// Forgets the response times of routes that aren't in the list.
     void retain(const std::vector<route>& routes);
 
-    /// Sets the time from which on no request may be under way.
-    void begin(absl::Time end) { m_end = end; }
+    /// Sets the time from which on no request may be under way, and the one from which on callers
+    /// know other nodes.
+    void begin(absl::Time end, absl::Time callers_informed);
 
-    /// Whether a request that the node gives up at `give_up_at` can be expected to end in time.
-    bool accepts(const std::string& route_name, absl::Time give_up_at, absl::Time now) const;
+    /// Whether a request that the node gives up at `give_up_at` can be expected to end in time. A
+    /// stream that doesn't is cut off without a final response, so once its caller knows other
+    /// nodes, no expectation is enough.
+    bool accepts(const route& matched, absl::Time give_up_at, absl::Time now) const;
 
 private:
     absl::Time m_end = absl::InfiniteFuture();
+    absl::Time m_callers_informed = absl::InfiniteFuture();
     std::map<std::string, response_time_estimate> m_response_times;
 };
 
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -208,7 +208,7 @@
     else if (std::holds_alternative<node_event::drain_requested>(event.value) &&
              m_drain_started_at == absl::InfiniteFuture()) {
         m_drain_started_at = now;
-        m_runner.begin_shutdown(now + time_for_responses());
+        m_runner.begin_shutdown(now + time_for_responses(), now + max_address_age());
         m_callers.close_after_responses();
         log_event(event_id::drain_started, {{"under_way", absl::StrCat(m_runner.active_count())}});
         m_peers.publish(make_local_state(now));
@@ -325,8 +325,7 @@
         return;
     const absl::Duration elapsed = now - m_drain_started_at;
     const absl::Duration last_response = time_for_responses();
-    if (elapsed < std::min(last_response,
-                           m_settings.address_ttl * address_ttl_factor + periodic_task_interval))
+    if (elapsed < std::min(last_response, max_address_age() + periodic_task_interval))
         return;
     m_callers.close_idle(now);
     if (m_runner.active_count() > 0) {
@@ -371,6 +370,11 @@
     return m_settings.shutdown_grace - exit_margin - final_response_margin;
 }
 
+absl::Duration forwarder::max_address_age() const
+{
+    return m_settings.address_ttl * address_ttl_factor;
+}
+
 bool forwarder::is_ready() const
 {
     return m_runner.has_config() && m_endpoints_loaded &&
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -193,7 +193,7 @@
     m_exchange_by_connection[connection] = current.id;
     m_exchanges.emplace(current.id, std::move(new_exchange));
     schedule(current);
-    if (!m_shutdown.accepts(matched.name, current.give_up_at, now))
+    if (!m_shutdown.accepts(matched, current.give_up_at, now))
         return refuse(current, 503, "the node shuts down before the request would end",
                       shutdown_retry_after, now);
     if (const auto refusal = m_quarantine.refusal(current.head.prefix, now))
--- a/src/forward/shutdown_admission.cpp
+++ b/src/forward/shutdown_admission.cpp
@@ -22,12 +22,19 @@
         entry = names.count(entry->first) > 0 ? std::next(entry) : m_response_times.erase(entry);
 }
 
-bool shutdown_admission::accepts(const std::string& route_name, absl::Time give_up_at,
-                                 absl::Time now) const
+void shutdown_admission::begin(absl::Time end, absl::Time callers_informed)
+{
+    m_end = end;
+    m_callers_informed = callers_informed;
+}
+
+bool shutdown_admission::accepts(const route& matched, absl::Time give_up_at, absl::Time now) const
 {
     if (give_up_at <= m_end)
         return true;
-    const auto known = m_response_times.find(route_name);
+    if (matched.kind == route_kind::streaming && now >= m_callers_informed)
+        return false;
+    const auto known = m_response_times.find(matched.name);
     return known != m_response_times.end() && now + known->second.upper_bound() <= m_end;
 }
 
--- a/test/forward_planned_stop_test.cpp
+++ b/test/forward_planned_stop_test.cpp
@@ -102,6 +102,20 @@
     absl::Duration m_grace;
 };
 
+// Guards against trusting the usual length of a route's streams when its callers know of other
+// nodes: a stream that lasts longer is cut off.
+TEST_F(planned_stop_test, refuses_streams_that_may_outlast_it_once_callers_know_other_nodes)
+{
+    for (int i = 0; i < 20; ++i)
+        ASSERT_TRUE(post("/stream/middling"));
+    post_in_background("/app/keep");
+    begin_stop();
+    absl::SleepFor(m_settings.address_ttl * 4);
+    const auto refused = post("/stream/begin", "key", "", "late");
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(refused->status, 503);
+}
+
 // Guards against closing connections without a response because a duty fails.
 TEST_F(planned_stop_test, answers_requests_when_the_node_ends_at_once)
 {
