Let callers be idle only from the delivery of their response

A caller that reused its connection shortly after a slow read of a response found it closed.

What the caller's host acknowledged before is not counted, so that the timeout still ran from the end of the response in the node. Found by review. Besides, input that is discarded counted as activity while a connection closes, and the unacknowledged end of the output counted as a response.

Change: a connection with undelivered output is looked at on every tick, until its host has acknowledged all of it; each change is activity. Discarded input is not.

Ruled out: a test for the discarded input. A caller that reads nothing loses its connection by TCP_USER_TIMEOUT, with either code.

Conclusion: the timeout bounds silence from the delivery on. One ioctl a tick for a connection with undelivered output.

--- a/fakes/raw_caller.hpp
+++ b/fakes/raw_caller.hpp
@@ -77,6 +77,28 @@
         }
     }
 
+    /// Returns the body of a response, without what follows it. Less than `bytes` if the connection
+    /// ends or the timeout passes without data.
+    std::string receive_body(std::size_t bytes)
+    {
+        std::string received;
+        std::vector<char> buffer(m_link ? m_link->bytes_per_read : 4096);
+        while (true) {
+            const std::size_t head_end = received.find("\r\n\r\n");
+            const std::size_t body_begin = head_end == std::string::npos ? head_end : head_end + 4;
+            if (head_end != std::string::npos && received.size() >= body_begin + bytes)
+                return received.substr(body_begin, bytes);
+            const ssize_t received_bytes = recv(m_socket, buffer.data(), buffer.size(), 0);
+            if (received_bytes <= 0)
+                return head_end == std::string::npos ? "" : received.substr(body_begin);
+            received.append(buffer.data(), static_cast<std::size_t>(received_bytes));
+            if (m_link)
+                absl::SleepFor(m_link->pause_between_reads *
+                               (static_cast<double>(received_bytes) /
+                                static_cast<double>(m_link->bytes_per_read)));
+        }
+    }
+
 private:
     // The usual segment size of a network; with that of the loopback device, the kernel buffers
     // megabytes.
--- a/include/chivedeal/forward/caller_connection.hpp
+++ b/include/chivedeal/forward/caller_connection.hpp
@@ -34,6 +34,8 @@
     bool keep_alive = true;
     /// The connection closes once `output` is written. Further input is discarded.
     bool closing = false;
+    /// Output was sent since the caller's host was last seen to have acknowledged all of it.
+    bool delivery_pending = false;
     /// Output that the caller's host had not acknowledged when it was last looked at.
     std::size_t last_unsent_bytes = 0;
     /// End of the lingering close: the write side is shut down and input is read and discarded
--- a/src/forward/caller_side.cpp
+++ b/src/forward/caller_side.cpp
@@ -33,8 +33,10 @@
 
 std::size_t unsent_bytes(const caller_connection& connection)
 {
-    return connection.output.size() - connection.output_sent_bytes +
-           unacknowledged_bytes(connection.descriptor);
+    // The end of the output counts as a byte until the caller's host acknowledges it.
+    const std::size_t in_kernel = unacknowledged_bytes(connection.descriptor);
+    const std::size_t end = connection.lingering && in_kernel > 0 ? 1 : 0;
+    return connection.output.size() - connection.output_sent_bytes + in_kernel - end;
 }
 
 void release_capacity(std::string& text)
@@ -86,9 +88,9 @@
     while (!connection.closed) {
         const ssize_t received_bytes = recv(connection.descriptor, buffer.data(), buffer.size(), 0);
         if (received_bytes > 0) {
-            connection.last_activity = now;
             if (connection.closing)
                 continue;
+            connection.last_activity = now;
             if (connection.input.empty() && !connection.awaiting_response && !connection.reader)
                 connection.request_started = now;
             connection.input.append(buffer.data(), static_cast<std::size_t>(received_bytes));
@@ -225,7 +227,7 @@
 {
     unsent_output total;
     for (const auto& [id, connection] : m_connections) {
-        if (connection->closed)
+        if (connection->closed || !connection->delivery_pending)
             continue;
         const std::size_t bytes = unsent_bytes(*connection);
         if (bytes > 0)
@@ -258,12 +260,15 @@
                  connection.output.size() - connection.output_sent_bytes, MSG_NOSIGNAL);
         if (sent_bytes > 0) {
             connection.output_sent_bytes += static_cast<std::size_t>(sent_bytes);
+            connection.delivery_pending = true;
             continue;
         }
         if (sent_bytes < 0 && errno == EINTR)
             continue;
-        if (sent_bytes < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+        if (sent_bytes < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            connection.delivery_pending = true;
             break;
+        }
         const bool was_awaiting_response = connection.awaiting_response;
         close(connection);
         if (was_awaiting_response)
@@ -322,8 +327,9 @@
     for (auto& [id, connection] : m_connections) {
         if (connection->closed || connection->awaiting_response)
             continue;
+        const bool delivering = is_delivering(*connection, now);
         if (connection->lingering) {
-            if (is_delivering(*connection, now))
+            if (delivering)
                 connection->linger_until = now + linger_timeout;
             else if (now >= connection->linger_until)
                 close(*connection);
@@ -335,20 +341,23 @@
             reject(*connection, 408, now);
             continue;
         }
-        if (now - connection->last_activity > m_limits.idle_timeout &&
-            !is_delivering(*connection, now))
+        if (!delivering && now - connection->last_activity > m_limits.idle_timeout)
             close(*connection);
     }
 }
 
-// Whether the caller's host still takes in output. It may stall for the idle timeout.
+// Whether the caller's host still takes in output, which counts as activity. It may stall for the
+// idle timeout.
 bool caller_side::is_delivering(caller_connection& connection, absl::Time now) const
 {
+    if (!connection.delivery_pending)
+        return false;
     const std::size_t unsent = unsent_bytes(connection);
     if (unsent != connection.last_unsent_bytes) {
         connection.last_unsent_bytes = unsent;
         connection.last_activity = now;
     }
+    connection.delivery_pending = unsent > 0;
     return unsent > 0 && now - connection.last_activity <= m_limits.idle_timeout;
 }
 
