Make the tests of stop signals independent of order and speed

Cause: review. The kernel hands out pending signals by number, so a SIGUSR1 sent before a SIGINT was taken after it and the guard could pass without the fix; the mask stayed set for later tests; a stream could end before the last signal, and the test passed without testing.

Change: SIGUSR1 is followed by SIGTERM, whose number is higher; the mask is restored; the stream lasts 3 s and the test fails if it ended before the last signal. All checks before stay.

--- a/fakes/raw_endpoint.hpp
+++ b/fakes/raw_endpoint.hpp
@@ -18,7 +18,6 @@
 #include <atomic>
 #include <cstddef>
 #include <functional>
-#include <iterator>
 #include <map>
 #include <memory>
 #include <string>
@@ -65,6 +64,8 @@
 
     const address& listen_address() const { return m_address; }
     int request_count() const { return m_request_count; }
+    /// Number of streams of events that are sent to their end.
+    int sent_stream_count() const { return m_sent_stream_count; }
     bool is_listening() const { return m_listens; }
 
 private:
@@ -178,7 +179,12 @@
             auto& [descriptor, stream] = *entry;
             const std::string& bytes = stream.repetitions > 0 ? stream.filler : stream.last;
             (void)send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-            entry = stream.repetitions-- > 0 ? std::next(entry) : m_event_streams.erase(entry);
+            if (stream.repetitions-- > 0) {
+                ++entry;
+                continue;
+            }
+            ++m_sent_stream_count;
+            entry = m_event_streams.erase(entry);
         }
     }
 
@@ -212,6 +218,7 @@
     std::atomic<bool> m_listens = false;
     std::atomic<bool> m_stopping = false;
     std::atomic<int> m_request_count = 0;
+    std::atomic<int> m_sent_stream_count = 0;
     std::map<int, std::string> m_inputs;
     std::vector<int> m_endless;
     std::vector<int> m_silent;
--- a/test/core_process_signals_test.cpp
+++ b/test/core_process_signals_test.cpp
@@ -28,6 +28,8 @@
 // Guards against a signal that ends the process: none of them ends the loop, `end` does.
 TEST(process_signals, ends_only_when_it_is_told)
 {
+    sigset_t mask_before;
+    pthread_sigmask(SIG_SETMASK, nullptr, &mask_before);
     process_signals::block();
     counting_listener listener;
     process_signals signals({.listener = listener});
@@ -44,12 +46,16 @@
     EXPECT_TRUE(send(SIGTERM, listener.stops));
     EXPECT_TRUE(send(SIGTERM, listener.stops));
     EXPECT_TRUE(send(SIGHUP, listener.checks));
-    kill(getpid(), SIGUSR1);
     EXPECT_TRUE(send(SIGINT, listener.stops));
+    // Of two pending signals the one with the lower number is taken first.
+    static_assert(SIGUSR1 < SIGTERM);
+    kill(getpid(), SIGUSR1);
+    EXPECT_TRUE(send(SIGTERM, listener.stops));
     EXPECT_FALSE(ended);
     signals.end();
     loop.join();
-    EXPECT_EQ(listener.stops, 3);
+    pthread_sigmask(SIG_SETMASK, &mask_before, nullptr);
+    EXPECT_EQ(listener.stops, 4);
     EXPECT_EQ(listener.checks, 1);
 }
 
--- a/test/platform_stop_signals_test.cpp
+++ b/test/platform_stop_signals_test.cpp
@@ -24,7 +24,7 @@
 namespace {
 
 constexpr absl::Duration max_wait = absl::Seconds(60);
-constexpr int events_per_stream = 60;
+constexpr int events_per_stream = 150;
 
 fakes::raw_response begin_stream(const std::string& request)
 {
@@ -40,7 +40,7 @@
             .last = "0\r\n\r\n"};
 }
 
-/// A node that passes a stream of over a second on when it gets the first signal.
+/// A node that passes on a stream of some seconds when it gets the first signal.
 class stop_signals_test : public ::testing::TestWithParam<std::vector<int>>
 {
 protected:
@@ -80,6 +80,7 @@
         m_node.signal(number);
         absl::SleepFor(absl::Milliseconds(200));
     }
+    ASSERT_EQ(m_endpoint.sent_stream_count(), 0) << "the stream ended before the last signal";
     const std::string response = caller.receive_all();
     EXPECT_TRUE(absl::EndsWith(response, "\r\n0\r\n\r\n")) << response.size() << " bytes";
     EXPECT_TRUE(fakes::eventually(max_wait, [this] { return m_node.ended(); }));
