--- a/test/platform_soak/ledger.cpp
+++ b/test/platform_soak/ledger.cpp
@@ -131,7 +131,7 @@
     m_turned_away[request.id][endpoint] = retry_at;
 }
 
-void ledger::on_cut_off_by_graceful_stop(const sent_request& request)
+void ledger::on_cut_off_by_graceful_stop(const sent_request& request, bool is_stream)
 {
     const std::lock_guard<mutex> lock(m_mutex);
     const bool endpoint_may_have_crashed =
--- a/test/platform_soak/ledger.hpp
+++ b/test/platform_soak/ledger.hpp
@@ -44,7 +44,7 @@
     /// The caller got a response. `whole` tells whether it was complete and its own.
     void on_answer(const sent_request& request, int status, bool whole, absl::Time now);
     /// The connection ended without a response, while the node was in a graceful stop.
-    void on_cut_off_by_graceful_stop(const sent_request& request);
+    void on_cut_off_by_graceful_stop(const sent_request& request, bool is_stream);
     void on_leaving_passed_on(const std::string& node, const std::string& endpoint, absl::Time now);
 
     /// The node was restarted or frozen, or is about to be.
