Complete the excuse for streams in the soak

Change: the other two edits: the ledger excuses streams only, and the caller tells which requests are streams.

--- a/test/platform_soak/ledger.cpp
+++ b/test/platform_soak/ledger.cpp
@@ -137,7 +137,9 @@
     const bool endpoint_may_have_crashed =
         !m_crashes.empty() && m_crashes.back() + contact_time > request.sent_at;
     const auto disturbed = m_endpoint_disturbed_until.find(m_run_endpoints[request.id]);
-    const bool endpoint_may_have_broken_off = disturbed != m_endpoint_disturbed_until.end() &&
+    // A plain request whose endpoint breaks off still gets a response from the node.
+    const bool endpoint_may_have_broken_off = is_stream &&
+                                              disturbed != m_endpoint_disturbed_until.end() &&
                                               disturbed->second + contact_time > request.sent_at;
     if (m_runs[request.id] > 0 && !endpoint_may_have_crashed && !endpoint_may_have_broken_off)
         add_violation(absl::StrCat("LOST: request ", request.id, " was cut off by the stop of ",
--- a/test/platform_soak/soak_caller.cpp
+++ b/test/platform_soak/soak_caller.cpp
@@ -77,7 +77,8 @@
 {
     if (!result) {
         if (node.is_stopping_gracefully() && result.error() == httplib::Error::Read)
-            m_options.promises.on_cut_off_by_graceful_stop(request);
+            m_options.promises.on_cut_off_by_graceful_stop(request,
+                                                           expected_body != plain_body(request.id));
         return m_options.promises.on_answer(request, 0, false, absl::Now());
     }
     const absl::Time now = absl::Now();
