Read the configuration less often where changes may take longer

Cause: calls to the store are billed. Ruled out: one reader for all regions, as a relay between regions is billed by volume and a change then depends on one more link; a longer wait for endpoint records, which change several times a second and have to be noticed soon. Change: read_pace derives the wait and the validity of a relayed batch from the time in which a configuration has to be in force (bounds.config_ms). At 2.5 s both are as before.

--- a/include/chivedeal/forward/config_watcher.hpp
+++ b/include/chivedeal/forward/config_watcher.hpp
@@ -5,6 +5,7 @@
 #include "chivedeal/core/duty.hpp"
 #include "chivedeal/forward/batch_listener.hpp"
 #include "chivedeal/forward/reachability_log.hpp"
+#include "chivedeal/forward/read_pace.hpp"
 #include "chivedeal/forward/relayed_batch.hpp"
 #include "chivedeal/forward/topic_tail.hpp"
 
@@ -40,6 +41,7 @@
         const clock& time;
         batch_sender& peers;
         std::vector<node_event_listener*> listeners;
+        read_pace pace = read_pace_for(absl::ZeroDuration());
     };
 
     explicit config_watcher(options parts);
@@ -65,6 +67,7 @@
     std::vector<node_event_listener*> m_listeners;
     // Closed to stop the duty.
     bounded_ring<relayed_batch> m_relayed_batches;
+    const absl::Duration m_read_wait;
     topic_tail m_tail;
     std::int64_t m_applied_version = -1;
     // By record key: one past the offset of the newest roll-out order.
--- a/include/chivedeal/forward/node_settings.hpp
+++ b/include/chivedeal/forward/node_settings.hpp
@@ -34,6 +34,8 @@
     absl::Duration shutdown_grace = absl::Seconds(8);
     /// Minimum time between two changes of the lease holder.
     absl::Duration lease_term = absl::Seconds(3);
+    /// A configuration is in force on all nodes this long after the store accepted it.
+    absl::Duration config_deadline = absl::Milliseconds(2500);
     absl::Duration usage_window = absl::Seconds(5);
     /// A usage report is due this long after the end of its window.
     absl::Duration usage_report_deadline = absl::Seconds(10);
--- a/include/chivedeal/forward/topic_tail.hpp
+++ b/include/chivedeal/forward/topic_tail.hpp
@@ -23,8 +23,8 @@
     struct options
     {
         node_id self;
-        /// How long a relayed batch replaces a read by this node. Peers read every 600 ms, or less
-        /// often on busy machines, and a change has to reach all nodes within 2.5 s.
+        /// How long a relayed batch replaces a read by this node. The default fits reads every
+        /// 600 ms, or less often on busy machines, and changes that have 2.5 s to reach all nodes.
         absl::Duration relay_validity = absl::Milliseconds(1400);
         /// Delay after a failed read; doubles with each further failure up to the maximum.
         absl::Duration min_retry_delay = absl::Milliseconds(200);
--- a/src/forward/config_watcher.cpp
+++ b/src/forward/config_watcher.cpp
@@ -18,9 +18,6 @@
 
 namespace {
 
-// Short enough that a node which relies on a peer's reads applies a new configuration in time, even
-// if that peer stops.
-constexpr absl::Duration long_poll_timeout = absl::Milliseconds(600);
 // Limits the rate of reads that the store answers immediately or that a peer makes unnecessary.
 constexpr absl::Duration min_pause = absl::Milliseconds(200);
 constexpr std::size_t max_queued_batches = 64;
@@ -46,7 +43,8 @@
       m_self(std::move(parts.self)),
       m_listeners(std::move(parts.listeners)),
       m_relayed_batches(max_queued_batches),
-      m_tail({.self = m_self})
+      m_read_wait(parts.pace.wait),
+      m_tail({.self = m_self, .relay_validity = parts.pace.relay_validity})
 {}
 
 void config_watcher::run()
@@ -102,7 +100,7 @@
 bool config_watcher::read_changes()
 {
     const std::uint64_t begin = *m_tail.next_offset();
-    const auto batch = m_store.read(topic::configuration, begin, long_poll_timeout);
+    const auto batch = m_store.read(topic::configuration, begin, m_read_wait);
     if (!is_ok(batch)) {
         m_reachability.on_read_failure(get_error(batch).message);
         return false;
