Keep requests in their home regions, out of evacuated zones, and within the limit of cold endpoints

Cause: allowed_regions, the records evacuate/ZONE, cold_start_s and cold_per_s were not read. Requests of routes with home regions reached endpoints in other regions, evacuated zones went on receiving requests (their records were rejected for the empty value, removals were dropped), and nothing limited the requests to endpoints that have just started. Ruled out: filters after the choice, as the fallbacks of the pool to paused, failing and other-version endpoints would bypass them; permits that stay valid for a whole period, as 400 idle nodes could use one each in one second; a count of the nodes heard of alone, as it is 1 for all nodes that start together. Change: regions::endpoint_gate decides before anything else in eligible_endpoints. evacuation_log follows the operator's records in the config_watcher, evacuations before the configuration of a first read. Attempts that have not been written are abandoned and chosen again, probes to evacuated zones are ended or not begun. Conclusion: homes, evacuation and the limit of cold endpoints are in force on each node without coordination; health requests over HTTP are not sent, so Cold-Ms is read from ordinary responses only.

--- a/include/chivedeal/core/log_event.hpp
+++ b/include/chivedeal/core/log_event.hpp
@@ -49,6 +49,7 @@
     endpoint_removal_deferred = 3012,
     endpoint_crashed = 3013,
     endpoint_retry_after = 3014,
+    evacuations_changed = 3020,
 
     lease_acquired = 4001,
     lease_lost = 4002,
--- a/include/chivedeal/core/result_code.hpp
+++ b/include/chivedeal/core/result_code.hpp
@@ -56,6 +56,9 @@
     retry_budget_exhausted = 516,
     unknown_request = 517,
     unknown_route = 518,
+    outside_home_regions = 520,
+    zone_evacuated = 521,
+    endpoints_cold = 522,
 
     usage = 601,
     node_unreachable = 602,
--- a/include/chivedeal/forward/address_book.hpp
+++ b/include/chivedeal/forward/address_book.hpp
@@ -4,6 +4,7 @@
 #include "chivedeal/core/address.hpp"
 #include "chivedeal/core/id.hpp"
 #include "chivedeal/forward/node_beacon.hpp"
+#include "chivedeal/regions/home_regions.hpp"
 
 #include <cstddef>
 #include <map>
@@ -22,6 +23,13 @@
     /// `region` has fewer than `min_count`.
     std::vector<address> ready_fronts(const region_id& region, std::size_t min_count) const;
 
+    /// Returns the front addresses of the ready nodes of `region` and of the home regions.
+    std::vector<address> ready_fronts(const region_id& region,
+                                      const regions::home_regions& homes) const;
+
+    /// Number of nodes heard of, whether or not they accept requests.
+    int known_count() const { return static_cast<int>(m_entries.size()); }
+
     /// Number of nodes that accept requests.
     int ready_count() const;
 
--- a/include/chivedeal/forward/config_watcher.hpp
+++ b/include/chivedeal/forward/config_watcher.hpp
@@ -4,14 +4,17 @@
 #include "chivedeal/core/bounded_ring.hpp"
 #include "chivedeal/core/duty.hpp"
 #include "chivedeal/forward/batch_listener.hpp"
+#include "chivedeal/forward/operator_record.hpp"
 #include "chivedeal/forward/reachability_log.hpp"
 #include "chivedeal/forward/relayed_batch.hpp"
 #include "chivedeal/forward/topic_tail.hpp"
+#include "chivedeal/regions/evacuation_log.hpp"
 
 #include "absl/time/time.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,8 +57,12 @@
     void apply_relayed_batches(absl::Time until);
     bool read_snapshot();
     bool read_changes();
+    std::optional<operator_record> decode(const stored_record& record) const;
+    void apply_snapshot(const record_batch& batch);
     void apply(const record_batch& batch);
     void apply(const stored_record& record);
+    void apply(const stored_record& record, operator_record value);
+    void report_evacuations() const;
 
     record_store& m_store;
     const wire_format& m_format;
@@ -69,6 +76,7 @@
     std::int64_t m_applied_version = -1;
     // By record key: one past the offset of the newest roll-out order.
     std::map<std::string, std::uint64_t> m_next_rollout_offsets;
+    regions::evacuation_log m_evacuations;
     reachability_log m_reachability{"configuration"};
 };
 
--- a/include/chivedeal/forward/endpoint_pool.hpp
+++ b/include/chivedeal/forward/endpoint_pool.hpp
@@ -9,6 +9,7 @@
 #include "chivedeal/forward/endpoint_query.hpp"
 #include "chivedeal/forward/endpoint_record.hpp"
 #include "chivedeal/forward/prompt_notice.hpp"
+#include "chivedeal/regions/endpoint_gate.hpp"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
@@ -37,9 +38,17 @@
         node_id self;
         region_id region;
         std::map<zone_id, region_id> zones;
+        regions::cold_tolerance cold;
+        std::uint64_t seed = 1;
     };
 
-    explicit endpoint_pool(options settings) : m_options(std::move(settings)) {}
+    explicit endpoint_pool(options settings)
+        : m_options(std::move(settings)),
+          m_gate({.zones = m_options.zones, .tolerance = m_options.cold, .seed = m_options.seed})
+    {}
+
+    /// Decides which endpoints may get a request at all.
+    regions::endpoint_gate& gate() { return m_gate; }
 
     /// Adds or updates an endpoint. If its start time or address changed, it has restarted: its
     /// cache and health are reset.
@@ -163,12 +172,14 @@
     static void add_prefill(endpoint_state& endpoint, std::int64_t tokens, absl::Time now);
     std::vector<const endpoint_state*> eligible_endpoints(const endpoint_query& query,
                                                           double random, absl::Time now) const;
+    result_code refusal_code(const endpoint_query& query, absl::Time now) const;
     bool is_in_own_region(const endpoint_state& endpoint) const;
     // Adds a peer's requests in progress and silence reports if `sign` is 1, and subtracts them if
     // it is -1.
     void add_peer_load(const loads_by_endpoint& loads, int sign);
 
     options m_options;
+    regions::endpoint_gate m_gate;
     absl::flat_hash_map<endpoint_id, endpoint_state> m_endpoints;
     absl::flat_hash_map<endpoint_id, endpoint_demand> m_demands;
     std::map<service_id, std::vector<endpoint_id>> m_ids_by_service;
--- a/include/chivedeal/forward/endpoint_query.hpp
+++ b/include/chivedeal/forward/endpoint_query.hpp
@@ -3,6 +3,7 @@
 
 #include "chivedeal/core/id.hpp"
 #include "chivedeal/forward/prompt_part.hpp"
+#include "chivedeal/regions/home_regions.hpp"
 
 #include <cstdint>
 #include <vector>
@@ -17,6 +18,7 @@
     std::vector<prompt_part> prefix;
     /// Endpoints that were already tried.
     std::vector<endpoint_id> excluded;
+    regions::home_regions homes;
 
     friend bool operator==(const endpoint_query&, const endpoint_query&) = default;
 };
--- a/include/chivedeal/forward/endpoint_record.hpp
+++ b/include/chivedeal/forward/endpoint_record.hpp
@@ -22,8 +22,8 @@
     /// Number of requests that it runs concurrently.
     int slots = 1;
     bool leaving = false;
-    /// Remaining warm-up time, during which it is slow.
-    absl::Duration remaining_warm_up;
+    /// Remaining time for which it is cold. Absent if the record doesn't say.
+    std::optional<absl::Duration> remaining_warm_up;
     /// Start time of this incarnation in milliseconds since the Unix epoch; 0 if unknown.
     std::int64_t started_at_unix_ms = 0;
     /// Whether the cloud provider may reclaim it.
--- a/include/chivedeal/forward/endpoint_side.hpp
+++ b/include/chivedeal/forward/endpoint_side.hpp
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -58,6 +59,10 @@
     /// Aborts an exchange's attempt by closing its connection.
     void cancel(std::uint64_t exchange_id);
 
+    /// Fails the attempts at the endpoints that `is_affected` selects of which no byte was written,
+    /// and ends probes there.
+    void abandon_unsent(const std::function<bool(const endpoint_id&)>& is_affected, absl::Time now);
+
     /// Pauses or resumes reading a response, as backpressure from a slow caller.
     void pause(std::uint64_t exchange_id, bool paused);
 
--- a/include/chivedeal/forward/forwarder.hpp
+++ b/include/chivedeal/forward/forwarder.hpp
@@ -19,6 +19,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,7 @@
 namespace chivedeal::forward {
 
 class peer_exchange;
+class route_index;
 class wire_format;
 
 /// Duty that owns all sockets to callers and endpoints and runs their event loop.
@@ -115,6 +117,8 @@
     endpoint_side m_endpoints;
     request_runner m_runner;
     address_book m_address_book;
+    // Null until a configuration is in force.
+    std::shared_ptr<const route_index> m_index;
     absl::Time m_started_at;
     node_count_estimate m_node_count;
     // Mean time between two beacons of a peer.
--- a/include/chivedeal/forward/header_names.hpp
+++ b/include/chivedeal/forward/header_names.hpp
@@ -24,6 +24,8 @@
     std::string not_run = "Chivedeal-Not-Run";
     /// Response header with the value 1 by which an endpoint announces that it is leaving.
     std::string leaving = "Chivedeal-Leaving";
+    /// Response header with the milliseconds for which the endpoint remains cold.
+    std::string cold_ms = "Chivedeal-Cold-Ms";
     /// A 2xx response without this header did not come from the endpoint. Empty if responses aren't
     /// signed.
     std::string signature;
--- a/include/chivedeal/forward/node_count_estimate.hpp
+++ b/include/chivedeal/forward/node_count_estimate.hpp
@@ -21,6 +21,10 @@
         absl::Duration discovery_time = absl::Seconds(2);
         /// Assumed until the list of nodes was read. Too many delay some requests for a moment.
         int assumed_nodes = 100;
+        /// Nodes that start together register and hear of each other within this time.
+        absl::Duration registration_time = absl::Seconds(10);
+        /// Upper bound that is assumed until then. The largest deployment has 390 nodes.
+        int max_nodes = 400;
     };
 
     explicit node_count_estimate(options settings) : m_options(settings) {}
@@ -31,6 +35,10 @@
     /// `ready_nodes` is the number of nodes known to accept requests, this one included.
     int count(int ready_nodes, absl::Time now) const;
 
+    /// Returns a number that is not too low, for limits that must hold without communication.
+    /// `heard_nodes` is the number of nodes known, this one included.
+    int upper_bound(int heard_nodes, absl::Time now) const;
+
 private:
     options m_options;
     int m_listed_nodes = 0;
--- a/include/chivedeal/forward/node_event.hpp
+++ b/include/chivedeal/forward/node_event.hpp
@@ -1,6 +1,7 @@
 #ifndef CHIVEDEAL_FORWARD_NODE_EVENT_HPP
 #define CHIVEDEAL_FORWARD_NODE_EVENT_HPP
 
+#include "chivedeal/core/id.hpp"
 #include "chivedeal/forward/endpoint_record.hpp"
 #include "chivedeal/forward/local_state.hpp"
 #include "chivedeal/forward/node_beacon.hpp"
@@ -11,6 +12,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <variant>
 
 namespace chivedeal::forward {
@@ -34,6 +36,12 @@
         rollout_order order;
     };
 
+    /// The zones that are evacuated from now on.
+    struct evacuations_changed
+    {
+        std::shared_ptr<const std::set<zone_id>> zones;
+    };
+
     struct endpoint_changed
     {
         std::shared_ptr<const endpoint_record> record;
@@ -103,10 +111,10 @@
     struct drain_requested
     {};
 
-    std::variant<config_changed, rollout_ordered, endpoint_changed, endpoint_removed,
-                 endpoint_removal_scheduled, endpoints_loaded, peer_heard, prompt_noticed,
-                 peer_lost, nodes_listed, version_share_changed, local_counters_updated,
-                 wall_clock_offset_changed, drain_requested>
+    std::variant<config_changed, rollout_ordered, evacuations_changed, endpoint_changed,
+                 endpoint_removed, endpoint_removal_scheduled, endpoints_loaded, peer_heard,
+                 prompt_noticed, peer_lost, nodes_listed, version_share_changed,
+                 local_counters_updated, wall_clock_offset_changed, drain_requested>
         value;
 };
 
--- a/include/chivedeal/forward/node_settings.hpp
+++ b/include/chivedeal/forward/node_settings.hpp
@@ -3,6 +3,7 @@
 
 #include "chivedeal/core/address.hpp"
 #include "chivedeal/core/id.hpp"
+#include "chivedeal/regions/cold_tolerance.hpp"
 
 #include "absl/time/time.h"
 
@@ -47,6 +48,7 @@
     /// each other.
     double quota_excess_ratio = 0;
     double quota_slack_tokens = 0;
+    regions::cold_tolerance cold;
     /// Maximum share of a service's requests that an unproven version receives.
     double unproven_share = 0.1;
     /// Whether the whole system starts for the first time. Otherwise, requests may have been
--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -118,6 +118,7 @@
                                   absl::Time now);
     void record_retry_after(const exchange& current, const http_response_head& head,
                             absl::Time now);
+    void record_cold(const exchange& current, const http_response_head& head, absl::Time now);
     void begin_relay(exchange& current, const http_response_head& head, absl::Time now);
     // Returns the outcome of an attempt whose response states that the request did not run.
     std::optional<attempt_outcome> refusal(const http_response_head& head) const;
--- a/include/chivedeal/forward/route.hpp
+++ b/include/chivedeal/forward/route.hpp
@@ -3,6 +3,7 @@
 
 #include "chivedeal/forward/route_kind.hpp"
 #include "chivedeal/forward/weighted_service.hpp"
+#include "chivedeal/regions/home_regions.hpp"
 
 #include "absl/time/time.h"
 
@@ -34,6 +35,8 @@
     /// A broken stream may be resumed at another endpoint after its last complete event.
     bool resumable = false;
     std::vector<weighted_service> services;
+    /// Requests are sent only to endpoints in these regions.
+    regions::home_regions homes;
 
     /// Whether a request may be sent again although an endpoint may have run it.
     bool may_repeat() const { return kind == route_kind::idempotent || resumable; }
--- a/include/chivedeal/forward/route_index.hpp
+++ b/include/chivedeal/forward/route_index.hpp
@@ -7,6 +7,7 @@
 
 #include "absl/container/flat_hash_map.h"
 
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,10 +29,17 @@
     result<route_match> match(std::string_view host, std::string_view target,
                               const std::string& key) const;
 
+    /// Returns the home regions of all routes of the host that have any.
+    regions::home_regions homes_of_host(std::string_view host) const;
+
+    /// Returns the limits of the services whose endpoints may be cold.
+    std::map<service_id, regions::cold_spec> cold_specs() const;
+
     /// Returns null when the configuration has no such service.
     const service_spec* find_service(const service_id& name) const;
 
 private:
+    const std::vector<const route*>* find_routes(std::string_view host) const;
     const route* find_route(std::string_view host, std::string_view path) const;
 
     const traffic_config m_config;
--- a/include/chivedeal/forward/route_match.hpp
+++ b/include/chivedeal/forward/route_match.hpp
@@ -17,6 +17,12 @@
     /// Null on public routes and if the configuration has no workspaces.
     const workspace_spec* workspace = nullptr;
 
+    /// Returns the regions that both the route and the workspace allow.
+    regions::home_regions homes() const
+    {
+        return workspace == nullptr ? matched->homes : matched->homes.intersected(workspace->homes);
+    }
+
     /// Returns the request's priority from 0, the highest, to 9. That of the workspace goes first.
     int priority() const
     {
--- a/include/chivedeal/forward/service_spec.hpp
+++ b/include/chivedeal/forward/service_spec.hpp
@@ -3,6 +3,7 @@
 
 #include "chivedeal/core/id.hpp"
 #include "chivedeal/forward/scale_spec.hpp"
+#include "chivedeal/regions/cold_spec.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -23,6 +24,7 @@
     std::int64_t cache_capacity_tokens = 0;
     /// Absent if the number of endpoints is managed elsewhere.
     std::optional<scale_spec> scale;
+    regions::cold_spec cold;
 
     friend bool operator==(const service_spec&, const service_spec&) = default;
 };
--- a/include/chivedeal/forward/wire_format.hpp
+++ b/include/chivedeal/forward/wire_format.hpp
@@ -28,7 +28,8 @@
     /// Response body for a caller that requests addresses.
     virtual std::string encode_addresses(const std::vector<address>& addresses,
                                          absl::Duration ttl) const = 0;
-    /// Name of the query parameter with the caller's region in a directory request.
+    /// Names of the query parameters with the host and the caller's region in a directory request.
+    virtual std::string host_parameter() const = 0;
     virtual std::string region_parameter() const = 0;
     /// Paths of the directory and readiness requests.
     virtual std::string directory_path() const = 0;
--- a/include/chivedeal/forward/workspace_spec.hpp
+++ b/include/chivedeal/forward/workspace_spec.hpp
@@ -2,6 +2,7 @@
 #define CHIVEDEAL_FORWARD_WORKSPACE_SPEC_HPP
 
 #include "chivedeal/core/id.hpp"
+#include "chivedeal/regions/home_regions.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -24,6 +25,8 @@
     /// Requests or tokens per second; 0 means no limit.
     double rate = 0;
     double burst = 0;
+    /// The workspace's requests are sent only to endpoints in these regions.
+    regions::home_regions homes;
 
     friend bool operator==(const workspace_spec&, const workspace_spec&) = default;
 };
--- a/src/core/log_event.cpp
+++ b/src/core/log_event.cpp
@@ -93,6 +93,8 @@
         return "endpoint_crashed";
     case event_id::endpoint_retry_after:
         return "endpoint_retry_after";
+    case event_id::evacuations_changed:
+        return "evacuations_changed";
     case event_id::lease_acquired:
         return "lease_acquired";
     case event_id::lease_lost:
@@ -195,6 +197,7 @@
         event_id::endpoint_removal_deferred,
         event_id::endpoint_crashed,
         event_id::endpoint_retry_after,
+        event_id::evacuations_changed,
         event_id::lease_acquired,
         event_id::lease_lost,
         event_id::move_step_decided,
--- a/src/core/result_code.cpp
+++ b/src/core/result_code.cpp
@@ -85,6 +85,12 @@
         return "unknown_request";
     case result_code::unknown_route:
         return "unknown_route";
+    case result_code::outside_home_regions:
+        return "outside_home_regions";
+    case result_code::zone_evacuated:
+        return "zone_evacuated";
+    case result_code::endpoints_cold:
+        return "endpoints_cold";
     case result_code::usage:
         return "usage";
     case result_code::node_unreachable:
@@ -140,6 +146,9 @@
         result_code::retry_budget_exhausted,
         result_code::unknown_request,
         result_code::unknown_route,
+        result_code::outside_home_regions,
+        result_code::zone_evacuated,
+        result_code::endpoints_cold,
         result_code::usage,
         result_code::node_unreachable,
         result_code::declarations_differ,
--- a/src/forward/address_book.cpp
+++ b/src/forward/address_book.cpp
@@ -26,6 +26,17 @@
     return in_region.size() >= min_count ? in_region : all;
 }
 
+std::vector<address> address_book::ready_fronts(const region_id& region,
+                                                const regions::home_regions& homes) const
+{
+    std::vector<address> fronts;
+    for (const auto& [node, candidate] : m_entries)
+        if (candidate.accepts_requests &&
+            (candidate.region == region || homes.allows(candidate.region)))
+            fronts.push_back(candidate.front);
+    return fronts;
+}
+
 int address_book::ready_count() const
 {
     return static_cast<int>(std::count_if(m_entries.begin(), m_entries.end(), [](const auto& item) {
--- a/src/forward/config_watcher.cpp
+++ b/src/forward/config_watcher.cpp
@@ -10,6 +10,7 @@
 #include "chivedeal/forward/wire_format.hpp"
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 
 #include <algorithm>
 #include <utility>
@@ -94,7 +95,7 @@
         return false;
     }
     m_reachability.on_read_success();
-    apply(get_value(batch));
+    apply_snapshot(get_value(batch));
     m_tail.on_own_read(get_value(batch).next_offset);
     return true;
 }
@@ -125,25 +126,66 @@
     return true;
 }
 
+// Evacuations go first: the node is ready as soon as it has a configuration.
+void config_watcher::apply_snapshot(const record_batch& batch)
+{
+    std::vector<regions::zone_evacuation> evacuations;
+    std::vector<std::pair<const stored_record*, operator_record>> others;
+    for (const stored_record& record : batch.records) {
+        auto value = decode(record);
+        if (!value)
+            continue;
+        if (const auto* evacuation = std::get_if<regions::zone_evacuation>(&*value))
+            evacuations.push_back(*evacuation);
+        else
+            others.emplace_back(&record, std::move(*value));
+    }
+    if (m_evacuations.on_list(evacuations))
+        report_evacuations();
+    for (auto& [record, value] : others)
+        apply(*record, std::move(value));
+}
+
+void config_watcher::report_evacuations() const
+{
+    const auto zones = std::make_shared<const std::set<zone_id>>(m_evacuations.zones());
+    const auto append_name = [](std::string* out, const zone_id& zone) { *out += zone.str(); };
+    log_event(event_id::evacuations_changed, {{"zones", absl::StrJoin(*zones, ",", append_name)}});
+    for (node_event_listener* listener : m_listeners)
+        listener->on_event({node_event::evacuations_changed{zones}});
+}
+
 void config_watcher::apply(const record_batch& batch)
 {
     for (const stored_record& record : batch.records)
         apply(record);
 }
 
-void config_watcher::apply(const stored_record& record)
+std::optional<operator_record> config_watcher::decode(const stored_record& record) const
 {
-    if (record.removed)
-        return;
     auto decoded = m_format.decode_operator_record(record);
-    if (!is_ok(decoded)) {
-        log_event(event_id::record_rejected, {{"topic", "configuration"},
-                                              {"key", record.key},
-                                              {"offset", absl::StrCat(record.offset)},
-                                              {"reason", get_error(decoded).message}});
+    if (is_ok(decoded))
+        return take_value(std::move(decoded));
+    log_event(event_id::record_rejected, {{"topic", "configuration"},
+                                          {"key", record.key},
+                                          {"offset", absl::StrCat(record.offset)},
+                                          {"reason", get_error(decoded).message}});
+    return std::nullopt;
+}
+
+void config_watcher::apply(const stored_record& record)
+{
+    if (auto value = decode(record))
+        apply(record, std::move(*value));
+}
+
+void config_watcher::apply(const stored_record& record, operator_record value)
+{
+    if (const auto* evacuation = std::get_if<regions::zone_evacuation>(&value)) {
+        if (m_evacuations.on_record(*evacuation))
+            report_evacuations();
         return;
     }
-    operator_record value = take_value(std::move(decoded));
     if (auto* order = std::get_if<rollout_order>(&value)) {
         auto& next_offset = m_next_rollout_offsets[record.key];
         // Offset 0 is valid, so the map stores one past the offset; 0 means that none was seen.
--- a/src/forward/endpoint_directory.cpp
+++ b/src/forward/endpoint_directory.cpp
@@ -11,7 +11,10 @@
 {
     m_pending_removals.erase(record.id);
     const auto known = m_records.find(record.id);
-    if (known != m_records.end() && known->second == record)
+    // An equal record of a cold endpoint may mean that it became cold again.
+    const bool is_cold =
+        record.remaining_warm_up.value_or(absl::ZeroDuration()) > absl::ZeroDuration();
+    if (known != m_records.end() && known->second == record && !is_cold)
         return {};
     m_records[record.id] = record;
     return {{node_event::endpoint_changed{std::make_shared<const endpoint_record>(record)}}};
--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -215,7 +215,7 @@
                      .message = "the service has no endpoint"};
     const auto candidates = eligible_endpoints(query, random, now);
     if (candidates.empty())
-        return error{.code = result_code::no_endpoint, .message = "no endpoint can be used"};
+        return error{.code = refusal_code(query, now), .message = "no endpoint can be used"};
 
     const std::string affinity_part = affinity_part_id(query);
     const bool is_global = shared_tokens(query) >= min_global_affinity_tokens;
@@ -264,6 +264,9 @@
     std::vector<const endpoint_state*> failing;
     for (const endpoint_id& id : m_ids_by_service.at(query.service)) {
         const endpoint_state& endpoint = m_endpoints.at(id);
+        // Checked first: none of the lists below may contain an endpoint that isn't allowed.
+        if (m_gate.check(endpoint.record, query.homes, now) != regions::gate_verdict::allowed)
+            continue;
         const bool is_excluded =
             std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end();
         if (is_leaving(endpoint, now) || now < endpoint.retry_at || is_excluded ||
@@ -285,6 +288,25 @@
     return eligible.empty() ? paused : eligible;
 }
 
+// Returns why no endpoint can be used: the reason of the endpoints that came closest.
+result_code endpoint_pool::refusal_code(const endpoint_query& query, absl::Time now) const
+{
+    auto verdict = regions::gate_verdict::outside_home_regions;
+    for (const endpoint_id& id : m_ids_by_service.at(query.service))
+        verdict = std::max(verdict, m_gate.check(m_endpoints.at(id).record, query.homes, now));
+    switch (verdict) {
+    case regions::gate_verdict::outside_home_regions:
+        return result_code::outside_home_regions;
+    case regions::gate_verdict::zone_evacuated:
+        return result_code::zone_evacuated;
+    case regions::gate_verdict::no_cold_permit:
+        return result_code::endpoints_cold;
+    case regions::gate_verdict::allowed:
+        break;
+    }
+    return result_code::no_endpoint;
+}
+
 bool endpoint_pool::allows_version(const endpoint_state& endpoint, double random) const
 {
     const auto split = m_version_splits.find(endpoint.record.service);
@@ -361,6 +383,7 @@
     if (found == m_endpoints.end())
         return;
     endpoint_state& endpoint = found->second;
+    m_gate.on_sent(id, now);
     ++endpoint.own_requests;
     endpoint.health.on_sent(now);
     endpoint.own_sent_tokens += prefill_cost_tokens;
@@ -379,6 +402,7 @@
         return;
     endpoint_state& endpoint = found->second;
     endpoint.health.on_response_started(now);
+    m_gate.on_answered(id, now);
     // A late response indicates a backlog that this node doesn't know of; part of it remains.
     if (lateness > absl::ZeroDuration())
         endpoint.prefill_done_at =
@@ -440,6 +464,7 @@
     const auto found = m_endpoints.find(id);
     if (found != m_endpoints.end())
         found->second.health.on_unreachable(now);
+    m_gate.on_unreachable(id);
 }
 
 void endpoint_pool::on_refused(const endpoint_id& id, absl::Time now)
--- a/src/forward/endpoint_side.cpp
+++ b/src/forward/endpoint_side.cpp
@@ -133,6 +133,26 @@
         close(*connection->second);
 }
 
+void endpoint_side::abandon_unsent(const std::function<bool(const endpoint_id&)>& is_affected,
+                                   absl::Time now)
+{
+    std::vector<std::uint64_t> affected_ids;
+    for (const auto& [id, connection] : m_connections) {
+        const bool is_connecting =
+            connection->current_state == endpoint_connection::state::connecting;
+        const bool is_unwritten =
+            is_connecting || (connection->exchange_id != 0 && connection->output_sent_bytes == 0 &&
+                              !connection->output.empty());
+        if (!connection->closed && is_unwritten && is_affected(connection->endpoint))
+            affected_ids.push_back(id);
+    }
+    for (const std::uint64_t id : affected_ids) {
+        const auto found = m_connections.find(id);
+        if (found != m_connections.end() && !found->second->closed)
+            fail_connect(*found->second, probe_result::unknown, "zone evacuated", now);
+    }
+}
+
 void endpoint_side::pause(std::uint64_t exchange_id, bool paused)
 {
     const auto found = m_connection_id_by_exchange.find(exchange_id);
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -9,6 +9,7 @@
 #include "chivedeal/forward/sockets.hpp"
 #include "chivedeal/forward/wire_format.hpp"
 
+#include "absl/random/random.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -72,7 +73,11 @@
       m_peers(dependencies.peers),
       m_on_drained(std::move(dependencies.on_drained)),
       m_callers(m_poller, *this),
-      m_pool({.self = m_settings.node, .region = m_settings.region, .zones = m_settings.zones}),
+      m_pool({.self = m_settings.node,
+              .region = m_settings.region,
+              .zones = m_settings.zones,
+              .cold = m_settings.cold,
+              .seed = absl::Uniform<std::uint64_t>(absl::BitGen())}),
       m_endpoints(m_poller, m_runner, {.id_field = dependencies.names.request_id}),
       m_runner({.settings = m_settings,
                 .names = dependencies.names,
@@ -164,12 +169,16 @@
 {
     if (const auto* changed = std::get_if<node_event::config_changed>(&event.value)) {
         m_runner.set_config(changed->index, now);
+        m_index = changed->index;
+        m_pool.gate().set_cold_specs(m_index->cold_specs(), now);
     }
     else if (const auto* endpoint = std::get_if<node_event::endpoint_changed>(&event.value)) {
         m_pool.update(*endpoint->record);
+        m_pool.gate().on_record(*endpoint->record, now);
     }
     else if (const auto* removed = std::get_if<node_event::endpoint_removed>(&event.value)) {
         m_pool.remove(removed->id);
+        m_pool.gate().on_removed(removed->id, now);
         m_endpoints.forget(removed->id);
     }
     else if (const auto* scheduled =
@@ -178,6 +187,14 @@
     }
     else if (std::holds_alternative<node_event::endpoints_loaded>(event.value)) {
         m_endpoints_loaded = true;
+        m_pool.gate().on_endpoints_loaded();
+    }
+    else if (const auto* evacuations = std::get_if<node_event::evacuations_changed>(&event.value)) {
+        m_pool.gate().set_evacuated_zones(*evacuations->zones, now);
+        m_endpoints.abandon_unsent(
+            [this](const endpoint_id& id) { return m_pool.gate().is_evacuated(id); }, now);
+        m_counters.set("chivedeal_evacuated_zones",
+                       static_cast<double>(evacuations->zones->size()));
     }
     else if (const auto* heard = std::get_if<node_event::peer_heard>(&event.value)) {
         handle_beacon(*heard, now);
@@ -269,6 +286,8 @@
 {
     const int ready_nodes = m_address_book.ready_count() + 1;
     m_runner.set_node_count(ready_nodes, m_node_count.count(ready_nodes, now));
+    m_pool.gate().set_node_count(m_node_count.upper_bound(m_address_book.known_count() + 1, now),
+                                 now);
 }
 
 // During the usual interval of beacons, requests with a suspect prompt part would crash further
@@ -317,6 +336,8 @@
         {node_event::local_counters_updated{std::make_shared<const local_state>(state)}});
     m_counters.set("chivedeal_requests_under_way", static_cast<double>(m_runner.active_count()));
     m_counters.set("chivedeal_caller_connections", static_cast<double>(m_callers.size()));
+    m_counters.set("chivedeal_cold_endpoints",
+                   static_cast<double>(m_pool.gate().cold_count(m_time.now())));
     m_counters.set("chivedeal_endpoint_connections", static_cast<double>(m_endpoints.size()));
     m_counters.set("chivedeal_endpoint_connections_opened_total",
                    static_cast<double>(m_endpoints.opened()));
@@ -415,7 +436,14 @@
                         .front_address = m_settings.front,
                         .region = m_settings.region,
                         .ready = true});
-    const auto fronts = book.ready_fronts(region, min_regional_nodes);
+    std::vector<address> fronts;
+    const auto homes = m_index
+                           ? m_index->homes_of_host(query_value(target, m_format.host_parameter()))
+                           : regions::home_regions();
+    if (homes.is_restricted())
+        fronts = book.ready_fronts(region, homes);
+    if (fronts.empty())
+        fronts = book.ready_fronts(region, min_regional_nodes);
     if (fronts.empty())
         return respond_with_text(connection, 503, "text/plain", "", now);
     respond_with_text(connection, 200, "application/json",
--- a/src/forward/request_observations.cpp
+++ b/src/forward/request_observations.cpp
@@ -66,6 +66,16 @@
     count_usage(current, now);
 }
 
+void request_runner::record_cold(const exchange& current, const http_response_head& head,
+                                 absl::Time now)
+{
+    const std::string* value = find_field(head.fields, m_names.cold_ms);
+    std::int64_t remaining_ms = 0;
+    if (value != nullptr && absl::SimpleAtoi(*value, &remaining_ms) && remaining_ms >= 0)
+        m_pool.gate().on_cold_reported(current.attempt_choice->id, absl::Milliseconds(remaining_ms),
+                                       now);
+}
+
 void request_runner::record_later_bytes(exchange& current, std::size_t bytes, absl::Time now)
 {
     m_pool.on_bytes(current.attempt_choice->id, now);
@@ -96,7 +106,8 @@
         return;
     const endpoint_choice& endpoint = *current.attempt_choice;
     if (m_crashes.on_request_lost(endpoint, current.head.prefix) &&
-        !m_endpoints.probe(endpoint.id, endpoint.address, now))
+        (m_pool.gate().is_evacuated(endpoint.id) ||
+         !m_endpoints.probe(endpoint.id, endpoint.address, now)))
         m_crashes.on_probed(endpoint.id, probe_result::unknown, now);
 }
 
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -189,7 +189,8 @@
         retry_rule({.max_attempts = matched.max_attempts, .may_repeat = matched.may_repeat()});
     current.query = {.service = pick_service(matched, current.routing_sample),
                      .prompt_tokens = current.head.prompt_tokens,
-                     .prefix = current.head.prefix};
+                     .prefix = current.head.prefix,
+                     .homes = current.match.homes()};
     m_exchange_by_connection[connection] = current.id;
     m_exchanges.emplace(current.id, std::move(new_exchange));
     schedule(current);
@@ -307,6 +308,8 @@
     record_announced_leaving(*current, head, now);
     if (head.is_attributed)
         record_retry_after(*current, head, now);
+    if (head.is_attributed)
+        record_cold(*current, head, now);
     const bool is_signed =
         m_names.signature.empty() || find_field(head.fields, m_names.signature) != nullptr;
     const bool is_stream = current->match.matched->kind == route_kind::streaming &&
--- a/src/forward/route_index.cpp
+++ b/src/forward/route_index.cpp
@@ -36,21 +36,45 @@
     return route_match{.matched = matched, .workspace = found->second};
 }
 
+std::map<service_id, regions::cold_spec> route_index::cold_specs() const
+{
+    std::map<service_id, regions::cold_spec> specs;
+    for (const service_spec& service : m_config.services)
+        if (service.cold.is_limited())
+            specs.emplace(service.name, service.cold);
+    return specs;
+}
+
 const service_spec* route_index::find_service(const service_id& name) const
 {
     const auto found = m_services_by_name.find(name.str());
     return found == m_services_by_name.end() ? nullptr : found->second;
 }
 
-const route* route_index::find_route(std::string_view host, std::string_view path) const
+regions::home_regions route_index::homes_of_host(std::string_view host) const
+{
+    regions::home_regions homes;
+    if (const auto* routes = find_routes(host))
+        for (const route* candidate : *routes)
+            homes = homes.united(candidate->homes);
+    return homes;
+}
+
+const std::vector<const route*>* route_index::find_routes(std::string_view host) const
 {
     auto found = m_routes_by_host.find(std::string(host));
     // The port in a Host header identifies the listener, so routes match without it.
     if (found == m_routes_by_host.end() && host.find(':') != std::string_view::npos)
         found = m_routes_by_host.find(std::string(host.substr(0, host.find(':'))));
-    if (found == m_routes_by_host.end())
+    return found == m_routes_by_host.end() ? nullptr : &found->second;
+}
+
+const route* route_index::find_route(std::string_view host, std::string_view path) const
+{
+    const auto* routes = find_routes(host);
+    if (routes == nullptr)
         return nullptr;
-    for (const route* candidate : found->second)
+    for (const route* candidate : *routes)
         if (path.substr(0, candidate->path_prefix.size()) == candidate->path_prefix)
             return candidate;
     return nullptr;
--- /dev/null
+++ b/src/regions/evacuation_log.cpp
@@ -0,0 +1,35 @@
+#include "chivedeal/regions/evacuation_log.hpp"
+
+namespace chivedeal::regions {
+
+bool evacuation_log::on_record(const zone_evacuation& record)
+{
+    const auto [known, is_new] = m_newest.try_emplace(record.zone, record);
+    if (is_new)
+        return record.in_force;
+    if (record.offset < known->second.offset)
+        return false;
+    const bool was_in_force = known->second.in_force;
+    known->second = record;
+    return record.in_force != was_in_force;
+}
+
+bool evacuation_log::on_list(const std::vector<zone_evacuation>& records)
+{
+    const std::set<zone_id> before = zones();
+    m_newest.clear();
+    for (const zone_evacuation& record : records)
+        on_record(record);
+    return zones() != before;
+}
+
+std::set<zone_id> evacuation_log::zones() const
+{
+    std::set<zone_id> evacuated;
+    for (const auto& [zone, record] : m_newest)
+        if (record.in_force)
+            evacuated.insert(zone);
+    return evacuated;
+}
+
+} // namespace chivedeal::regions
