Let the stand-ins of the store restore an older copy

Cause: the platform restores its store from a copy that is seconds old; offsets go back and are reused, and no test could trigger it. Ruled out: a drill only between calls, as the faults lie in calls that straddle it. Change: record_store reports the epoch of its newest answer (0 without one). The fake store takes a copy and restores it at any moment, or before or after a numbered call. Without a drill, both answer as before.

--- a/fakes/fake_record_store.hpp
+++ b/fakes/fake_record_store.hpp
@@ -5,9 +5,11 @@
 #include "chivedeal/core/mutex.hpp"
 #include "chivedeal/forward/record_store.hpp"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -21,6 +23,59 @@
     condition changed;
     std::map<forward::topic, std::vector<forward::stored_record>> records;
     bool down = false;
+    std::uint64_t epoch = 0;
+    std::map<forward::topic, std::vector<forward::stored_record>> copy;
+    // Number of calls until the drill; absent if none is scheduled.
+    std::optional<int> calls_until_drill;
+    // Whether the drill follows the call instead of preceding it.
+    bool drill_after_call = false;
+
+    /// Takes the copy from which `drill` restores the store.
+    void take_copy()
+    {
+        const std::lock_guard<mutex> lock(guard);
+        copy = records;
+    }
+
+    /// Restores the store from the copy.
+    void drill()
+    {
+        const std::lock_guard<mutex> lock(guard);
+        restore();
+    }
+
+    /// Restores the store from the copy before or after the call with this number, from 1.
+    void drill_at_call(int number, bool after)
+    {
+        const std::lock_guard<mutex> lock(guard);
+        calls_until_drill = number;
+        drill_after_call = after;
+    }
+
+    // The caller holds the guard.
+    void restore()
+    {
+        records = copy;
+        ++epoch;
+        changed.notify_all();
+    }
+
+    // Counts a call; the caller holds the guard.
+    void begin_call()
+    {
+        if (calls_until_drill && --*calls_until_drill == 0 && !drill_after_call) {
+            calls_until_drill.reset();
+            restore();
+        }
+    }
+
+    void end_call()
+    {
+        if (calls_until_drill && *calls_until_drill == 0) {
+            calls_until_drill.reset();
+            restore();
+        }
+    }
 
     void put(forward::topic to, const std::string& key, const std::string& value)
     {
@@ -37,7 +92,7 @@
     }
 };
 
-/// A store in memory; every record is kept.
+/// A store in memory; every record is kept until a drill restores an older copy.
 class fake_record_store : public forward::record_store
 {
 public:
@@ -48,6 +103,8 @@
         const std::lock_guard<mutex> lock(m_topics->guard);
         if (m_topics->down)
             return unavailable();
+        m_topics->begin_call();
+        m_epoch = m_topics->epoch;
         forward::record_batch batch{.next_offset = m_topics->records[from].size()};
         std::map<std::string, forward::stored_record> by_key;
         for (const forward::stored_record& one : m_topics->records[from])
@@ -55,6 +112,7 @@
         for (const auto& [key, one] : by_key)
             if (!one.removed)
                 batch.records.push_back(one);
+        m_topics->end_call();
         return batch;
     }
 
@@ -66,10 +124,15 @@
             m_topics->changed.wait_for(m_topics->guard, wait);
         if (m_topics->down)
             return unavailable();
+        m_topics->begin_call();
+        m_epoch = m_topics->epoch;
         const auto& all = m_topics->records[from];
+        if (m_epoch > 0 && offset > all.size())
+            return forward::record_batch{.next_offset = 0, .truncated = true};
         forward::record_batch batch{.next_offset = offset};
         for (; batch.next_offset < all.size(); ++batch.next_offset)
             batch.records.push_back(all[batch.next_offset]);
+        m_topics->end_call();
         return batch;
     }
 
@@ -80,12 +143,22 @@
         const std::lock_guard<mutex> lock(m_topics->guard);
         if (m_topics->down)
             return unavailable();
+        m_topics->begin_call();
+        m_epoch = m_topics->epoch;
         auto& all = m_topics->records[to];
         if (expected_end && *expected_end != all.size())
             return error{.code = result_code::conflict, .message = "ends elsewhere"};
         all.push_back({.key = key, .value = value, .removed = value.empty(), .offset = all.size()});
         m_topics->changed.notify_all();
-        return all.back().offset;
+        const std::uint64_t offset = all.back().offset;
+        m_topics->end_call();
+        return offset;
+    }
+
+    std::uint64_t epoch() const override
+    {
+        const std::lock_guard<mutex> lock(m_topics->guard);
+        return m_epoch;
     }
 
     void stop() override
@@ -103,6 +176,8 @@
 
     std::shared_ptr<fake_topics> m_topics;
     bool m_stopped = false;
+    // Epoch in the newest answer.
+    std::uint64_t m_epoch = 0;
 };
 
 } // namespace chivedeal::fakes
--- a/include/chivedeal/forward/record_store.hpp
+++ b/include/chivedeal/forward/record_store.hpp
@@ -32,6 +32,10 @@
     virtual result<std::uint64_t> append(topic to, const std::string& key, const std::string& value,
                                          std::optional<std::uint64_t> expected_end) = 0;
 
+    /// Epoch in the store's newest answer to this client; 0 if the store sends none. It rises when
+    /// the store is restored from an older copy: offsets are comparable only within an epoch.
+    virtual std::uint64_t epoch() const { return 0; }
+
     /// Cancels a call in progress on another thread. Later calls fail.
     virtual void stop() = 0;
 };
--- a/test/platform_soak/soak_store.cpp
+++ b/test/platform_soak/soak_store.cpp
@@ -96,12 +96,34 @@
     m_changed.notify_all();
 }
 
+void soak_store::take_copy()
+{
+    const std::lock_guard<mutex> lock(m_mutex);
+    m_copy = m_topics;
+}
+
+void soak_store::drill()
+{
+    const std::lock_guard<mutex> lock(m_mutex);
+    m_topics = m_copy;
+    ++m_epoch;
+    m_changed.notify_all();
+}
+
+void soak_store::set_epoch(Response& response) const
+{
+    response.headers.erase("Store-Era");
+    if (m_epoch > 0)
+        response.set_header("Store-Era", std::to_string(m_epoch));
+}
+
 bool soak_store::admit(Response& response)
 {
     mode current;
     {
         const std::lock_guard<mutex> lock(m_mutex);
         current = m_mode;
+        set_epoch(response);
         if (current == mode::silent)
             m_changed.wait_for(m_mutex, silence);
     }
@@ -115,6 +137,7 @@
     if (!admit(response))
         return;
     const std::lock_guard<mutex> lock(m_mutex);
+    set_epoch(response);
     auto& records = m_topics[request.get_param_value("topic")];
     if (number(request, "at", static_cast<std::int64_t>(records.size())) !=
         static_cast<std::int64_t>(records.size())) {
@@ -139,9 +162,17 @@
     const absl::Time until = absl::Now() + absl::Milliseconds(number(request, "wait_ms", 0));
     const auto from = static_cast<std::size_t>(number(request, "from", 0));
     const std::lock_guard<mutex> lock(m_mutex);
-    const auto& records = m_topics[request.get_param_value("topic")];
-    while (records.size() <= from && !m_stopping && absl::Now() < until)
+    const std::string topic = request.get_param_value("topic");
+    while ((m_topics[topic].size() == from || (m_epoch == 0 && m_topics[topic].size() < from)) &&
+           !m_stopping && absl::Now() < until)
         m_changed.wait_for(m_mutex, until - absl::Now());
+    set_epoch(response);
+    const auto& records = m_topics[topic];
+    if (m_epoch > 0 && from > records.size()) {
+        response.status = 410;
+        response.set_content(json{{"first", 0}}.dump(), "application/json");
+        return;
+    }
     std::string body = big_endian(records.size(), 8) + big_endian(0, 8);
     for (std::size_t i = from; i < records.size(); ++i)
         body += big_endian(records[i].size(), 4) + records[i];
@@ -153,6 +184,7 @@
     if (!admit(response))
         return;
     const std::lock_guard<mutex> lock(m_mutex);
+    set_epoch(response);
     const auto& records = m_topics[request.get_param_value("topic")];
     std::map<std::string, std::size_t> latest;
     for (std::size_t i = 0; i < records.size(); ++i)
--- a/test/platform_soak/soak_store.hpp
+++ b/test/platform_soak/soak_store.hpp
@@ -43,10 +43,18 @@
     /// Appends a record; an empty value removes the key.
     void put(const std::string& topic, const std::string& key, const std::string& value);
 
+    /// Takes the copy from which `drill` restores the store.
+    void take_copy();
+    /// Restores the store from the copy. From then on, all answers carry an epoch, which rises by
+    /// one with each drill.
+    void drill();
+
 private:
     void append(const httplib::Request& request, httplib::Response& response);
     void read(const httplib::Request& request, httplib::Response& response);
     void newest(const httplib::Request& request, httplib::Response& response);
+    // Adds the epoch to an answer; the caller holds the mutex.
+    void set_epoch(httplib::Response& response) const;
     // Returns false if the response is complete because the store is in trouble.
     bool admit(httplib::Response& response);
 
@@ -57,6 +65,9 @@
     bool m_stopping = false;
     // Records without their length, by topic.
     std::map<std::string, std::vector<std::string>> m_topics;
+    std::map<std::string, std::vector<std::string>> m_copy;
+    // 0: answers carry no epoch.
+    std::uint64_t m_epoch = 0;
     httplib::Server m_server;
     std::unique_ptr<posix_thread> m_thread;
 };
