Handle a store that is restored from an older copy

Cause: positions, fencing tokens and planned usage reports relied on offsets and records that never go back. Ruled out: a token of time and offset (clocks differ, and tokens would change on stores without epochs); the epoch of the reader in a grant (a grant of the copy would get a higher token than its holder has); withholding all windows that were due before a restoration (loses usage). Change: the epoch of the store comes from the header Store-Era, beacons and relayed batches. Positions are valid within their epoch, tokens have the epoch above 40 bits of offset, grants and planned reports name their epoch. Nodes register again, the holder grants itself the lease again and writes lost plans and statuses again. On stores with epochs, planned reports are announced to the peers before they are sent. Orders that are written again keep their progress.

--- a/fakes/fake_node_event_listener.hpp
+++ b/fakes/fake_node_event_listener.hpp
@@ -32,6 +32,17 @@
         return found;
     }
 
+    template<typename Kind>
+    std::vector<Kind> all() const
+    {
+        const std::lock_guard<mutex> lock(m_guard);
+        std::vector<Kind> found;
+        for (const forward::node_event& one : m_events)
+            if (const auto* event = std::get_if<Kind>(&one.value))
+                found.push_back(*event);
+        return found;
+    }
+
 private:
     mutable mutex m_guard;
     std::vector<forward::node_event> m_events;
--- a/include/chivedeal/core/log_event.hpp
+++ b/include/chivedeal/core/log_event.hpp
@@ -34,6 +34,8 @@
     record_rejected = 2010,
     store_unreachable = 2011,
     store_recovered = 2012,
+    store_restored = 2013,
+    record_rewritten = 2014,
 
     peer_joined = 3001,
     peer_suspected = 3002,
@@ -64,6 +66,7 @@
     order_refused = 4012,
     usage_reported = 4013,
     usage_report_failed = 4014,
+    usage_report_withheld = 4015,
 
     route_chosen = 5001,
     request_refused = 5002,
--- a/include/chivedeal/forward/config_watcher.hpp
+++ b/include/chivedeal/forward/config_watcher.hpp
@@ -3,6 +3,9 @@
 
 #include "chivedeal/core/bounded_ring.hpp"
 #include "chivedeal/core/duty.hpp"
+#include "chivedeal/era/answer_check.hpp"
+#include "chivedeal/era/epoch_register.hpp"
+#include "chivedeal/era/order_history.hpp"
 #include "chivedeal/forward/batch_listener.hpp"
 #include "chivedeal/forward/reachability_log.hpp"
 #include "chivedeal/forward/relayed_batch.hpp"
@@ -11,7 +14,6 @@
 #include "absl/time/time.h"
 
 #include <cstdint>
-#include <map>
 #include <string>
 #include <vector>
 
@@ -40,6 +42,8 @@
         const clock& time;
         batch_sender& peers;
         std::vector<node_event_listener*> listeners;
+        /// Epochs of the store that the node's other duties learned of.
+        era::epoch_register* epochs = nullptr;
     };
 
     explicit config_watcher(options parts);
@@ -54,6 +58,9 @@
     void apply_relayed_batches(absl::Time until);
     bool read_snapshot();
     bool read_changes();
+    // Starts anew if the store was restored. Returns how the newest answer relates to the position
+    // that it was requested for.
+    era::answer_kind follow_epoch();
     void apply(const record_batch& batch);
     void apply(const stored_record& record);
 
@@ -67,8 +74,9 @@
     bounded_ring<relayed_batch> m_relayed_batches;
     topic_tail m_tail;
     std::int64_t m_applied_version = -1;
-    // By record key: one past the offset of the newest roll-out order.
-    std::map<std::string, std::uint64_t> m_next_rollout_offsets;
+    era::epoch_register m_own_epochs;
+    era::epoch_register& m_epochs;
+    era::order_history m_orders;
     reachability_log m_reachability{"configuration"};
 };
 
--- a/include/chivedeal/forward/control_duties.hpp
+++ b/include/chivedeal/forward/control_duties.hpp
@@ -2,6 +2,9 @@
 #define CHIVEDEAL_FORWARD_CONTROL_DUTIES_HPP
 
 #include "chivedeal/core/duty.hpp"
+#include "chivedeal/core/log_event.hpp"
+#include "chivedeal/era/epoch_register.hpp"
+#include "chivedeal/era/report_guard.hpp"
 #include "chivedeal/forward/control_log.hpp"
 #include "chivedeal/forward/demand_meter.hpp"
 #include "chivedeal/forward/duty_fence.hpp"
@@ -17,6 +20,7 @@
 #include "absl/time/time.h"
 
 #include <cstdint>
+#include <initializer_list>
 #include <map>
 #include <optional>
 #include <string>
@@ -25,7 +29,8 @@
 
 namespace chivedeal {
 class clock;
-}
+class metrics;
+} // namespace chivedeal
 
 namespace chivedeal::forward {
 
@@ -51,6 +56,9 @@
         /// Receives the traffic shares of versions that are being rolled out.
         node_event_listener& forwarder;
         peer_exchange& peers;
+        /// Epochs of the store that the node's other duties learned of.
+        era::epoch_register* epochs = nullptr;
+        metrics* counters = nullptr;
     };
 
     explicit control_duties(options dependencies);
@@ -59,6 +67,10 @@
     void run() override;
     void request_stop() override;
 
+    /// Steps of `run`, which calls `tick` every 250 ms and passes it the queued events.
+    void tick(absl::Time now);
+    void handle_event(const node_event& event, absl::Time now);
+
 private:
     struct tracked_rollout
     {
@@ -69,14 +81,28 @@
         bool status_written = false;
         absl::Time done_at = absl::InfiniteFuture();
         bool split_ended = false;
+        // The order was known before the store was restored.
+        bool is_carried = false;
+        // Newest state read from the store.
+        std::optional<rollout_state> stored_state;
+        absl::Time next_restore_attempt = absl::InfinitePast();
     };
 
-    void handle_event(const node_event& event, absl::Time now);
     void record_outcomes(const node_id& node, const std::vector<version_outcomes>& outcomes,
                          absl::Time now);
-    void tick(absl::Time now);
     void advance_lease(absl::Time now);
     bool read_control_log(absl::Time now);
+    // Starts anew if the store was restored. Returns whether the newest answer of the store belongs
+    // to the epoch in which it was requested, so that it may be used.
+    bool follow_epoch(absl::Time now);
+    void begin_epoch(std::uint64_t epoch, absl::Time now);
+    void rewrite_reports(absl::Time now);
+    void count_rewritten(std::initializer_list<log_field> record);
+    void publish_reports(absl::Time now);
+    bool is_published(std::int64_t window, absl::Time now);
+    void adopt_rewritten(const rollout_order& order);
+    bool adopt_stored_state(tracked_rollout& rollout);
+    void restore_status(tracked_rollout& rollout, absl::Time now);
     void append_grant(absl::Time now);
     void register_node(absl::Time now);
     void plan_fleets(absl::Time now);
@@ -115,6 +141,21 @@
     demand_meter m_demand_meter;
     bool m_endpoints_loaded = false;
     bool m_registered = false;
+    bool m_was_registered = false;
+    int m_listed_nodes = 0;
+    era::epoch_register m_own_epochs;
+    era::epoch_register& m_epochs;
+    metrics* m_counters;
+    era::report_guard m_report_guard;
+    std::uint64_t m_epoch = 0;
+    // Whether the store answered in an epoch, 0 included.
+    bool m_has_answer = false;
+    bool m_is_log_read = false;
+    // A holder or former holder may know planned reports that the store lost.
+    bool m_has_held_lease = false;
+    absl::Time m_epoch_learned_at = absl::InfinitePast();
+    // By window: when this node announced the planned report to its peers.
+    std::map<std::int64_t, absl::Time> m_announced_reports;
     absl::Time m_next_registration = absl::InfinitePast();
 };
 
--- a/include/chivedeal/forward/duty_lease.hpp
+++ b/include/chivedeal/forward/duty_lease.hpp
@@ -54,11 +54,15 @@
     void on_holder_beacon(std::uint64_t token, absl::Time now);
     /// A newer grant has replaced this node's, or the platform rejected its token as stale.
     void on_fenced(absl::Time now);
+    /// The store was restored: offsets that were read are invalid. A holder appends a grant again
+    /// unless another node has done so; until then it doesn't act.
+    void on_restored();
     /// Gives up the lease for good, since the node is draining.
     void release()
     {
         m_released = true;
         m_held_token.reset();
+        m_must_regrant = false;
     }
 
     /// The fencing token while the node may act as the holder.
@@ -84,6 +88,8 @@
     absl::Time m_next_read = absl::InfinitePast();
     bool m_must_read = true;
     bool m_may_append = false;
+    // The grant of `m_held_token` belongs to an earlier epoch of the store.
+    bool m_must_regrant = false;
     bool m_released = false;
 };
 
--- a/include/chivedeal/forward/endpoint_watcher.hpp
+++ b/include/chivedeal/forward/endpoint_watcher.hpp
@@ -3,6 +3,8 @@
 
 #include "chivedeal/core/bounded_ring.hpp"
 #include "chivedeal/core/duty.hpp"
+#include "chivedeal/era/answer_check.hpp"
+#include "chivedeal/era/epoch_register.hpp"
 #include "chivedeal/forward/batch_listener.hpp"
 #include "chivedeal/forward/endpoint_directory.hpp"
 #include "chivedeal/forward/reachability_log.hpp"
@@ -40,6 +42,8 @@
         /// Endpoints write a record with each heartbeat; polling at intervals reads several records
         /// in one call.
         absl::Duration poll_interval = absl::Milliseconds(600);
+        /// Epochs of the store that the node's other duties learned of.
+        era::epoch_register* epochs = nullptr;
     };
 
     explicit endpoint_watcher(options parts);
@@ -53,6 +57,9 @@
 private:
     bool read_snapshot();
     bool read_changes();
+    // Starts anew if the store was restored. Returns how the newest answer relates to the position
+    // that it was requested for.
+    era::answer_kind follow_epoch();
     void on_store_unreachable(const std::string& reason);
     void on_store_reachable();
     // Applies the records and relays those that contain changes to peers.
@@ -74,6 +81,8 @@
     bounded_ring<relayed_batch> m_relayed_batches;
     topic_tail m_tail;
     endpoint_directory m_directory;
+    era::epoch_register m_own_epochs;
+    era::epoch_register& m_epochs;
     bool m_loaded = false;
     // This node's last read failed, and no relayed batch was applied since.
     bool m_store_unreachable = false;
--- a/include/chivedeal/forward/node_beacon.hpp
+++ b/include/chivedeal/forward/node_beacon.hpp
@@ -3,6 +3,7 @@
 
 #include "chivedeal/core/address.hpp"
 #include "chivedeal/core/id.hpp"
+#include "chivedeal/era/planned_report.hpp"
 #include "chivedeal/forward/endpoint_load.hpp"
 #include "chivedeal/forward/part_suspicion.hpp"
 #include "chivedeal/forward/usage_report.hpp"
@@ -48,6 +49,11 @@
     std::vector<address> known_peers;
     /// Whether the receiver relays the beacon to the nodes of its region.
     bool relay_in_region = false;
+    /// Highest epoch of the store that the node knows of.
+    std::uint64_t store_epoch = 0;
+    /// Usage reports that the lease holder is about to send. In the reply to a node that has just
+    /// started, all recent ones.
+    std::vector<era::planned_report> planned_reports;
 
     friend bool operator==(const node_beacon&, const node_beacon&) = default;
 };
--- a/include/chivedeal/forward/outcome_counter.hpp
+++ b/include/chivedeal/forward/outcome_counter.hpp
@@ -19,7 +19,7 @@
 class outcome_counter
 {
 public:
-    /// Starts counting from zero for a new roll-out order.
+    /// Starts counting from zero for a new roll-out order. Counts of a rewritten one are kept.
     void start_counting(const rollout_order& order);
 
     /// Ignores services without a roll-out.
--- a/include/chivedeal/forward/peer_exchange.hpp
+++ b/include/chivedeal/forward/peer_exchange.hpp
@@ -27,6 +27,10 @@
 class clock;
 }
 
+namespace chivedeal::era {
+class epoch_register;
+}
+
 namespace chivedeal::forward {
 
 class node_event_listener;
@@ -44,6 +48,8 @@
         std::vector<node_event_listener*> listeners;
         /// Receives the notices of long prompts.
         node_event_listener& prompt_listener;
+        /// Receives the epochs that peers know of; the node's own one is sent to them.
+        era::epoch_register* epochs = nullptr;
     };
 
     explicit peer_exchange(options parts);
@@ -56,6 +62,9 @@
     /// `leaving` are sent to all peers at once. Thread-safe.
     void publish(local_state state, bool urgent = false);
     void set_lease_token(std::optional<std::uint64_t> token);
+    /// `about_to_send` goes into every beacon, `recent` into replies to new peers. Thread-safe.
+    void set_planned_reports(std::vector<era::planned_report> about_to_send,
+                             std::vector<era::planned_report> recent);
     void relay(relayed_batch batch) override;
     /// Sends a notice of a long prompt: to all peers, or, if there are many, to those of the
     /// region. Thread-safe.
@@ -69,8 +78,13 @@
     /// Removes what nodes of other regions don't need: traffic between regions is billed by volume.
     static node_beacon trim_for_other_regions(node_beacon beacon, bool relayed);
 
-private:
+    /// Returns the next beacon.
     node_beacon make_beacon();
+    /// Returns the reply to the first beacon of a peer, with what a node needs that has just
+    /// started.
+    node_beacon make_reply();
+
+private:
     void send_beacon(int socket, bool urgent, absl::Time now);
     void send_to_other_regions(int socket, const node_beacon& beacon, bool urgent, absl::Time now);
     void send_to_region(int socket, const std::string& bytes) const;
@@ -96,6 +110,9 @@
     wake_signal m_wake;
     shared_cell<local_state> m_local_state;
     shared_cell<std::optional<std::uint64_t>> m_lease_token;
+    shared_cell<std::vector<era::planned_report>> m_planned_reports;
+    shared_cell<std::vector<era::planned_report>> m_recent_reports;
+    era::epoch_register* m_epochs;
     std::atomic<bool> m_stopping = false;
     std::atomic<bool> m_urgent = false;
     peer_table m_table;
--- a/include/chivedeal/forward/relayed_batch.hpp
+++ b/include/chivedeal/forward/relayed_batch.hpp
@@ -22,6 +22,8 @@
     /// Whether `records` contains all changes in this range.
     bool complete = false;
     std::vector<stored_record> records;
+    /// Epoch of the store that the offsets belong to.
+    std::uint64_t epoch = 0;
 
     friend bool operator==(const relayed_batch&, const relayed_batch&) = default;
 };
--- a/include/chivedeal/forward/rollout_evaluator.hpp
+++ b/include/chivedeal/forward/rollout_evaluator.hpp
@@ -32,6 +32,9 @@
     /// Adopts the state that another node reached; `running` changes nothing.
     void on_state(rollout_state state);
 
+    /// The order was written again at another offset.
+    void set_order_offset(std::uint64_t offset) { m_order.offset = offset; }
+
     const rollout_order& order() const { return m_order; }
     rollout_state state() const { return m_state; }
     /// Share of the service's requests that the target version gets.
--- a/include/chivedeal/forward/rollout_order.hpp
+++ b/include/chivedeal/forward/rollout_order.hpp
@@ -15,8 +15,10 @@
     service_id service;
     version_id target;
     absl::Duration duration;
-    /// Offset of the order's record; distinguishes a repeated order from an earlier one.
+    /// Position of the order's record; distinguishes a repeated order from an earlier one.
     std::uint64_t offset = 0;
+    /// The order in force was written again after the store was restored; its progress is kept.
+    bool rewritten = false;
 
     friend bool operator==(const rollout_order&, const rollout_order&) = default;
 };
--- a/include/chivedeal/forward/topic_tail.hpp
+++ b/include/chivedeal/forward/topic_tail.hpp
@@ -40,6 +40,13 @@
     /// Offset of the next read; absent until the whole topic has been read.
     std::optional<std::uint64_t> next_offset() const { return m_next_offset; }
 
+    /// Epoch of the store that the offset belongs to.
+    std::uint64_t epoch() const { return m_epoch; }
+
+    /// Takes an epoch of the store that the node learned of. In a new one, offsets are reused, so
+    /// the whole topic is read again. Returns whether the epoch is new.
+    bool begin_epoch(std::uint64_t epoch);
+
     void on_own_read(std::uint64_t next)
     {
         m_next_offset = next;
@@ -63,6 +70,7 @@
 
 private:
     options m_options;
+    std::uint64_t m_epoch = 0;
     std::optional<std::uint64_t> m_next_offset;
     bool m_missed_records = false;
     int m_failures = 0;
--- a/src/core/log_event.cpp
+++ b/src/core/log_event.cpp
@@ -65,6 +65,10 @@
         return "store_unreachable";
     case event_id::store_recovered:
         return "store_recovered";
+    case event_id::store_restored:
+        return "store_restored";
+    case event_id::record_rewritten:
+        return "record_rewritten";
     case event_id::peer_joined:
         return "peer_joined";
     case event_id::peer_suspected:
@@ -121,6 +125,8 @@
         return "usage_reported";
     case event_id::usage_report_failed:
         return "usage_report_failed";
+    case event_id::usage_report_withheld:
+        return "usage_report_withheld";
     case event_id::route_chosen:
         return "route_chosen";
     case event_id::request_refused:
@@ -181,6 +187,8 @@
         event_id::record_rejected,
         event_id::store_unreachable,
         event_id::store_recovered,
+        event_id::store_restored,
+        event_id::record_rewritten,
         event_id::peer_joined,
         event_id::peer_suspected,
         event_id::peer_dead,
@@ -209,6 +217,7 @@
         event_id::order_refused,
         event_id::usage_reported,
         event_id::usage_report_failed,
+        event_id::usage_report_withheld,
         event_id::route_chosen,
         event_id::request_refused,
         event_id::request_finished,
--- a/src/forward/config_watcher.cpp
+++ b/src/forward/config_watcher.cpp
@@ -2,6 +2,7 @@
 
 #include "chivedeal/core/clock.hpp"
 #include "chivedeal/core/log_event.hpp"
+#include "chivedeal/era/position.hpp"
 #include "chivedeal/forward/batch_sender.hpp"
 #include "chivedeal/forward/node_event.hpp"
 #include "chivedeal/forward/node_event_listener.hpp"
@@ -46,7 +47,8 @@
       m_self(std::move(parts.self)),
       m_listeners(std::move(parts.listeners)),
       m_relayed_batches(max_queued_batches),
-      m_tail({.self = m_self})
+      m_tail({.self = m_self}),
+      m_epochs(parts.epochs != nullptr ? *parts.epochs : m_own_epochs)
 {}
 
 void config_watcher::run()
@@ -54,6 +56,7 @@
     while (!m_relayed_batches.closed()) {
         const absl::Time started_at = m_time.now();
         bool read_ok = true;
+        (void)follow_epoch();
         if (m_tail.must_read(started_at))
             read_ok = m_tail.next_offset() ? read_changes() : read_snapshot();
         // A read normally blocks at the store until its timeout; otherwise the duty waits here.
@@ -72,6 +75,7 @@
 {
     while (const auto batch =
                m_relayed_batches.pop(std::max(absl::ZeroDuration(), until - m_time.now()))) {
+        m_epochs.note(batch->epoch);
         if (m_tail.on_relay(*batch, m_time.now()))
             for (const stored_record& record : batch->records)
                 apply(record);
@@ -93,6 +97,9 @@
         m_reachability.on_read_failure(get_error(batch).message);
         return false;
     }
+    // The whole topic is valid on its own, unless it is older than what the node knows of.
+    if (follow_epoch() == era::answer_kind::outdated)
+        return false;
     m_reachability.on_read_success();
     apply(get_value(batch));
     m_tail.on_own_read(get_value(batch).next_offset);
@@ -105,8 +112,12 @@
     const auto batch = m_store.read(topic::configuration, begin, long_poll_timeout);
     if (!is_ok(batch)) {
         m_reachability.on_read_failure(get_error(batch).message);
+        (void)follow_epoch();
         return false;
     }
+    const era::answer_kind kind = follow_epoch();
+    if (kind != era::answer_kind::current)
+        return kind == era::answer_kind::restored;
     m_reachability.on_read_success();
     apply(get_value(batch));
     m_tail.on_own_read(get_value(batch).next_offset);
@@ -121,10 +132,25 @@
                    .begin_offset = begin,
                    .end_offset = get_value(batch).next_offset,
                    .complete = complete,
-                   .records = complete ? get_value(batch).records : std::vector<stored_record>{}});
+                   .records = complete ? get_value(batch).records : std::vector<stored_record>{},
+                   .epoch = m_tail.epoch()});
     return true;
 }
 
+era::answer_kind config_watcher::follow_epoch()
+{
+    m_epochs.note(m_store.epoch());
+    const std::uint64_t newest = m_epochs.newest();
+    const auto kind = era::check_answer(m_store.epoch(), m_tail.epoch(), newest);
+    const bool was_read = m_tail.next_offset().has_value();
+    if (m_tail.begin_epoch(newest) && was_read) {
+        m_orders.on_restored(m_time.now());
+        log_event(event_id::store_restored,
+                  {{"topic", "configuration"}, {"epoch", absl::StrCat(m_tail.epoch())}});
+    }
+    return kind;
+}
+
 void config_watcher::apply(const record_batch& batch)
 {
     for (const stored_record& record : batch.records)
@@ -145,12 +171,12 @@
     }
     operator_record value = take_value(std::move(decoded));
     if (auto* order = std::get_if<rollout_order>(&value)) {
-        auto& next_offset = m_next_rollout_offsets[record.key];
-        // Offset 0 is valid, so the map stores one past the offset; 0 means that none was seen.
-        if (next_offset > record.offset)
-            return;
-        next_offset = record.offset + 1;
         order->offset = record.offset;
+        const auto verdict = m_orders.on_order(record.key, *order, m_time.now());
+        if (verdict == era::order_history::verdict::ignored)
+            return;
+        order->offset = era::make_position(m_tail.epoch(), record.offset);
+        order->rewritten = verdict == era::order_history::verdict::rewritten;
         for (node_event_listener* listener : m_listeners)
             listener->on_event({node_event::rollout_ordered{*order}});
         return;
--- a/src/forward/control_duties.cpp
+++ b/src/forward/control_duties.cpp
@@ -3,6 +3,9 @@
 #include "chivedeal/core/clock.hpp"
 #include "chivedeal/core/json_object.hpp"
 #include "chivedeal/core/log_event.hpp"
+#include "chivedeal/core/metrics.hpp"
+#include "chivedeal/era/answer_check.hpp"
+#include "chivedeal/era/position.hpp"
 #include "chivedeal/forward/duty_api.hpp"
 #include "chivedeal/forward/peer_exchange.hpp"
 #include "chivedeal/forward/record_store.hpp"
@@ -26,6 +29,13 @@
 // been reported are lost if all nodes are killed.
 constexpr double report_wait_fraction = 0.5;
 constexpr absl::Duration report_retry_interval = absl::Milliseconds(500);
+// Planned reports are sent in the beacons for this long, so that each peer receives several.
+constexpr absl::Duration announcement_time = absl::Milliseconds(1500);
+constexpr std::size_t max_announced_reports = 16;
+// A node that doesn't hold the lease writes a lost roll-out status again after this time plus its
+// stagger, if the holder has not done so.
+constexpr absl::Duration status_backup_delay = absl::Seconds(1);
+constexpr absl::Duration status_retry_interval = absl::Seconds(1);
 constexpr absl::Duration registration_interval = absl::Seconds(30);
 constexpr absl::Duration registration_retry_interval = absl::Seconds(1);
 // After this time, the endpoints of the old version have stopped, so the traffic split has no
@@ -65,7 +75,10 @@
       m_true_time_offset(dependencies.time.wall_now() - dependencies.time.now()),
       m_usage_collector(
           {.window = dependencies.settings.usage_window,
-           .max_wait = dependencies.settings.usage_report_deadline * report_wait_fraction})
+           .max_wait = dependencies.settings.usage_report_deadline * report_wait_fraction}),
+      m_epochs(dependencies.epochs != nullptr ? *dependencies.epochs : m_own_epochs),
+      m_counters(dependencies.counters),
+      m_report_guard(dependencies.time.now())
 {}
 
 void control_duties::run()
@@ -100,6 +113,8 @@
         m_demand_meter.on_counts(process, beacon.requested_prompt_tokens, now);
         m_usage_collector.on_counts(beacon.node, beacon.started_us, beacon.usage, now);
         record_outcomes(beacon.node, beacon.outcomes, now);
+        for (const era::planned_report& plan : beacon.planned_reports)
+            m_control_log.add_planned(plan);
     }
     else if (const auto* local = std::get_if<node_event::local_counters_updated>(&event.value)) {
         m_demand_meter.on_counts(m_settings.node.str(), local->state->requested_prompt_tokens, now);
@@ -126,19 +141,13 @@
         m_true_time_offset = offset->offset;
     }
     else if (const auto* ordered = std::get_if<node_event::rollout_ordered>(&event.value)) {
+        if (ordered->order.rewritten && m_rollouts.count(ordered->order.service) > 0)
+            return adopt_rewritten(ordered->order);
         const rollout_evaluator::options evaluator_options{
             .unproven_share = m_settings.unproven_share * exposure_limit_fraction};
         tracked_rollout rollout{.evaluator =
                                     rollout_evaluator(evaluator_options, ordered->order, now)};
-        const auto statuses = m_store.newest(topic::rollout_status);
-        if (is_ok(statuses))
-            for (const stored_record& record : get_value(statuses).records) {
-                const auto stored_status = m_format.decode_rollout_status(record);
-                if (is_ok(stored_status) &&
-                    get_value(stored_status).service == ordered->order.service &&
-                    get_value(stored_status).target == ordered->order.target)
-                    rollout.evaluator.on_state(get_value(stored_status).state);
-            }
+        (void)adopt_stored_state(rollout);
         m_rollouts.insert_or_assign(ordered->order.service, std::move(rollout));
     }
     else if (std::holds_alternative<node_event::drain_requested>(event.value)) {
@@ -160,12 +169,106 @@
     advance_rollouts(now);
 }
 
+bool control_duties::follow_epoch(absl::Time now)
+{
+    m_epochs.note(m_store.epoch());
+    const std::uint64_t newest = m_epochs.newest();
+    const auto kind = era::check_answer(m_store.epoch(), m_epoch, newest);
+    if (newest > m_epoch)
+        begin_epoch(newest, now);
+    return kind == era::answer_kind::current;
+}
+
+void control_duties::begin_epoch(std::uint64_t epoch, absl::Time now)
+{
+    m_epoch = epoch;
+    m_epoch_learned_at = now;
+    m_control_log.begin_epoch(epoch);
+    m_lease.on_restored();
+    m_peers.set_lease_token(std::nullopt);
+    m_is_log_read = false;
+    m_report_guard.on_epoch(now);
+    m_registered = false;
+    m_next_registration = now;
+    for (auto& [service, rollout] : m_rollouts) {
+        rollout.status_written = false;
+        rollout.is_carried = true;
+    }
+    if (m_counters != nullptr)
+        m_counters->set("chivedeal_store_epoch", static_cast<double>(epoch));
+    if (!m_has_answer)
+        return;
+    m_report_guard.on_further_epoch();
+    if (m_counters != nullptr)
+        m_counters->add("chivedeal_store_restorations_total", 1);
+    log_event(event_id::store_restored, {{"topic", "control"}, {"epoch", absl::StrCat(epoch)}});
+}
+
+void control_duties::count_rewritten(std::initializer_list<log_field> record)
+{
+    log_event(event_id::record_rewritten, record);
+    if (m_counters != nullptr)
+        m_counters->add("chivedeal_store_rewritten_records_total", 1);
+}
+
+// A former holder writes its plans again even if another node holds the lease now, as that node may
+// not have heard of them.
+void control_duties::rewrite_reports(absl::Time now)
+{
+    if (m_epoch == 0 || !(fence(now) || m_has_held_lease))
+        return;
+    if ((m_is_log_read && m_control_log.lost_reports().empty()) || !read_control_log(now))
+        return;
+    for (const era::planned_report& plan : m_control_log.lost_reports()) {
+        const auto appended =
+            m_store.append(topic::lease, "", control_log::encode_report(plan.report, plan.epoch),
+                           m_control_log.end_offset());
+        if (!follow_epoch(now) || !read_control_log(now) || !is_ok(appended))
+            return;
+        count_rewritten({{"topic", "lease"},
+                         {"epoch", absl::StrCat(m_epoch)},
+                         {"window", absl::StrCat(plan.report.window)}});
+    }
+}
+
+void control_duties::publish_reports(absl::Time now)
+{
+    if (m_epoch == 0)
+        return;
+    std::vector<era::planned_report> about_to_send;
+    const std::vector<era::planned_report> recent = m_control_log.known_reports();
+    for (const era::planned_report& plan : recent) {
+        const auto announced = m_announced_reports.find(plan.report.window);
+        if (announced != m_announced_reports.end() && now < announced->second + announcement_time)
+            about_to_send.push_back(plan);
+    }
+    m_peers.set_planned_reports(std::move(about_to_send), recent);
+}
+
+// Whether the peers had the time to learn of the planned report. If the store loses the plan and
+// this node fails, one of them writes it again.
+bool control_duties::is_published(std::int64_t window, absl::Time now)
+{
+    if (m_epoch == 0)
+        return true;
+    const auto announced = m_announced_reports.try_emplace(window, now);
+    if (m_announced_reports.size() > max_announced_reports)
+        m_announced_reports.erase(m_announced_reports.begin());
+    if (announced.second)
+        publish_reports(now);
+    return m_control_log.is_stored(window) && m_report_guard.may_send(announced.first->second, now);
+}
+
 void control_duties::tick(absl::Time now)
 {
+    (void)follow_epoch(now);
     register_node(now);
     advance_lease(now);
-    if (m_settings.reports_usage)
+    if (m_settings.reports_usage) {
+        rewrite_reports(now);
         report_usage(now);
+        publish_reports(now);
+    }
     if (m_settings.orders_endpoints)
         plan_fleets(now);
     advance_rollouts(now);
@@ -178,19 +281,30 @@
     m_next_registration = now + registration_retry_interval;
     if (!m_registered) {
         const std::string value = encode_json({{"peers", to_string(m_settings.peers)}});
-        m_registered =
-            is_ok(m_store.append(topic::nodes, m_settings.node.str(), value, std::nullopt));
+        const auto appended =
+            m_store.append(topic::nodes, m_settings.node.str(), value, std::nullopt);
+        if (!follow_epoch(now))
+            return;
+        m_registered = is_ok(appended);
+        if (m_registered && m_was_registered)
+            count_rewritten({{"topic", "nodes"},
+                             {"epoch", absl::StrCat(m_epoch)},
+                             {"key", m_settings.node.str()}});
+        m_was_registered = m_was_registered || m_registered;
     }
     const auto nodes = m_store.newest(topic::nodes);
-    if (!is_ok(nodes))
+    if (!follow_epoch(now) || !is_ok(nodes))
         return;
+    m_has_answer = true;
     for (const stored_record& record : get_value(nodes).records) {
         const auto parsed = parse_address(member_or(parse_json_object(record.value), "peers", ""));
         if (is_ok(parsed))
             m_peers.add_candidate(get_value(parsed));
     }
-    m_forwarder.on_event(
-        {node_event::nodes_listed{static_cast<int>(get_value(nodes).records.size())}});
+    // After a restoration, nodes may be missing until they have registered again.
+    const int listed = static_cast<int>(get_value(nodes).records.size());
+    m_listed_nodes = m_epoch == 0 ? listed : std::max(m_listed_nodes, listed);
+    m_forwarder.on_event({node_event::nodes_listed{m_listed_nodes}});
     if (m_registered)
         m_next_registration = now + registration_interval;
 }
@@ -213,9 +327,13 @@
 bool control_duties::read_control_log(absl::Time now)
 {
     auto batch = m_store.read(topic::lease, m_control_log.end_offset(), absl::ZeroDuration());
-    if (!is_ok(batch))
+    if (!follow_epoch(now) || !is_ok(batch))
         return false;
+    m_has_answer = true;
     m_control_log.apply(get_value(batch));
+    if (m_epoch > 0 && !m_is_log_read)
+        m_report_guard.on_first_read(m_control_log.has_grant_of_epoch());
+    m_is_log_read = true;
     m_lease.on_read(m_control_log.holder(), m_control_log.holder_token(),
                     m_control_log.end_offset(), now);
     return true;
@@ -223,16 +341,21 @@
 
 void control_duties::append_grant(absl::Time now)
 {
-    const auto appended = m_store.append(
-        topic::lease, "", control_log::encode_grant(m_settings.node), m_lease.expected_end());
+    const auto appended =
+        m_store.append(topic::lease, "", control_log::encode_grant(m_settings.node, m_epoch),
+                       m_lease.expected_end());
+    // A grant of an earlier epoch is void: its token may be lower than that of another node.
+    if (!follow_epoch(now))
+        return;
     if (!is_ok(appended)) {
         if (get_error(appended).code == result_code::conflict)
             m_lease.on_conflict(now);
         return;
     }
-    m_lease.on_granted(get_value(appended), m_time.now());
-    log_event(event_id::lease_acquired,
-              {{"scope", "control"}, {"token", absl::StrCat(get_value(appended))}});
+    const std::uint64_t token = era::make_position(m_epoch, get_value(appended));
+    m_lease.on_granted(token, m_time.now());
+    m_has_held_lease = true;
+    log_event(event_id::lease_acquired, {{"scope", "control"}, {"token", absl::StrCat(token)}});
     read_control_log(m_time.now());
 }
 
@@ -265,17 +388,26 @@
 bool control_duties::report_window(std::int64_t window, absl::Time now)
 {
     if (const usage_report* planned = m_control_log.planned_report(window))
-        return send_report(*planned, now);
+        return is_published(window, now) && send_report(*planned, now);
+    if (!m_report_guard.may_plan(now))
+        return false;
+    if (m_report_guard.may_be_reported(m_usage_windows.end_of(window) - m_true_time_offset)) {
+        log_event(event_id::usage_report_withheld,
+                  {{"window", absl::StrCat(window)}, {"epoch", absl::StrCat(m_epoch)}});
+        return true;
+    }
     const usage_report total = m_usage_collector.total(window);
-    return plan_report(total, now) && send_report(total, m_time.now());
+    return plan_report(total, now) && is_published(window, now) && send_report(total, m_time.now());
 }
 
 bool control_duties::plan_report(const usage_report& report, absl::Time now)
 {
     if (!fence(now))
         return false;
-    const auto appended = m_store.append(topic::lease, "", control_log::encode_report(report),
-                                         m_control_log.end_offset());
+    const auto appended = m_store.append(
+        topic::lease, "", control_log::encode_report(report, m_epoch), m_control_log.end_offset());
+    if (!follow_epoch(now))
+        return false;
     // The topic is read even if the append got no response, since the report may have been stored.
     const bool log_read = read_control_log(m_time.now());
     const usage_report* planned = m_control_log.planned_report(report.window);
@@ -313,8 +445,9 @@
         return;
     }
     // A process that has just started has seen too few requests to decide which endpoints can be
-    // released. The first lease of a new system (token 0) is exempt, as no earlier load exists.
-    if (!m_endpoints_loaded || (holder->token != 0 && !m_demand_meter.covers_averaging_window(now)))
+    // released. The first lease of a new system (offset 0) is exempt, as no earlier load exists.
+    if (!m_endpoints_loaded ||
+        (era::offset_of(holder->token) != 0 && !m_demand_meter.covers_averaging_window(now)))
         return;
     for (const auto& [service, spec] : m_scale_specs) {
         auto& planner = m_planners.try_emplace(service, fleet_planner::options{.service = service})
@@ -396,6 +529,8 @@
         }
         if (fence(now))
             write_status(rollout);
+        else
+            restore_status(rollout, now);
     }
 }
 
@@ -412,18 +547,71 @@
         .service = service, .version = rollout.evaluator.order().target, .share = share}});
 }
 
+void control_duties::adopt_rewritten(const rollout_order& order)
+{
+    tracked_rollout& rollout = m_rollouts.at(order.service);
+    rollout.evaluator.set_order_offset(order.offset);
+    for (auto& [node, counted] : rollout.outcomes)
+        counted.order_offset = order.offset;
+}
+
+// Returns whether the store answered.
+bool control_duties::adopt_stored_state(tracked_rollout& rollout)
+{
+    const auto statuses = m_store.newest(topic::rollout_status);
+    if (!follow_epoch(m_time.now()) || !is_ok(statuses))
+        return false;
+    for (const stored_record& record : get_value(statuses).records) {
+        const auto stored = m_format.decode_rollout_status(record);
+        if (is_ok(stored) && get_value(stored).service == rollout.evaluator.order().service &&
+            get_value(stored).target == rollout.evaluator.order().target) {
+            rollout.evaluator.on_state(get_value(stored).state);
+            rollout.stored_state = get_value(stored).state;
+        }
+    }
+    return true;
+}
+
+// Writes a lost final status again if the holder of the lease doesn't know it.
+void control_duties::restore_status(tracked_rollout& rollout, absl::Time now)
+{
+    if (!rollout.is_carried || rollout.status_written ||
+        rollout.evaluator.state() == rollout_state::running ||
+        now < m_epoch_learned_at + status_backup_delay + lease_stagger(m_settings) ||
+        now < rollout.next_restore_attempt)
+        return;
+    rollout.next_restore_attempt = now + status_retry_interval;
+    rollout.stored_state.reset();
+    if (!adopt_stored_state(rollout))
+        return;
+    if (rollout.stored_state == rollout.evaluator.state())
+        rollout.status_written = true;
+    else
+        write_status(rollout);
+    rollout.written_state = rollout.evaluator.state();
+}
+
 void control_duties::write_status(tracked_rollout& rollout)
 {
     if (rollout.status_written && rollout.written_state == rollout.evaluator.state())
         return;
+    // A process that started after the store lost the final status learns it from the nodes that
+    // write it again.
+    if (m_epoch > 0 && !rollout.status_written && !rollout.is_carried &&
+        !adopt_stored_state(rollout))
+        return;
     const rollout_status next{.service = rollout.evaluator.order().service,
                               .target = rollout.evaluator.order().target,
                               .state = rollout.evaluator.state(),
                               .order_offset = rollout.evaluator.order().offset};
     const auto appended = m_store.append(topic::rollout_status, m_format.rollout_status_key(next),
                                          m_format.encode_rollout_status(next), std::nullopt);
-    if (!is_ok(appended))
+    if (!follow_epoch(m_time.now()) || !is_ok(appended))
         return;
+    if (rollout.is_carried && !rollout.status_written)
+        count_rewritten({{"topic", "rollout_status"},
+                         {"epoch", absl::StrCat(m_epoch)},
+                         {"key", next.service.str()}});
     rollout.status_written = true;
     rollout.written_state = next.state;
     if (next.state != rollout_state::running)
--- a/src/forward/duty_lease.cpp
+++ b/src/forward/duty_lease.cpp
@@ -26,6 +26,12 @@
     if (m_released || now < m_next_read)
         return action::none;
     if (m_held_token) {
+        if (m_must_regrant && m_may_append) {
+            m_may_append = false;
+            m_must_read = true;
+            m_next_read = now + read_retry_interval;
+            return action::append;
+        }
         if (!m_must_read)
             return action::none;
         m_next_read = now + read_retry_interval;
@@ -52,6 +58,13 @@
         m_has_highest_token = true;
         m_highest_token = std::max(m_highest_token, token);
     }
+    if (m_must_regrant) {
+        if (holder && *holder != m_options.self && token > *m_held_token)
+            return on_fenced(now);
+        m_may_append = true;
+        m_next_read = now;
+        return;
+    }
     if (m_held_token) {
         if (!holder || token != *m_held_token)
             on_fenced(now);
@@ -77,6 +90,7 @@
 void duty_lease::on_granted(std::uint64_t token, absl::Time now)
 {
     m_held_token = token;
+    m_must_regrant = false;
     m_has_highest_token = true;
     m_highest_token = token;
     record_holder_activity(now);
@@ -102,9 +116,19 @@
     }
 }
 
+void duty_lease::on_restored()
+{
+    m_must_regrant = m_held_token.has_value();
+    m_may_append = false;
+    m_must_read = true;
+    m_next_read = absl::InfinitePast();
+    m_topic_end = 0;
+}
+
 void duty_lease::on_fenced(absl::Time now)
 {
     m_held_token.reset();
+    m_must_regrant = false;
     m_may_append = false;
     record_holder_activity(now);
     m_earliest_request = now + m_options.term;
@@ -112,7 +136,8 @@
 
 std::optional<std::uint64_t> duty_lease::held_token(absl::Time now) const
 {
-    if (!m_held_token || m_must_read || now - m_last_tick > m_options.max_tick_interval)
+    if (!m_held_token || m_must_regrant || m_must_read ||
+        now - m_last_tick > m_options.max_tick_interval)
         return std::nullopt;
     return m_held_token;
 }
--- a/src/forward/endpoint_watcher.cpp
+++ b/src/forward/endpoint_watcher.cpp
@@ -45,13 +45,15 @@
       m_listeners(std::move(parts.listeners)),
       m_poll_interval(parts.poll_interval),
       m_relayed_batches(max_queued_batches),
-      m_tail({.self = m_self})
+      m_tail({.self = m_self}),
+      m_epochs(parts.epochs != nullptr ? *parts.epochs : m_own_epochs)
 {}
 
 void endpoint_watcher::run()
 {
     while (!m_relayed_batches.closed()) {
         bool read_ok = true;
+        (void)follow_epoch();
         if (m_tail.must_read(m_time.now()))
             read_ok = m_tail.next_offset() ? read_changes() : read_snapshot();
         notify_listeners(m_directory.tick(m_time.now()));
@@ -59,6 +61,7 @@
             m_time.now() + (read_ok ? m_poll_interval : m_tail.on_failed_read());
         while (const auto batch =
                    m_relayed_batches.pop(std::max(absl::ZeroDuration(), until - m_time.now()))) {
+            m_epochs.note(batch->epoch);
             if (!m_tail.on_relay(*batch, m_time.now()))
                 continue;
             on_store_reachable();
@@ -81,6 +84,9 @@
         on_store_unreachable(get_error(batch).message);
         return false;
     }
+    // The whole topic is valid on its own, unless it is older than what the node knows of.
+    if (follow_epoch() == era::answer_kind::outdated)
+        return false;
     m_reachability.on_read_success();
     on_store_reachable();
     std::vector<endpoint_record> records;
@@ -105,8 +111,12 @@
     const auto batch = m_store.read(topic::endpoints, begin, absl::ZeroDuration());
     if (!is_ok(batch)) {
         on_store_unreachable(get_error(batch).message);
+        (void)follow_epoch();
         return false;
     }
+    const era::answer_kind kind = follow_epoch();
+    if (kind != era::answer_kind::current)
+        return kind == era::answer_kind::restored;
     m_reachability.on_read_success();
     on_store_reachable();
     if (get_value(batch).truncated) {
@@ -118,6 +128,21 @@
     return true;
 }
 
+era::answer_kind endpoint_watcher::follow_epoch()
+{
+    m_epochs.note(m_store.epoch());
+    const std::uint64_t newest = m_epochs.newest();
+    const auto kind = era::check_answer(m_store.epoch(), m_tail.epoch(), newest);
+    const bool was_read = m_tail.next_offset().has_value();
+    if (m_tail.begin_epoch(newest) && was_read) {
+        // Endpoints that are missing from the older copy write their records again.
+        m_directory.on_store_failed(m_time.now());
+        log_event(event_id::store_restored,
+                  {{"topic", "endpoints"}, {"epoch", absl::StrCat(m_tail.epoch())}});
+    }
+    return kind;
+}
+
 void endpoint_watcher::on_store_unreachable(const std::string& reason)
 {
     m_store_unreachable = true;
@@ -136,8 +161,11 @@
 
 void endpoint_watcher::apply_and_relay(const record_batch& batch, std::uint64_t begin)
 {
-    relayed_batch part{
-        .sender = m_self, .from = topic::endpoints, .begin_offset = begin, .complete = true};
+    relayed_batch part{.sender = m_self,
+                       .from = topic::endpoints,
+                       .begin_offset = begin,
+                       .complete = true,
+                       .epoch = m_tail.epoch()};
     std::size_t bytes = 0;
     for (const stored_record& record : batch.records) {
         if (!apply(record))
--- a/src/forward/forwarding_node.cpp
+++ b/src/forward/forwarding_node.cpp
@@ -6,6 +6,7 @@
 #include "chivedeal/core/metrics.hpp"
 #include "chivedeal/core/supervisor.hpp"
 #include "chivedeal/core/system_clock.hpp"
+#include "chivedeal/era/epoch_register.hpp"
 #include "chivedeal/forward/config_watcher.hpp"
 #include "chivedeal/forward/control_duties.hpp"
 #include "chivedeal/forward/endpoint_watcher.hpp"
@@ -66,6 +67,7 @@
     const std::unique_ptr<duty_api> m_platform;
     const system_clock m_clock;
     metrics m_metrics;
+    era::epoch_register m_epochs;
     log_writer m_log;
     event_queue m_forwarder_queue;
     event_queue m_control_queue;
@@ -91,7 +93,8 @@
       m_peers({.settings = m_settings,
                .time = m_clock,
                .listeners = {&m_forwarder_queue, &m_control_queue},
-               .prompt_listener = m_forwarder_queue}),
+               .prompt_listener = m_forwarder_queue,
+               .epochs = &m_epochs}),
       m_forwarder({.settings = m_settings,
                    .names = m_names,
                    .format = *m_format,
@@ -108,19 +111,23 @@
                  .format = *m_format,
                  .queue = m_control_queue,
                  .forwarder = m_forwarder_queue,
-                 .peers = m_peers}),
+                 .peers = m_peers,
+                 .epochs = &m_epochs,
+                 .counters = &m_metrics}),
       m_config({.self = m_settings.node,
                 .store = *m_config_store,
                 .format = *m_format,
                 .time = m_clock,
                 .peers = m_peers,
-                .listeners = {&m_forwarder_queue, &m_control_queue}}),
+                .listeners = {&m_forwarder_queue, &m_control_queue},
+                .epochs = &m_epochs}),
       m_endpoints({.self = m_settings.node,
                    .store = *m_endpoint_store,
                    .format = *m_format,
                    .time = m_clock,
                    .peers = m_peers,
-                   .listeners = {&m_forwarder_queue, &m_control_queue}}),
+                   .listeners = {&m_forwarder_queue, &m_control_queue},
+                   .epochs = &m_epochs}),
       // The duties share rings and sockets, so none can be restarted alone: a failure ends the
       // process, and the platform restarts it.
       m_root({.name = "forwarding_node", .max_restarts = 0},
--- a/src/forward/outcome_counter.cpp
+++ b/src/forward/outcome_counter.cpp
@@ -4,6 +4,11 @@
 
 void outcome_counter::start_counting(const rollout_order& order)
 {
+    const auto known = m_counts.find(order.service);
+    if (order.rewritten && known != m_counts.end() && known->second.target == order.target) {
+        known->second.order_offset = order.offset;
+        return;
+    }
     m_counts[order.service] = {
         .service = order.service, .target = order.target, .order_offset = order.offset};
     m_baselines[order.service].clear();
--- a/src/forward/peer_codec.cpp
+++ b/src/forward/peer_codec.cpp
@@ -71,6 +71,14 @@
     return suspicion;
 }
 
+usage_report decode_report(const json& fields)
+{
+    usage_report report{.window = fields.at(0).get<std::int64_t>()};
+    for (const auto& [workspace, count] : fields.at(1).items())
+        report.counts[workspace_id(workspace)] = count.get<std::int64_t>();
+    return report;
+}
+
 node_beacon decode_beacon(const json& fields)
 {
     node_beacon beacon{.node = node_id(fields.at(0).get<std::string>()),
@@ -103,12 +111,8 @@
                                    .other_bad = outcome.at(6).get<std::int64_t>()});
     for (const json& known_peer : fields.at(13))
         beacon.known_peers.push_back(decode_address(known_peer));
-    for (const json& report_fields : fields.at(14)) {
-        usage_report report{.window = report_fields.at(0).get<std::int64_t>()};
-        for (const auto& [workspace, count] : report_fields.at(1).items())
-            report.counts[workspace_id(workspace)] = count.get<std::int64_t>();
-        beacon.usage.push_back(std::move(report));
-    }
+    for (const json& report_fields : fields.at(14))
+        beacon.usage.push_back(decode_report(report_fields));
     for (const auto& [service, tokens] : fields.at(15).items())
         beacon.requested_prompt_tokens[service_id(service)] = tokens.get<std::int64_t>();
     beacon.relay_in_region = fields.at(16).get<bool>();
@@ -120,29 +124,47 @@
     if (fields.size() > 18)
         for (const auto& [workspace, level] : fields.at(18).items())
             beacon.quota_levels[workspace_id(workspace)] = level.get<double>();
+    // Nodes of the previous version know no epochs.
+    if (fields.size() > 20) {
+        beacon.store_epoch = fields.at(19).get<std::uint64_t>();
+        for (const json& plan : fields.at(20))
+            beacon.planned_reports.push_back(
+                {.report = decode_report(plan), .epoch = plan.at(2).get<std::uint64_t>()});
+    }
     return beacon;
 }
 
+json encode_counts(const usage_report& report)
+{
+    json counts = json::object();
+    for (const auto& [workspace, count] : report.counts)
+        counts[workspace.str()] = count;
+    return counts;
+}
+
 json encode_usage(const node_beacon& beacon)
 {
     json usage = json::array();
-    for (const usage_report& report : beacon.usage) {
-        json counts = json::object();
-        for (const auto& [workspace, count] : report.counts)
-            counts[workspace.str()] = count;
-        usage.push_back({report.window, std::move(counts)});
-    }
+    for (const usage_report& report : beacon.usage)
+        usage.push_back({report.window, encode_counts(report)});
     return usage;
 }
 
+json encode_plans(const node_beacon& beacon)
+{
+    json plans = json::array();
+    for (const era::planned_report& plan : beacon.planned_reports)
+        plans.push_back({plan.report.window, encode_counts(plan.report), plan.epoch});
+    return plans;
+}
+
 json encode_fields(const relayed_batch& batch)
 {
     json records = json::array();
     for (const stored_record& record : batch.records)
         records.push_back({record.key, record.value, record.removed, record.offset});
-    return {batch.sender.str(), static_cast<int>(batch.from),
-            batch.begin_offset, batch.end_offset,
-            batch.complete,     std::move(records)};
+    return {batch.sender.str(), static_cast<int>(batch.from), batch.begin_offset, batch.end_offset,
+            batch.complete,     std::move(records),           batch.epoch};
 }
 
 relayed_batch decode_batch(const json& fields)
@@ -152,6 +174,9 @@
                         .begin_offset = fields.at(2).get<std::uint64_t>(),
                         .end_offset = fields.at(3).get<std::uint64_t>(),
                         .complete = fields.at(4).get<bool>()};
+    // Nodes of the previous version know no epochs.
+    if (fields.size() > 6)
+        batch.epoch = fields.at(6).get<std::uint64_t>();
     for (const json& record : fields.at(5))
         batch.records.push_back({.key = record.at(0).get<std::string>(),
                                  .value = record.at(1).get<std::string>(),
@@ -193,7 +218,9 @@
             std::move(prompt_tokens),
             beacon.relay_in_region,
             encode_suspicions(beacon),
-            std::move(levels)};
+            std::move(levels),
+            beacon.store_epoch,
+            encode_plans(beacon)};
 }
 
 // Message kinds; the first element of an encoded message.
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "chivedeal/core/clock.hpp"
 #include "chivedeal/core/log_event.hpp"
+#include "chivedeal/era/epoch_register.hpp"
 #include "chivedeal/forward/batch_listener.hpp"
 #include "chivedeal/forward/node_event.hpp"
 #include "chivedeal/forward/node_event_listener.hpp"
@@ -50,6 +51,9 @@
       m_prompt_listener(parts.prompt_listener),
       m_local_state(std::make_shared<const local_state>()),
       m_lease_token(std::make_shared<const std::optional<std::uint64_t>>()),
+      m_planned_reports(std::make_shared<const std::vector<era::planned_report>>()),
+      m_recent_reports(std::make_shared<const std::vector<era::planned_report>>()),
+      m_epochs(parts.epochs),
       m_table({.self = parts.settings.node, .self_address = parts.settings.peers}),
       m_relay({.region = parts.settings.region}),
       m_started_us(absl::ToUnixMicros(parts.time.wall_now())),
@@ -83,6 +87,20 @@
     }
 }
 
+void peer_exchange::set_planned_reports(std::vector<era::planned_report> about_to_send,
+                                        std::vector<era::planned_report> recent)
+{
+    const bool has_news = !about_to_send.empty() && *m_planned_reports.load() != about_to_send;
+    m_planned_reports.store(
+        std::make_shared<const std::vector<era::planned_report>>(std::move(about_to_send)));
+    m_recent_reports.store(
+        std::make_shared<const std::vector<era::planned_report>>(std::move(recent)));
+    if (has_news) {
+        m_urgent = true;
+        m_wake.raise();
+    }
+}
+
 void peer_exchange::add_candidate(const address& node) { (void)m_new_candidates.try_push(node); }
 
 void peer_exchange::relay(relayed_batch batch)
@@ -163,7 +181,9 @@
                        .requested_prompt_tokens = local->requested_prompt_tokens,
                        .outcomes = local->outcomes,
                        .usage = local->usage,
-                       .suspicions = local->suspicions};
+                       .suspicions = local->suspicions,
+                       .store_epoch = m_epochs != nullptr ? m_epochs->newest() : 0,
+                       .planned_reports = *m_planned_reports.load()};
     std::vector<address> known_addresses;
     for (const auto& [node, peer] : m_table.beacons())
         known_addresses.push_back(peer.peer_address);
@@ -173,6 +193,14 @@
     return beacon;
 }
 
+node_beacon peer_exchange::make_reply()
+{
+    node_beacon beacon = make_beacon();
+    beacon.quota_levels = m_local_state.load()->quota_levels;
+    beacon.planned_reports = *m_recent_reports.load();
+    return beacon;
+}
+
 node_beacon peer_exchange::trim_for_other_regions(node_beacon beacon, bool relayed)
 {
     // Relayed beacons arrive too late to show which endpoint is processing a prompt, but early
@@ -296,6 +324,8 @@
 void peer_exchange::handle_beacon(int socket, const node_beacon& beacon, bool direct,
                                   absl::Time now)
 {
+    if (m_epochs != nullptr)
+        m_epochs->note(beacon.store_epoch);
     const auto accepted = m_table.on_beacon(beacon, now, direct);
     if (!accepted)
         return;
@@ -305,8 +335,7 @@
         log_event(event_id::peer_joined,
                   {{"peer", beacon.node.str()}, {"address", to_string(beacon.peer_address)}});
         // Answers a new peer at once, so that it doesn't wait for the next beacon.
-        node_beacon own = make_beacon();
-        own.quota_levels = m_local_state.load()->quota_levels;
+        const node_beacon own = make_reply();
         const std::string bytes =
             encode_message(is_in_own_region(beacon) ? own : trim_for_other_regions(own, true));
         (void)send_datagram(socket, beacon.peer_address, bytes.data(), bytes.size());
--- a/src/forward/topic_tail.cpp
+++ b/src/forward/topic_tail.cpp
@@ -14,8 +14,20 @@
     return std::min(m_options.max_retry_delay, m_options.min_retry_delay * factor);
 }
 
+bool topic_tail::begin_epoch(std::uint64_t epoch)
+{
+    if (epoch <= m_epoch)
+        return false;
+    m_epoch = epoch;
+    m_next_offset.reset();
+    m_missed_records = false;
+    return true;
+}
+
 bool topic_tail::on_relay(const relayed_batch& batch, absl::Time now)
 {
+    if (batch.epoch != m_epoch)
+        return false;
     if (!m_next_offset || batch.end_offset < *m_next_offset)
         return false;
     const bool is_contiguous = batch.begin_offset <= *m_next_offset &&
