--- a/include/chivedeal/forward/config_watcher.hpp
+++ b/include/chivedeal/forward/config_watcher.hpp
@@ -3,6 +3,9 @@
 
 #include "chivedeal/core/bounded_ring.hpp"
 #include "chivedeal/core/duty.hpp"
+#include "chivedeal/era/answer_check.hpp"
+#include "chivedeal/era/epoch_register.hpp"
+#include "chivedeal/era/order_history.hpp"
 #include "chivedeal/forward/batch_listener.hpp"
 #include "chivedeal/forward/operator_record.hpp"
 #include "chivedeal/forward/reachability_log.hpp"
@@ -14,7 +17,6 @@
 #include "absl/time/time.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -45,6 +47,8 @@
         batch_sender& peers;
         std::vector<node_event_listener*> listeners;
         read_pace pace = read_pace_for(absl::ZeroDuration());
+        /// Epochs of the store that the node's other duties learned of.
+        era::epoch_register* epochs = nullptr;
     };
 
     explicit config_watcher(options parts);
@@ -61,6 +65,9 @@
     bool read_changes();
     std::optional<operator_record> decode(const stored_record& record) const;
     void apply_snapshot(const record_batch& batch);
+    // Starts anew if the store was restored. Returns how the newest answer relates to the position
+    // that it was requested for.
+    era::answer_kind follow_epoch();
     void apply(const record_batch& batch);
     void apply(const stored_record& record);
     void apply(const stored_record& record, operator_record value);
@@ -77,9 +84,10 @@
     const absl::Duration m_read_wait;
     topic_tail m_tail;
     std::int64_t m_applied_version = -1;
-    // By record key: one past the offset of the newest roll-out order.
-    std::map<std::string, std::uint64_t> m_next_rollout_offsets;
     regions::evacuation_log m_evacuations;
+    era::epoch_register m_own_epochs;
+    era::epoch_register& m_epochs;
+    era::order_history m_orders;
     reachability_log m_reachability{"configuration"};
 };
 
