--- a/include/chivedeal/regions/endpoint_gate.hpp
+++ b/include/chivedeal/regions/endpoint_gate.hpp
@@ -85,7 +85,11 @@
         cold_limiter limiter;
     };
 
-    bool is_cold(const tracked_endpoint& endpoint, absl::Time now) const;
+    // Returns until when the endpoint is cold as far as this node knows.
+    absl::Time cold_end(const tracked_endpoint& endpoint) const;
+    // To be called after a change that may prolong `cold_end`.
+    void extend_latest_cold_end(const tracked_endpoint& endpoint);
+    void recompute_latest_cold_end();
     void apply_report(tracked_endpoint& endpoint, absl::Duration remaining, absl::Time now) const;
     void update_share(tracked_endpoint& endpoint, absl::Time now);
 
@@ -95,6 +99,9 @@
     std::set<zone_id> m_evacuated_zones;
     int m_node_count = 1;
     bool m_loaded = false;
+    // No endpoint is cold from this time on. Without it, the look-up of each endpoint made a choice
+    // among 1,800 endpoints take 104 us instead of 66.
+    absl::Time m_latest_cold_end = absl::InfinitePast();
     absl::flat_hash_map<endpoint_id, tracked_endpoint> m_endpoints;
 };
 
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -241,8 +241,13 @@
     // Try endpoints in turn until a connection accepts the request.
     while (true) {
         const auto choice = m_pool.choose(current.query, current.routing_sample, now);
-        if (!is_ok(choice))
-            return finish_failed(current, to_string(get_error(choice).code).c_str(), now);
+        if (!is_ok(choice)) {
+            const std::string reason = to_string(get_error(choice).code);
+            m_counters.add(
+                absl::StrCat("chivedeal_requests_without_endpoint_total{reason=\"", reason, "\"}"),
+                1);
+            return finish_failed(current, reason.c_str(), now);
+        }
         current.attempt_choice = get_value(choice);
         current.last_choice = *current.attempt_choice;
         current.attempt_sent = false;
--- a/src/regions/endpoint_gate.cpp
+++ b/src/regions/endpoint_gate.cpp
@@ -28,10 +28,12 @@
     m_cold_specs = std::move(specs);
     for (auto& [id, endpoint] : m_endpoints)
         update_share(endpoint, now);
+    recompute_latest_cold_end();
 }
 
 void endpoint_gate::set_node_count(int nodes, absl::Time now)
 {
+    recompute_latest_cold_end();
     if (std::exchange(m_node_count, nodes) == nodes)
         return;
     for (auto& [id, endpoint] : m_endpoints)
@@ -44,6 +46,7 @@
         if (m_evacuated_zones.contains(endpoint.zone) && !zones.contains(endpoint.zone))
             endpoint.assumed_cold_since = now;
     m_evacuated_zones = std::move(zones);
+    recompute_latest_cold_end();
 }
 
 void endpoint_gate::on_record(const forward::endpoint_record& record, absl::Time now)
@@ -71,6 +74,7 @@
     if (record.remaining_warm_up)
         apply_report(endpoint, *record.remaining_warm_up, now);
     update_share(endpoint, now);
+    extend_latest_cold_end(endpoint);
 }
 
 void endpoint_gate::on_removed(const endpoint_id& id, absl::Time now)
@@ -86,15 +90,19 @@
 void endpoint_gate::on_unreachable(const endpoint_id& id)
 {
     const auto found = m_endpoints.find(id);
-    if (found != m_endpoints.end())
-        found->second.is_unreachable = true;
+    if (found == m_endpoints.end())
+        return;
+    found->second.is_unreachable = true;
+    extend_latest_cold_end(found->second);
 }
 
 void endpoint_gate::on_answered(const endpoint_id& id, absl::Time now)
 {
     const auto found = m_endpoints.find(id);
-    if (found != m_endpoints.end() && std::exchange(found->second.is_unreachable, false))
-        found->second.assumed_cold_since = now;
+    if (found == m_endpoints.end() || !std::exchange(found->second.is_unreachable, false))
+        return;
+    found->second.assumed_cold_since = now;
+    extend_latest_cold_end(found->second);
 }
 
 void endpoint_gate::on_cold_reported(const endpoint_id& id, absl::Duration remaining,
@@ -106,13 +114,13 @@
     found->second.is_unreachable = false;
     found->second.assumed_cold_since = absl::InfinitePast();
     apply_report(found->second, remaining, now);
+    extend_latest_cold_end(found->second);
 }
 
 void endpoint_gate::apply_report(tracked_endpoint& endpoint, absl::Duration remaining,
                                  absl::Time now) const
 {
-    endpoint.reported_cold_until =
-        now + std::clamp(remaining, absl::ZeroDuration(), max_cold_time);
+    endpoint.reported_cold_until = now + std::clamp(remaining, absl::ZeroDuration(), max_cold_time);
     if (now - endpoint.assumed_cold_since >= max_record_delay)
         endpoint.assumed_cold_since = absl::InfinitePast();
 }
@@ -136,10 +144,10 @@
     }
     if (m_evacuated_zones.contains(record.zone))
         return gate_verdict::zone_evacuated;
-    if (m_cold_specs.empty())
+    if (now >= m_latest_cold_end)
         return gate_verdict::allowed;
     const auto found = m_endpoints.find(record.id);
-    if (found == m_endpoints.end() || !is_cold(found->second, now) ||
+    if (found == m_endpoints.end() || now >= cold_end(found->second) ||
         found->second.limiter.has_permit(now))
         return gate_verdict::allowed;
     return gate_verdict::no_cold_permit;
@@ -155,23 +163,40 @@
 {
     return static_cast<int>(
         std::count_if(m_endpoints.begin(), m_endpoints.end(), [this, now](const auto& entry) {
-            return entry.second.removed_at == absl::InfiniteFuture() && is_cold(entry.second, now);
+            return entry.second.removed_at == absl::InfiniteFuture() &&
+                   now < cold_end(entry.second);
         }));
 }
 
 void endpoint_gate::on_sent(const endpoint_id& id, absl::Time now)
 {
     const auto found = m_endpoints.find(id);
-    if (found != m_endpoints.end() && is_cold(found->second, now))
+    if (found != m_endpoints.end() && now < cold_end(found->second))
         found->second.limiter.spend(now);
 }
 
-bool endpoint_gate::is_cold(const tracked_endpoint& endpoint, absl::Time now) const
+absl::Time endpoint_gate::cold_end(const tracked_endpoint& endpoint) const
 {
     const auto spec = m_cold_specs.find(endpoint.service);
-    return spec != m_cold_specs.end() &&
-           (endpoint.is_unreachable || now < endpoint.reported_cold_until ||
-            now < endpoint.assumed_cold_since + spec->second.cold_time);
+    if (spec == m_cold_specs.end())
+        return absl::InfinitePast();
+    if (endpoint.is_unreachable)
+        return absl::InfiniteFuture();
+    return std::max(endpoint.reported_cold_until,
+                    endpoint.assumed_cold_since + spec->second.cold_time);
+}
+
+void endpoint_gate::extend_latest_cold_end(const tracked_endpoint& endpoint)
+{
+    m_latest_cold_end = std::max(m_latest_cold_end, cold_end(endpoint));
+}
+
+void endpoint_gate::recompute_latest_cold_end()
+{
+    m_latest_cold_end = absl::InfinitePast();
+    for (const auto& [id, endpoint] : m_endpoints)
+        if (endpoint.removed_at == absl::InfiniteFuture())
+            extend_latest_cold_end(endpoint);
 }
 
 } // namespace chivedeal::regions
--- a/test/regions_endpoint_gate_test.cpp
+++ b/test/regions_endpoint_gate_test.cpp
@@ -9,6 +9,8 @@
 
 const absl::Time start = absl::FromUnixSeconds(1000);
 const endpoint_id e1("e1");
+// So many that no permit of this node falls into the tests.
+constexpr int many_nodes = 10000000;
 constexpr absl::Duration cold_time = absl::Seconds(20);
 
 forward::endpoint_record make_record(std::int64_t started_at,
@@ -25,11 +27,18 @@
 endpoint_gate make_gate()
 {
     endpoint_gate gate({});
+    gate.set_node_count(many_nodes, start);
     gate.set_cold_specs({{service_id("s"), {.cold_time = cold_time, .requests_per_s = 4}}}, start);
     return gate;
 }
 
-bool is_cold(const endpoint_gate& gate, absl::Time now) { return gate.cold_count(now) == 1; }
+// A cold endpoint gets no request, as this node has no permit, and is counted.
+bool is_cold(const endpoint_gate& gate, absl::Time now)
+{
+    const bool refuses = gate.check(make_record(0), {}, now) == gate_verdict::no_cold_permit;
+    EXPECT_EQ(gate.cold_count(now) == 1, refuses);
+    return refuses;
+}
 
 // Guards against a limit on all endpoints after the restart of a node.
 TEST(endpoint_gate, trusts_the_first_list)
@@ -117,6 +126,7 @@
 TEST(endpoint_gate, limits_only_services_with_a_cold_time)
 {
     endpoint_gate gate({});
+    gate.set_node_count(many_nodes, start);
     gate.on_endpoints_loaded();
     gate.on_record(make_record(1, absl::Seconds(10)), start);
     EXPECT_EQ(gate.cold_count(start), 0);
