Derive the retry time from the endpoints that a request may use

Cause: Retry-After was the default when endpoints outside the home regions or in evacuated zones were free, although all allowed ones had asked for a pause. Callers retry once, so a retry that is too early is lost. Ruled out: a separate function beside retry_time, as the old one would still count endpoints that the request can't use. Change: retry_time takes the query and asks the gate. The tests of retry_time pass a query without home regions; their expectations are unchanged. Conclusion: restricted requests get the retry time of their own endpoints.

--- a/include/chivedeal/forward/endpoint_pool.hpp
+++ b/include/chivedeal/forward/endpoint_pool.hpp
@@ -63,9 +63,9 @@
     bool on_announced_leaving(const endpoint_choice& endpoint, absl::Time now);
     /// An endpoint asked for no requests of this node until `retry_at`, unless it restarts before.
     void on_retry_after(const endpoint_choice& endpoint, absl::Time retry_at, absl::Time now);
-    /// Returns the earliest time at which an endpoint of the service wants requests again, if all
-    /// its endpoints that aren't leaving asked for none.
-    std::optional<absl::Time> retry_time(const service_id& service, absl::Time now) const;
+    /// Returns the earliest time at which an endpoint that the request may use wants requests again,
+    /// if all of them that aren't leaving asked for none.
+    std::optional<absl::Time> retry_time(const endpoint_query& query, absl::Time now) const;
 
     /// Splits a service's requests between one version and all others. A version with share 0 gets
     /// no requests at all. Otherwise, if one side has no usable endpoint, the other gets them all.
--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -175,15 +175,17 @@
         apply_demand(found->second);
 }
 
-std::optional<absl::Time> endpoint_pool::retry_time(const service_id& service, absl::Time now) const
+std::optional<absl::Time> endpoint_pool::retry_time(const endpoint_query& query,
+                                                    absl::Time now) const
 {
-    const auto service_endpoints = m_ids_by_service.find(service);
+    const auto service_endpoints = m_ids_by_service.find(query.service);
     if (service_endpoints == m_ids_by_service.end())
         return std::nullopt;
     absl::Time earliest = absl::InfiniteFuture();
     for (const endpoint_id& id : service_endpoints->second) {
         const endpoint_state& endpoint = m_endpoints.at(id);
-        if (!is_leaving(endpoint, now))
+        const regions::gate_verdict verdict = m_gate.check(endpoint.record, query.homes, now);
+        if (verdict >= regions::gate_verdict::no_cold_permit && !is_leaving(endpoint, now))
             earliest = std::min(earliest, endpoint.retry_at);
     }
     return earliest > now && earliest < absl::InfiniteFuture() ? std::optional(earliest)
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -585,7 +585,7 @@
 
 absl::Duration request_runner::retry_delay(const exchange& current, absl::Time now)
 {
-    const auto retry_at = m_pool.retry_time(current.query.service, now);
+    const auto retry_at = m_pool.retry_time(current.query, now);
     if (!retry_at)
         return default_retry_after;
     const double spread = retry_spread_per_priority * current.match.priority() +
--- a/test/forward_endpoint_pool_test.cpp
+++ b/test/forward_endpoint_pool_test.cpp
@@ -126,12 +126,12 @@
     const endpoint_choice refused_by = get_value(pool.choose(make_query(), 0.5, start));
     pool.on_retry_after(refused_by, start + absl::Seconds(3), start);
     EXPECT_EQ(chosen(pool, make_query(), start + absl::Milliseconds(2999)), "no_endpoint");
-    EXPECT_EQ(pool.retry_time(drafts, start), start + absl::Seconds(3));
+    EXPECT_EQ(pool.retry_time({.service = drafts}, start), start + absl::Seconds(3));
     pool.remove(endpoint_id("e1"));
     pool.update(make_record("e1"));
     EXPECT_EQ(chosen(pool, make_query(), start + absl::Seconds(1)), "no_endpoint");
     EXPECT_EQ(chosen(pool, make_query(), start + absl::Seconds(3)), "e1");
-    EXPECT_EQ(pool.retry_time(drafts, start + absl::Seconds(3)), std::nullopt);
+    EXPECT_EQ(pool.retry_time({.service = drafts}, start + absl::Seconds(3)), std::nullopt);
 }
 
 // Guards against forgetting what endpoints asked for while it still holds.
@@ -163,7 +163,7 @@
     pool.on_retry_after(refused_by, start + absl::Seconds(3), start);
     pool.update(make_record("e2"));
     EXPECT_EQ(chosen(pool, make_query()), "e2");
-    EXPECT_EQ(pool.retry_time(drafts, start), std::nullopt);
+    EXPECT_EQ(pool.retry_time({.service = drafts}, start), std::nullopt);
 }
 
 // Guards against repeated prefill: if prompts with a shared part were spread over several
--- a/test/regions_endpoint_pool_test.cpp
+++ b/test/regions_endpoint_pool_test.cpp
@@ -111,6 +111,23 @@
     EXPECT_EQ(chosen(), "away");
 }
 
+// Guards against a Retry-After that is too early because endpoints that the request may not use are
+// free.
+TEST_F(regions_endpoint_pool, derives_the_retry_time_from_allowed_endpoints)
+{
+    add(make_record("away", "b"));
+    add(make_record("home", "a"));
+    m_pool.on_retry_after({.id = endpoint_id("home"),
+                           .address = {.host = "127.0.0.1", .port = 1},
+                           .started_at_unix_ms = 1},
+                          start + absl::Seconds(3), start);
+    EXPECT_EQ(m_pool.retry_time({.service = drafts}, start), std::nullopt);
+    EXPECT_EQ(m_pool.retry_time({.service = drafts, .homes = home}, start),
+              start + absl::Seconds(3));
+    evacuate({zone_id("b")});
+    EXPECT_EQ(m_pool.retry_time({.service = drafts}, start), start + absl::Seconds(3));
+}
+
 // Guards against requests to a cold endpoint beyond this node's permits.
 TEST_F(regions_endpoint_pool, sends_to_a_cold_endpoint_only_with_a_permit)
 {
