--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -241,8 +241,13 @@
     // Try endpoints in turn until a connection accepts the request.
     while (true) {
         const auto choice = m_pool.choose(current.query, current.routing_sample, now);
-        if (!is_ok(choice))
-            return finish_failed(current, to_string(get_error(choice).code).c_str(), now);
+        if (!is_ok(choice)) {
+            const std::string reason = to_string(get_error(choice).code);
+            m_counters.add(
+                absl::StrCat("chivedeal_requests_without_endpoint_total{reason=\"", reason, "\"}"),
+                1);
+            return finish_failed(current, reason.c_str(), now);
+        }
         current.attempt_choice = get_value(choice);
         current.last_choice = *current.attempt_choice;
         current.attempt_sent = false;
@@ -580,7 +585,7 @@
 
 absl::Duration request_runner::retry_delay(const exchange& current, absl::Time now)
 {
-    const auto retry_at = m_pool.retry_time(current.query.service, now);
+    const auto retry_at = m_pool.retry_time(current.query, now);
     if (!retry_at)
         return default_retry_after;
     const double spread = retry_spread_per_priority * current.match.priority() +
