--- a/test/platform_soak/soak_node.cpp
+++ b/test/platform_soak/soak_node.cpp
@@ -25,7 +25,7 @@
     json seed_list = json::array();
     for (const address& seed : seeds)
         seed_list.push_back(to_string(seed));
-    const json settings{
+    json settings{
         {"node", m_options.name},
         {"zone", "z1"},
         {"region", "r1"},
@@ -40,6 +40,10 @@
         {"provider", {{"addr", to_string(m_options.store)}}},
         {"bounds",
          {{"grace_s", 8}, {"ttl_max_s", 0.2}, {"retry_ratio", 0.2}, {"retry_slack", 50}}}};
+    if (m_options.memory_mb > 0)
+        settings["limits"]["memory_mb"] = m_options.memory_mb;
+    if (m_options.max_descriptors > 0)
+        settings["limits"]["max_fds"] = m_options.max_descriptors;
     std::ofstream(m_options.directory + "/" + m_options.name + ".json") << settings.dump();
 }
 
--- a/test/platform_soak/soak_node.hpp
+++ b/test/platform_soak/soak_node.hpp
@@ -23,6 +23,9 @@
         std::string program;
         std::string directory;
         address store;
+        /// Limits of the instance in the settings; absent there if 0.
+        int memory_mb = 0;
+        int max_descriptors = 0;
     };
 
     explicit soak_node(options settings);
@@ -41,6 +44,7 @@
     /// Whether the process has ended, and was not started again.
     bool ended() const;
     int exit_status() const { return m_process->exit_status(); }
+    pid_t pid() const { return m_process->pid(); }
 
     /// A graceful stop is under way, and nothing else happened to the process.
     bool is_stopping_gracefully() const { return m_stopping_gracefully; }
