Bound what callers can make a node hold

Cause: the output of a connection, the bodies and pipelined requests in progress, the kernel's receive buffers and the number of connections had no common limit, so callers could take the memory and the descriptors of the instance. Change: the instance's memory and descriptors come from limits.memory_mb and limits.max_fds of the settings, else from the machine, and are divided by guard::divide_instance. caller_side charges what each connection holds to guard::memory_budget; over the budget, the connection that holds most gets 503 or is closed. A new connection beyond the limit replaces one that serves no request. A pipelined request is processed when the response before it is written, from the loop of the forwarder. Receive and send buffers of callers' connections are set; events read and accept a bounded amount.

--- a/include/chivedeal/core/log_event.hpp
+++ b/include/chivedeal/core/log_event.hpp
@@ -81,6 +81,7 @@
     prompt_part_blocked = 5014,
     prompt_part_released = 5015,
     prompt_trial_sent = 5016,
+    callers_shed = 5017,
 
     operator_request_rejected = 6001,
 };
--- a/include/chivedeal/forward/caller_connection.hpp
+++ b/include/chivedeal/forward/caller_connection.hpp
@@ -47,6 +47,17 @@
     bool closed = false;
     bool wants_read = true;
     bool wants_write = false;
+    /// A response was completed on this connection.
+    bool has_served = false;
+    /// `caller_side::process_input` is running for this connection.
+    bool processing = false;
+    /// The connection is in the list of those whose buffered input can be processed.
+    bool resumable = false;
+    /// Memory of the request in progress and of its response outside of this connection.
+    std::size_t request_bytes = 0;
+    std::size_t response_bytes = 0;
+    /// Input that the kernel held when reading was last found to be paused.
+    std::size_t kernel_bytes = 0;
 };
 
 } // namespace chivedeal::forward
--- a/include/chivedeal/forward/caller_side.hpp
+++ b/include/chivedeal/forward/caller_side.hpp
@@ -5,6 +5,9 @@
 #include "chivedeal/forward/caller_limits.hpp"
 #include "chivedeal/forward/http_response_head.hpp"
 #include "chivedeal/forward/unsent_output.hpp"
+#include "chivedeal/guard/connection_limits.hpp"
+#include "chivedeal/guard/memory_budget.hpp"
+#include "chivedeal/guard/shed_counts.hpp"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
@@ -28,8 +31,12 @@
     /// with the poller.
     static constexpr std::uint64_t id_mark = std::uint64_t{1} << 62;
 
-    caller_side(poller& event_poller, caller_listener& handler)
-        : m_poller(event_poller), m_handler(handler)
+    caller_side(poller& event_poller, caller_listener& handler,
+                const guard::connection_limits& bounds)
+        : m_poller(event_poller),
+          m_handler(handler),
+          m_bounds(bounds),
+          m_memory(bounds.buffer_bytes)
     {}
     ~caller_side();
     caller_side(const caller_side&) = delete;
@@ -55,6 +62,20 @@
     std::size_t backlog(std::uint64_t id) const;
     unsent_output unsent() const;
 
+    /// Accounts the part of a response that is kept until it is complete.
+    void charge_response(std::uint64_t id, std::size_t bytes);
+    /// Rejects or closes the connections that hold most until the buffers are within their limit.
+    /// Not to be called while an event is handled.
+    void enforce_budget(absl::Time now);
+    guard::shed_counts shed() const { return m_shed; }
+    std::size_t buffered_bytes() const { return m_memory.total(); }
+
+    /// Whether requests that were buffered behind others can be processed.
+    bool has_resumable() const { return !m_resumable_ids.empty(); }
+    /// Processes them. Not to be called while an event is handled: a request would otherwise be
+    /// processed inside the response to the one before it.
+    void resume(absl::Time now);
+
     /// Makes every later response close its connection.
     void close_after_responses() { m_draining = true; }
     void close_idle(absl::Time now);
@@ -70,20 +91,32 @@
 private:
     void read_all(caller_connection& connection, absl::Time now);
     void process_input(caller_connection& connection, absl::Time now);
-    void reject(caller_connection& connection, int status, absl::Time now);
+    void process_requests(caller_connection& connection, absl::Time now);
+    bool is_held_up(const caller_connection& connection) const;
+    void reject(caller_connection& connection, int status, absl::Time now,
+                std::vector<http_field> fields = {});
     void finish_response(caller_connection& connection, absl::Time now);
     void flush(caller_connection& connection, absl::Time now);
     void after_flush(caller_connection& connection, absl::Time now);
     void update_interest(caller_connection& connection);
     bool is_delivering(caller_connection& connection, absl::Time now) const;
+    // Brings the memory that the connection holds up to date.
+    void account(const caller_connection& connection);
+    bool make_room(absl::Time now);
+    void shed_heaviest(caller_connection& connection, absl::Time now);
+    void drop(caller_connection& connection, absl::Time now);
     void close(caller_connection& connection);
     caller_connection* find(std::uint64_t id);
 
     poller& m_poller;
     caller_listener& m_handler;
+    guard::connection_limits m_bounds;
+    guard::memory_budget m_memory;
+    guard::shed_counts m_shed;
     caller_limits m_limits;
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<caller_connection>> m_connections;
     std::vector<std::uint64_t> m_closed_ids;
+    std::vector<std::uint64_t> m_resumable_ids;
     std::uint64_t m_next_id = 1;
     bool m_draining = false;
 };
--- a/include/chivedeal/forward/endpoint_side.hpp
+++ b/include/chivedeal/forward/endpoint_side.hpp
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -37,6 +38,8 @@
         /// open for longer than this.
         absl::Duration idle_timeout = absl::Seconds(4);
         absl::Duration connect_timeout = absl::Milliseconds(700);
+        /// To all endpoints together. An idle connection is closed for a new one.
+        std::size_t max_connections = std::numeric_limits<std::size_t>::max();
     };
 
     endpoint_side(poller& event_poller, endpoint_listener& handler, options settings)
@@ -79,6 +82,7 @@
     endpoint_connection* take_idle(const endpoint_id& endpoint, const address& remote,
                                    absl::Time now);
     endpoint_connection* open(const endpoint_id& endpoint, const address& remote, absl::Time now);
+    bool make_room();
     void keep_idle(endpoint_connection& connection, absl::Duration idle_timeout, absl::Time now);
     void finish_probe(endpoint_connection& connection, absl::Time now);
     void start_exchange(endpoint_connection& connection, endpoint_request request, absl::Time now);
--- a/include/chivedeal/forward/forwarder.hpp
+++ b/include/chivedeal/forward/forwarder.hpp
@@ -14,6 +14,8 @@
 #include "chivedeal/forward/node_settings.hpp"
 #include "chivedeal/forward/poller.hpp"
 #include "chivedeal/forward/request_runner.hpp"
+#include "chivedeal/guard/connection_limits.hpp"
+#include "chivedeal/guard/shed_counts.hpp"
 
 #include "absl/time/time.h"
 
@@ -86,6 +88,7 @@
     void run_periodic_tasks(absl::Time now);
     local_state make_local_state(absl::Time now) const;
     void report_local_state(const local_state& state, absl::Time now);
+    void report_shed_callers();
     void advance_drain(absl::Time now);
     void end_without_drain(absl::Time now);
     void log_drain_end(absl::Time now) const;
@@ -110,11 +113,13 @@
 
     poller m_poller;
     std::map<int, listener> m_listeners;
+    guard::connection_limits m_limits;
     caller_side m_callers;
     endpoint_pool m_pool;
     endpoint_side m_endpoints;
     request_runner m_runner;
     address_book m_address_book;
+    guard::shed_counts m_reported_shed;
     absl::Time m_started_at;
     node_count_estimate m_node_count;
     // Mean time between two beacons of a peer.
--- a/include/chivedeal/forward/node_settings.hpp
+++ b/include/chivedeal/forward/node_settings.hpp
@@ -3,6 +3,7 @@
 
 #include "chivedeal/core/address.hpp"
 #include "chivedeal/core/id.hpp"
+#include "chivedeal/guard/instance_limits.hpp"
 
 #include "absl/time/time.h"
 
@@ -52,6 +53,7 @@
     /// Whether the whole system starts for the first time. Otherwise, requests may have been
     /// admitted and run shortly before the process started.
     bool is_first_start = false;
+    guard::instance_limits instance;
     bool reports_usage = false;
     bool orders_endpoints = false;
 
--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -19,6 +19,7 @@
 #include "absl/random/random.h"
 #include "absl/time/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -50,6 +51,8 @@
         endpoint_side& endpoints;
         endpoint_pool& pool;
         metrics& counters;
+        /// Limit for the responses that are kept until they are complete, of all requests together.
+        std::size_t max_buffered_body_bytes;
     };
 
     explicit request_runner(options dependencies);
@@ -171,6 +174,7 @@
     crash_tracker m_crashes{m_quarantine};
     shutdown_admission m_shutdown;
     std::map<service_id, std::int64_t> m_requested_prompt_tokens;
+    std::size_t m_max_buffered_body_bytes;
     std::size_t m_buffered_body_bytes = 0;
     absl::InsecureBitGen m_random;
     std::uint64_t m_next_exchange_id = 1;
--- a/include/chivedeal/forward/sockets.hpp
+++ b/include/chivedeal/forward/sockets.hpp
@@ -24,6 +24,12 @@
 /// doesn't tell.
 std::size_t unacknowledged_bytes(int descriptor);
 
+/// Returns the number of received bytes that the process has not read yet.
+std::size_t unread_bytes(int descriptor);
+
+/// Sets the sizes of the kernel's buffers. Accepted connections take over those of the listener.
+void set_buffer_sizes(int descriptor, int receive_bytes, int send_bytes);
+
 /// Opens a non-blocking UDP socket. Errors: `io_error`.
 result<int> bind_udp(const address& local);
 
--- a/src/core/log_event.cpp
+++ b/src/core/log_event.cpp
@@ -153,6 +153,8 @@
         return "prompt_part_released";
     case event_id::prompt_trial_sent:
         return "prompt_trial_sent";
+    case event_id::callers_shed:
+        return "callers_shed";
     case event_id::operator_request_rejected:
         return "operator_request_rejected";
     }
@@ -225,6 +227,7 @@
         event_id::prompt_part_blocked,
         event_id::prompt_part_released,
         event_id::prompt_trial_sent,
+        event_id::callers_shed,
         event_id::operator_request_rejected,
     };
     return events;
--- a/src/forward/caller_side.cpp
+++ b/src/forward/caller_side.cpp
@@ -4,6 +4,7 @@
 #include "chivedeal/forward/http_fields.hpp"
 #include "chivedeal/forward/poller.hpp"
 #include "chivedeal/forward/sockets.hpp"
+#include "chivedeal/guard/connection_activity.hpp"
 
 #include "absl/strings/str_cat.h"
 
@@ -19,9 +20,22 @@
 namespace {
 
 constexpr std::size_t read_buffer_bytes = 16 * 1024;
-// Limits the pipelined input buffered while a response is in progress; further input stays in the
-// kernel's socket buffer.
-constexpr std::size_t max_pipelined_bytes = 64 * 1024;
+// Limits the data that is read from a connection, and the connections that are accepted, before
+// other connections and timers get their turn.
+constexpr int max_reads_per_event = 16;
+constexpr int max_accepts_per_event = 128;
+// Limits the pipelined input buffered until the response before it is written; further input stays
+// in the kernel's socket buffer.
+constexpr std::size_t max_pipelined_bytes = 16 * 1024;
+// Memory of a connection without buffers, and of the parser of a request.
+constexpr std::size_t connection_bytes = 4 * 1024;
+constexpr std::size_t reader_bytes = 2 * 1024;
+// A request is kept for retries, and once more as it is written to an endpoint.
+constexpr std::size_t copies_of_request = 2;
+// The kernel's structures take about as much memory as the input they hold.
+constexpr std::size_t kernel_overhead_factor = 2;
+// The heaviest connections have been rejected by then, if callers within the limits are the rest.
+constexpr const char* shed_retry_after = "0.500";
 // Limits a chunk size, its extension and a trailer, for which the parser has no limit. They have to
 // be complete before it consumes them.
 constexpr std::size_t max_unparsed_bytes = 64 * 1024;
@@ -39,6 +53,16 @@
     return connection.output.size() - connection.output_sent_bytes + in_kernel - end;
 }
 
+std::size_t size_of(const http_request& request)
+{
+    std::size_t bytes = request.target.size() + request.body.size();
+    for (const http_field& field : request.fields)
+        bytes += sizeof field + field.name.size() + field.value.size();
+    return bytes;
+}
+
+void release_buffer(std::string& text) { std::string().swap(text); }
+
 void release_capacity(std::string& text)
 {
     if (text.empty() && text.capacity() > max_retained_bytes)
@@ -56,16 +80,22 @@
 
 void caller_side::accept_all(int listener_socket, int listener, absl::Time now)
 {
-    while (true) {
+    // Unaccepted connections are reported again.
+    for (int accepts = 0; accepts < max_accepts_per_event; ++accepts) {
         const int descriptor = accept_tcp(listener_socket);
         if (descriptor < 0)
             return;
+        if (!make_room(now)) {
+            ::close(descriptor);
+            continue;
+        }
         auto connection = std::make_unique<caller_connection>();
         connection->id = id_mark | m_next_id++;
         connection->descriptor = descriptor;
         connection->listener = listener;
         connection->last_activity = now;
         m_poller.add(descriptor, connection->id, true, false);
+        account(*connection);
         m_connections.emplace(connection->id, std::move(connection));
     }
 }
@@ -80,12 +110,13 @@
         flush(*connection, now);
     if (!connection->closed && (readable || broken))
         read_all(*connection, now);
+    account(*connection);
 }
 
 void caller_side::read_all(caller_connection& connection, absl::Time now)
 {
     std::array<char, read_buffer_bytes> buffer;
-    while (!connection.closed) {
+    for (int reads = 0; reads < max_reads_per_event && !connection.closed; ++reads) {
         const ssize_t received_bytes = recv(connection.descriptor, buffer.data(), buffer.size(), 0);
         if (received_bytes > 0) {
             if (connection.closing)
@@ -96,7 +127,7 @@
             connection.input.append(buffer.data(), static_cast<std::size_t>(received_bytes));
             if (!connection.awaiting_response)
                 process_input(connection, now);
-            if (connection.awaiting_response && connection.input.size() >= max_pipelined_bytes)
+            if (is_held_up(connection) && connection.input.size() >= max_pipelined_bytes)
                 break;
             if (static_cast<std::size_t>(received_bytes) < buffer.size())
                 break;
@@ -116,9 +147,39 @@
         update_interest(connection);
 }
 
+// Whether buffered input waits for a response, or for the caller to read one.
+bool caller_side::is_held_up(const caller_connection& connection) const
+{
+    return connection.awaiting_response ||
+           (!connection.reader && connection.output_sent_bytes < connection.output.size());
+}
+
+void caller_side::resume(absl::Time now)
+{
+    for (const std::uint64_t id : std::exchange(m_resumable_ids, {})) {
+        caller_connection* connection = find(id);
+        if (connection == nullptr)
+            continue;
+        connection->resumable = false;
+        process_input(*connection, now);
+        if (!connection->closed)
+            update_interest(*connection);
+        account(*connection);
+    }
+}
+
 void caller_side::process_input(caller_connection& connection, absl::Time now)
 {
-    while (!connection.closed && !connection.awaiting_response && !connection.closing &&
+    if (connection.processing)
+        return;
+    connection.processing = true;
+    process_requests(connection, now);
+    connection.processing = false;
+}
+
+void caller_side::process_requests(caller_connection& connection, absl::Time now)
+{
+    while (!connection.closed && !is_held_up(connection) && !connection.closing &&
            !connection.input.empty()) {
         if (!connection.reader) {
             connection.reader = std::make_unique<request_reader>(
@@ -147,18 +208,20 @@
         connection.awaiting_response = true;
         connection.keep_alive = request.keep_alive;
         connection.is_head_request = request.method == "HEAD";
+        connection.request_bytes = size_of(request) * copies_of_request;
         m_handler.on_request(connection.id, connection.listener, std::move(request),
                              connection.request_started, now);
     }
 }
 
-void caller_side::reject(caller_connection& connection, int status, absl::Time now)
+void caller_side::reject(caller_connection& connection, int status, absl::Time now,
+                         std::vector<http_field> fields)
 {
     connection.reader.reset();
     connection.input.clear();
     connection.keep_alive = false;
     connection.awaiting_response = true;
-    respond(connection.id, {.status = status, .fields = {}}, "", now);
+    respond(connection.id, {.status = status, .fields = std::move(fields)}, "", now);
 }
 
 void caller_side::respond(std::uint64_t id, const http_response_head& head, std::string_view body,
@@ -197,6 +260,7 @@
     connection->output.append(bytes);
     connection->output += "\r\n";
     flush(*connection, now);
+    account(*connection);
 }
 
 void caller_side::end_stream(std::uint64_t id, absl::Time now)
@@ -240,16 +304,13 @@
 void caller_side::finish_response(caller_connection& connection, absl::Time now)
 {
     connection.awaiting_response = false;
+    connection.has_served = true;
+    connection.request_bytes = 0;
+    connection.response_bytes = 0;
     connection.last_activity = now;
     connection.closing = connection.closing || !connection.keep_alive;
     flush(connection, now);
-    // The next pipelined request may already be buffered. `process_input` itself can be the caller,
-    // through a handler that responds at once; its loop then continues after this call.
-    if (!connection.closed && !connection.closing && !connection.input.empty() &&
-        !connection.reader)
-        process_input(connection, now);
-    if (!connection.closed)
-        update_interest(connection);
+    account(connection);
 }
 
 void caller_side::flush(caller_connection& connection, absl::Time now)
@@ -291,6 +352,9 @@
         }
         if (connection.awaiting_response)
             m_handler.on_caller_writable(connection.id);
+        else if (!connection.closing && !connection.reader && !connection.input.empty() &&
+                 !connection.processing && !std::exchange(connection.resumable, true))
+            m_resumable_ids.push_back(connection.id);
     }
     else if (connection.output_sent_bytes > min_compact_bytes) {
         connection.output.erase(0, connection.output_sent_bytes);
@@ -303,7 +367,7 @@
 void caller_side::update_interest(caller_connection& connection)
 {
     const bool wants_read =
-        !(connection.awaiting_response && connection.input.size() >= max_pipelined_bytes);
+        !(is_held_up(connection) && connection.input.size() >= max_pipelined_bytes);
     const bool wants_write = connection.output_sent_bytes < connection.output.size();
     if (wants_read == connection.wants_read && wants_write == connection.wants_write)
         return;
@@ -325,7 +389,13 @@
 void caller_side::tick(absl::Time now)
 {
     for (auto& [id, connection] : m_connections) {
-        if (connection->closed || connection->awaiting_response)
+        if (connection->closed)
+            continue;
+        connection->kernel_bytes =
+            connection->wants_read ? 0
+                                   : unread_bytes(connection->descriptor) * kernel_overhead_factor;
+        account(*connection);
+        if (connection->awaiting_response)
             continue;
         const bool delivering = is_delivering(*connection, now);
         if (connection->lingering) {
@@ -368,6 +438,88 @@
     m_closed_ids.clear();
 }
 
+void caller_side::charge_response(std::uint64_t id, std::size_t bytes)
+{
+    caller_connection* connection = find(id);
+    if (connection == nullptr)
+        return;
+    connection->response_bytes = bytes;
+    account(*connection);
+}
+
+void caller_side::account(const caller_connection& connection)
+{
+    if (connection.closed)
+        return;
+    const std::size_t reading_bytes =
+        connection.reader ? reader_bytes + connection.reader->consumed_bytes() : 0;
+    m_memory.set(connection.id, connection_bytes + connection.input.capacity() +
+                                    connection.output.capacity() + reading_bytes +
+                                    connection.request_bytes + connection.response_bytes +
+                                    connection.kernel_bytes);
+}
+
+void caller_side::enforce_budget(absl::Time now)
+{
+    while (m_memory.is_exceeded()) {
+        const auto heaviest = m_memory.heaviest();
+        caller_connection* connection = heaviest ? find(*heaviest) : nullptr;
+        if (connection == nullptr)
+            return;
+        ++m_shed.for_memory;
+        shed_heaviest(*connection, now);
+    }
+}
+
+void caller_side::shed_heaviest(caller_connection& connection, absl::Time now)
+{
+    // A request that is still being read has not been executed, which 503 tells the caller.
+    const std::size_t held_before = m_memory.held(connection.id);
+    if (connection.reader && !connection.awaiting_response && !connection.closing) {
+        release_buffer(connection.input);
+        reject(connection, 503, now, {{.name = "Retry-After", .value = shed_retry_after}});
+    }
+    if (!connection.closed && m_memory.held(connection.id) >= held_before)
+        drop(connection, now);
+}
+
+void caller_side::drop(caller_connection& connection, absl::Time now)
+{
+    const bool was_awaiting_response = connection.awaiting_response;
+    close(connection);
+    connection.reader.reset();
+    release_buffer(connection.input);
+    release_buffer(connection.output);
+    connection.output_sent_bytes = 0;
+    if (was_awaiting_response)
+        m_handler.on_caller_disconnected(connection.id, now);
+}
+
+// Closes a connection if there are too many for another one. Returns false if none may be closed.
+bool caller_side::make_room(absl::Time now)
+{
+    if (m_connections.size() - m_closed_ids.size() < m_bounds.max_callers)
+        return true;
+    ++m_shed.for_connections;
+    const auto activity = [](const caller_connection& connection) {
+        return guard::connection_activity{.is_serving = connection.awaiting_response ||
+                                                        connection.output_sent_bytes <
+                                                            connection.output.size(),
+                                          .is_ending = connection.lingering,
+                                          .has_served = connection.has_served,
+                                          .last_activity = connection.last_activity};
+    };
+    caller_connection* first = nullptr;
+    for (const auto& [id, connection] : m_connections)
+        if (!connection->closed &&
+            (first == nullptr || guard::is_closed_before(activity(*connection), activity(*first))))
+            first = connection.get();
+    if (first == nullptr || activity(*first).is_serving)
+        return false;
+    drop(*first, now);
+    return true;
+}
+
 void caller_side::close(caller_connection& connection)
 {
     if (connection.closed)
@@ -377,6 +529,7 @@
     m_poller.remove(connection.descriptor);
     ::close(connection.descriptor);
     connection.descriptor = -1;
+    m_memory.remove(connection.id);
     m_closed_ids.push_back(connection.id);
 }
 
--- a/src/forward/endpoint_side.cpp
+++ b/src/forward/endpoint_side.cpp
@@ -80,6 +80,8 @@
 endpoint_connection* endpoint_side::open(const endpoint_id& endpoint, const address& remote,
                                          absl::Time now)
 {
+    if (!make_room())
+        return nullptr;
     const auto descriptor = begin_connect(remote);
     if (!is_ok(descriptor))
         return nullptr;
@@ -96,6 +98,21 @@
     return opened;
 }
 
+// Returns false if there are too many connections and none is idle.
+bool endpoint_side::make_room()
+{
+    if (m_connections.size() - m_closed_ids.size() < m_options.max_connections)
+        return true;
+    for (const auto& [endpoint, idle_ids] : m_idle_ids)
+        for (const std::uint64_t id : idle_ids)
+            if (const auto found = m_connections.find(id);
+                found != m_connections.end() && !found->second->closed) {
+                close(*found->second);
+                return true;
+            }
+    return false;
+}
+
 bool endpoint_side::probe(const endpoint_id& endpoint, const address& remote, absl::Time now)
 {
     return open(endpoint, remote, now) != nullptr;
@@ -405,6 +422,9 @@
     m_poller.remove(connection.descriptor);
     ::close(connection.descriptor);
     connection.descriptor = -1;
+    // An attempt that is cut off may have a long request left to write.
+    std::string().swap(connection.output);
+    connection.output_sent_bytes = 0;
     auto& open_count = m_open_counts[connection.endpoint];
     open_count = std::max(0, open_count - 1);
     if (connection.current_state == endpoint_connection::state::idle) {
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -71,15 +71,19 @@
       m_control(dependencies.control),
       m_peers(dependencies.peers),
       m_on_drained(std::move(dependencies.on_drained)),
-      m_callers(m_poller, *this),
+      m_limits(guard::divide_instance(m_settings.instance)),
+      m_callers(m_poller, *this, m_limits),
       m_pool({.self = m_settings.node, .region = m_settings.region, .zones = m_settings.zones}),
-      m_endpoints(m_poller, m_runner, {.id_field = dependencies.names.request_id}),
+      m_endpoints(m_poller, m_runner,
+                  {.id_field = dependencies.names.request_id,
+                   .max_connections = m_limits.max_endpoint_connections}),
       m_runner({.settings = m_settings,
                 .names = dependencies.names,
                 .callers = m_callers,
                 .endpoints = m_endpoints,
                 .pool = m_pool,
-                .counters = m_counters}),
+                .counters = m_counters,
+                .max_buffered_body_bytes = m_limits.max_buffered_response_bytes}),
       m_started_at(m_time.now()),
       m_node_count({.started_at = m_started_at, .is_first_start = m_settings.is_first_start})
 {
@@ -107,12 +111,17 @@
     // A request that is read after the drain would be cut off by the exit of the process. One that
     // is not read is known not to have run.
     while (!m_event_queue.closed() && !m_drained) {
-        const absl::Time due = std::min(next_timer, m_next_periodic_run);
+        const absl::Time due = m_callers.has_resumable()
+                                   ? absl::InfinitePast()
+                                   : std::min(next_timer, m_next_periodic_run);
         const auto& events = m_poller.wait(std::max(absl::ZeroDuration(), due - m_time.now()));
         const absl::Time now = m_time.now();
-        for (const poller::ready& event : events)
+        for (const poller::ready& event : events) {
             dispatch(event, now);
+            m_callers.enforce_budget(now);
+        }
         process_events(now);
+        m_callers.resume(now);
         next_timer = m_runner.tick(now);
         for (const prompt_notice& notice : m_pool.take_notices())
             m_peers.send_prompt_notice(notice);
@@ -136,6 +145,7 @@
     if (!is_ok(socket))
         throw std::runtime_error(get_error(socket).message);
     m_listeners.emplace(get_value(socket), kind);
+    set_buffer_sizes(get_value(socket), m_limits.receive_buffer_bytes, m_limits.send_buffer_bytes);
     m_poller.add(get_value(socket),
                  first_listener_id + static_cast<std::uint64_t>(get_value(socket)), true, false);
 }
@@ -316,12 +326,34 @@
     m_control.on_event(
         {node_event::local_counters_updated{std::make_shared<const local_state>(state)}});
     m_counters.set("chivedeal_requests_under_way", static_cast<double>(m_runner.active_count()));
+    report_shed_callers();
     m_counters.set("chivedeal_caller_connections", static_cast<double>(m_callers.size()));
     m_counters.set("chivedeal_endpoint_connections", static_cast<double>(m_endpoints.size()));
     m_counters.set("chivedeal_endpoint_connections_opened_total",
                    static_cast<double>(m_endpoints.opened()));
 }
 
+// One line for all connections since the last report, so that many of them don't fill the log.
+void forwarder::report_shed_callers()
+{
+    const guard::shed_counts shed = m_callers.shed();
+    m_counters.set("chivedeal_caller_buffered_bytes",
+                   static_cast<double>(m_callers.buffered_bytes()));
+    m_counters.set(R"(chivedeal_callers_shed_total{reason="memory"})",
+                   static_cast<double>(shed.for_memory));
+    m_counters.set(R"(chivedeal_callers_shed_total{reason="connections"})",
+                   static_cast<double>(shed.for_connections));
+    if (shed == m_reported_shed)
+        return;
+    log_event(
+        event_id::callers_shed,
+        {{"for_memory", absl::StrCat(shed.for_memory - m_reported_shed.for_memory)},
+         {"for_connections", absl::StrCat(shed.for_connections - m_reported_shed.for_connections)},
+         {"connections", absl::StrCat(m_callers.size())},
+         {"buffered_bytes", absl::StrCat(m_callers.buffered_bytes())}});
+    m_reported_shed = shed;
+}
+
 void forwarder::advance_drain(absl::Time now)
 {
     if (m_drain_started_at == absl::InfiniteFuture() || m_drained)
--- a/src/forward/request_reader.cpp
+++ b/src/forward/request_reader.cpp
@@ -52,6 +52,7 @@
         if (parsed_bytes == 0)
             break;
     }
+    m_consumed_bytes += consumed_bytes;
     return consumed_bytes;
 }
 
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -44,9 +44,8 @@
 constexpr absl::Duration shutdown_retry_after = absl::Milliseconds(100);
 // Reading from the endpoint pauses when the caller has more unsent response data than this.
 constexpr std::size_t max_backlog_bytes = 256 * 1024;
-// Limits for responses that are kept until they are complete: of one, and of all together.
+// Limit for a response that is kept until it is complete.
 constexpr std::size_t max_response_body_bytes = 4 * 1024 * 1024;
-constexpr std::size_t max_buffered_body_bytes = 64 * 1024 * 1024;
 // Limit for one event of a stream that may be resumed, as only whole events are passed on.
 constexpr std::size_t max_event_bytes = 1024 * 1024;
 // Fraction of the platform's retry limit that all nodes together may use.
@@ -121,7 +120,8 @@
       m_counters(dependencies.counters),
       m_quota({.starts_empty = !dependencies.settings.is_first_start}),
       m_usage(dependencies.settings.usage_window),
-      m_quarantine({.self = dependencies.settings.node})
+      m_quarantine({.self = dependencies.settings.node}),
+      m_max_buffered_body_bytes(dependencies.max_buffered_body_bytes)
 {}
 
 request_runner::~request_runner() = default;
@@ -379,7 +379,8 @@
         return end_attempt(current, attempt_outcome::broken, "response body too long", now);
     current.response_body.append(bytes);
     m_buffered_body_bytes += bytes.size();
-    if (m_buffered_body_bytes > max_buffered_body_bytes)
+    m_callers.charge_response(current.connection, current.response_body.size());
+    if (m_buffered_body_bytes > m_max_buffered_body_bytes)
         end_attempt(exchange_with_longest_body(), attempt_outcome::broken,
                     "response bodies use too much memory", now);
 }
@@ -402,6 +403,7 @@
 void request_runner::drop_body(exchange& current)
 {
     m_buffered_body_bytes -= current.response_body.size();
+    m_callers.charge_response(current.connection, 0);
     std::string().swap(current.response_body);
 }
 
--- a/src/forward/sockets.cpp
+++ b/src/forward/sockets.cpp
@@ -117,6 +117,20 @@
     return static_cast<std::size_t>(bytes);
 }
 
+std::size_t unread_bytes(int descriptor)
+{
+    int bytes = 0;
+    if (ioctl(descriptor, FIONREAD, &bytes) != 0 || bytes < 0)
+        return 0;
+    return static_cast<std::size_t>(bytes);
+}
+
+void set_buffer_sizes(int descriptor, int receive_bytes, int send_bytes)
+{
+    set_option(descriptor, SOL_SOCKET, SO_RCVBUF, receive_bytes);
+    set_option(descriptor, SOL_SOCKET, SO_SNDBUF, send_bytes);
+}
+
 result<int> bind_udp(const address& local)
 {
     const int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/test/platform_format_test.cpp
+++ b/test/platform_format_test.cpp
@@ -212,6 +212,25 @@
     EXPECT_TRUE(settings.node.reports_usage);
     EXPECT_FALSE(settings.node.orders_endpoints);
     EXPECT_EQ(settings.node.seeds.size(), 1U);
+    // The machine's own limits apply if these are absent.
+    EXPECT_EQ(settings.node.instance.memory_bytes, 0U);
+    EXPECT_EQ(settings.node.instance.max_descriptors, 0U);
+}
+
+// Guards against a node that takes itself for larger than its instance, and is killed.
+TEST(platform_settings, reads_the_limits_of_the_instance)
+{
+    const std::string other =
+        R"({"node":"n","zone":"z","region":"r","provider":{"addr":"10.0.0.2:3"},)"
+        R"("listen":{"front":"10.0.0.1:1","control":"10.0.0.1:2"},"limits":)";
+    const auto parsed = parse_settings(other + R"({"memory_mb":120,"max_fds":3075,"cpu":0.1}})");
+    ASSERT_TRUE(std::holds_alternative<platform_settings>(parsed));
+    const auto& instance = std::get<platform_settings>(parsed).node.instance;
+    EXPECT_EQ(instance.memory_bytes, 120U * 1024U * 1024U);
+    EXPECT_EQ(instance.max_descriptors, 3075U);
+    const auto invalid = parse_settings(other + R"({"memory_mb":0,"max_fds":"many"}})");
+    ASSERT_TRUE(std::holds_alternative<std::vector<error>>(invalid));
+    EXPECT_EQ(std::get<std::vector<error>>(invalid).size(), 2U);
 }
 
 } // namespace
