Bound the names that a node keeps of callers

Cause: names of prompt parts are kept for each endpoint (up to 512 parts) and request IDs in up to 4,096 lines of the log that wait to be written; each may be as long as the head of a request, 16 KB. Ruled out: ignoring a long name, which would hide the parts after it from the quarantine of prompts. Change: a part's name over 128 bytes is replaced by its hash, and a value in the log is cut off after 512 bytes. Conclusion: what is kept is bounded by the head's own limits no more.

--- a/src/core/log_event.cpp
+++ b/src/core/log_event.cpp
@@ -7,10 +7,15 @@
 
 #include <glog/logging.h>
 
+#include <cstddef>
+
 namespace chivedeal {
 
 namespace {
 
+// The lines that wait to be written are limited by number only, and a value may come from a caller.
+constexpr std::size_t max_value_bytes = 512;
+
 // Quotes a value that would break the key=value form; a line break would forge a second event.
 std::string quote_if_needed(const std::string& value)
 {
@@ -237,7 +242,8 @@
 {
     std::string line = absl::StrCat("CD", static_cast<int>(event), " ", to_string(event));
     for (const log_field& field : fields)
-        absl::StrAppend(&line, " ", field.key, "=", quote_if_needed(field.value));
+        absl::StrAppend(&line, " ", field.key, "=",
+                        quote_if_needed(field.value.substr(0, max_value_bytes)));
     return line;
 }
 
--- a/src/forward/head_parser.cpp
+++ b/src/forward/head_parser.cpp
@@ -8,6 +8,9 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 
+#include <xxhash.h>
+
+#include <cstddef>
 #include <cstdint>
 #include <utility>
 
@@ -20,6 +23,17 @@
     return {.code = result_code::invalid_request, .message = message};
 }
 
+// Names are kept for each endpoint that has read the part, so a longer one is replaced by its hash,
+// which is the same on all nodes.
+constexpr std::size_t max_part_name_bytes = 128;
+
+std::string part_name(absl::string_view name)
+{
+    if (name.size() <= max_part_name_bytes)
+        return std::string(name);
+    return absl::StrCat("hash-", absl::Hex(XXH3_64bits(name.data(), name.size())));
+}
+
 std::string bearer_key(const std::vector<http_field>& fields)
 {
     const std::string* text = find_field(fields, "Authorization");
@@ -40,7 +54,7 @@
         if (id_and_tokens.first.empty() || !absl::SimpleAtoi(id_and_tokens.second, &tokens) ||
             tokens < 0)
             break;
-        parts.push_back({.id = std::string(id_and_tokens.first), .tokens = tokens});
+        parts.push_back({.id = part_name(id_and_tokens.first), .tokens = tokens});
     }
     return parts;
 }
--- a/test/core_catalogue_test.cpp
+++ b/test/core_catalogue_test.cpp
@@ -51,6 +51,14 @@
     EXPECT_EQ(read_table("log-events.md"), rows_of(chivedeal::all_event_ids()));
 }
 
+// Guards against lines of request IDs of many kilobytes that take the memory while they wait.
+TEST(log_event, limits_the_length_of_a_value)
+{
+    const std::string line = chivedeal::format_log_event(chivedeal::event_id::peer_dead,
+                                                         {{"peer", std::string(16384, 'x')}});
+    EXPECT_EQ(line, "CD3003 peer_dead peer=" + std::string(512, 'x'));
+}
+
 // Guards against a value with a line break that would forge a second event.
 TEST(log_event, quotes_values)
 {
