Reject statuses of endpoints that aren't HTTP

Cause: the parser of responses accepts any three digits, and the status reached callers, who can't tell from 000, 099, 600 or 999 whether the request was executed. Ruled out: a check in request_runner, which other users of the parser would not share; mapping to 5xx, as the rest of such a head can't be trusted. Change: response_reader takes a head with a status outside 100 to 599 for malformed. Conclusion: callers get 502, or a retry where one is allowed.

--- a/src/forward/response_reader.cpp
+++ b/src/forward/response_reader.cpp
@@ -95,6 +95,10 @@
 void response_reader::store_head()
 {
     const auto& message = m_parser->inner.get();
+    // The parser accepts any three digits.
+    m_failed = message.result_int() < 100 || message.result_int() > 599;
+    if (m_failed)
+        return;
     if (message.result_int() / 100 == 1) {
         m_parser = std::make_unique<parser>();
         m_parser->inner.header_limit(max_head_bytes);
--- a/test/forward_endpoint_faults_test.cpp
+++ b/test/forward_endpoint_faults_test.cpp
@@ -48,6 +48,28 @@
     std::vector<std::unique_ptr<raw_endpoint>> m_endpoints;
 };
 
+class foreign_status_test : public endpoint_faults_test,
+                            public ::testing::WithParamInterface<const char*>
+{};
+
+// Guards against a status that isn't HTTP reaching callers, who can't tell whether the request was
+// executed, and against a second execution of a request that may not be repeated.
+TEST_P(foreign_status_test, is_a_bad_gateway)
+{
+    start_with(2, [](const std::string&) {
+        return raw_response{
+            .bytes = absl::StrCat("HTTP/1.1 ", GetParam(), " X\r\nContent-Length: 2\r\n\r\nok")};
+    });
+    const auto answer = post("/app/x");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 502);
+    EXPECT_EQ(request_count(), 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(endpoint_faults_test, foreign_status_test,
+                         ::testing::Values("000", "001", "099", "600", "999"),
+                         [](const auto& instance) { return std::string(instance.param); });
+
 // Guards against a prompt part that takes down one endpoint after the other, and against refusing
 // the prompts that share their other parts with it.
 TEST_F(endpoint_faults_test, stops_sending_prompts_that_crash_endpoints)
--- a/test/forward_http_reader_test.cpp
+++ b/test/forward_http_reader_test.cpp
@@ -2,6 +2,8 @@
 #include "chivedeal/forward/request_reader.hpp"
 #include "chivedeal/forward/response_reader.hpp"
 
+#include "absl/strings/str_format.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -156,6 +158,18 @@
     EXPECT_TRUE(reader.failed());
 }
 
+// Guards against statuses that no HTTP caller understands, and against taking one for interim.
+TEST(response_reader, fails_on_statuses_that_are_not_http)
+{
+    for (int status = 0; status <= 999; ++status) {
+        response_reader reader(false);
+        std::string body;
+        reader.feed(absl::StrFormat("HTTP/1.1 %03d X\r\nContent-Length: 0\r\n\r\n", status), body);
+        EXPECT_EQ(reader.failed(), status < 100 || status > 599) << status;
+        EXPECT_EQ(reader.complete(), status >= 200 && status <= 599) << status;
+    }
+}
+
 // Malformed input from an endpoint must not crash the reader or make it throw.
 RC_GTEST_PROP(response_reader, does_not_crash_on_arbitrary_bytes, (const std::string& bytes))
 {
