--- a/src/core/log_event.cpp
+++ b/src/core/log_event.cpp
@@ -7,10 +7,15 @@
 
 #include <glog/logging.h>
 
+#include <cstddef>
+
 namespace chivedeal {
 
 namespace {
 
+// The lines that wait to be written are limited by number only, and a value may come from a caller.
+constexpr std::size_t max_value_bytes = 512;
+
 // Quotes a value that would break the key=value form; a line break would forge a second event.
 std::string quote_if_needed(const std::string& value)
 {
@@ -161,6 +166,8 @@
         return "prompt_part_released";
     case event_id::prompt_trial_sent:
         return "prompt_trial_sent";
+    case event_id::callers_shed:
+        return "callers_shed";
     case event_id::operator_request_rejected:
         return "operator_request_rejected";
     }
@@ -237,6 +244,7 @@
         event_id::prompt_part_blocked,
         event_id::prompt_part_released,
         event_id::prompt_trial_sent,
+        event_id::callers_shed,
         event_id::operator_request_rejected,
     };
     return events;
@@ -246,7 +254,8 @@
 {
     std::string line = absl::StrCat("CD", static_cast<int>(event), " ", to_string(event));
     for (const log_field& field : fields)
-        absl::StrAppend(&line, " ", field.key, "=", quote_if_needed(field.value));
+        absl::StrAppend(&line, " ", field.key, "=",
+                        quote_if_needed(field.value.substr(0, max_value_bytes)));
     return line;
 }
 
