Choose endpoints by their estimates and spread nodes over them

Cause: endpoint_pool predicted with fixed figures, so slow endpoints got as many requests as fast ones, and all nodes chose the endpoint that looked idle. Change: predictions, prefill speed and the limit of endpoint_pool come from endpoint_estimator. With peers, the better one of two random similar endpoints is chosen; nodes without peers choose the best, ties at random. Requests with a cached part keep their endpoint. Only full endpoints, not those beyond a lowered limit, lead to a refusal. Beacons carry the observed pace of an endpoint (at most 3 bytes, absent without observations). Responses that aren't 2xx don't count. New: chivedeal_first_byte_prediction_error_seconds, chivedeal_endpoints_slowed, two fields of request_finished.

--- a/include/chivedeal/forward/endpoint_choice.hpp
+++ b/include/chivedeal/forward/endpoint_choice.hpp
@@ -3,6 +3,7 @@
 
 #include "chivedeal/core/address.hpp"
 #include "chivedeal/core/id.hpp"
+#include "chivedeal/endpoints/sent_request.hpp"
 
 #include "absl/time/time.h"
 
@@ -25,6 +26,10 @@
     /// Cost of reading the uncached part of the prompt, in tokens at the start of a prompt. Tokens
     /// further on count for more than one, as they take longer to read.
     std::int64_t prefill_cost_tokens = 0;
+    /// What the endpoint has to do before the first byte, as far as this node knows.
+    endpoints::sent_request expected_work;
+    /// Requests beyond which the endpoint is expected to slow down.
+    double concurrency_limit = 0;
     /// Number of endpoints that were eligible.
     int candidates = 0;
 
--- a/include/chivedeal/forward/endpoint_load.hpp
+++ b/include/chivedeal/forward/endpoint_load.hpp
@@ -20,6 +20,9 @@
     std::int64_t failed = 0;
     /// Whether requests of the node are unanswered and the endpoint has sent no data for too long.
     bool is_silent = false;
+    /// Response times that the node observed recently, in percent of those that an estimate without
+    /// observations predicts; 0 if there are none.
+    int pace_percent = 0;
 
     friend bool operator==(const endpoint_load&, const endpoint_load&) = default;
 };
--- a/include/chivedeal/forward/endpoint_pool.hpp
+++ b/include/chivedeal/forward/endpoint_pool.hpp
@@ -3,6 +3,7 @@
 
 #include "chivedeal/core/id.hpp"
 #include "chivedeal/core/result.hpp"
+#include "chivedeal/endpoints/endpoint_estimator.hpp"
 #include "chivedeal/forward/endpoint_choice.hpp"
 #include "chivedeal/forward/endpoint_health.hpp"
 #include "chivedeal/forward/endpoint_load.hpp"
@@ -15,6 +16,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -24,11 +26,13 @@
 
 /// Tracks the load and health of all known endpoints and chooses one for each attempt.
 ///
-/// The endpoint with the lowest predicted time to the first byte is chosen. The prediction adds up
-/// the time to read the prompts that all nodes have sent there, the time to read the uncached part
-/// of this prompt, the waits for a full batch and for a free slot, the link latency, and a penalty
-/// for recent failures. By rendezvous hashing, all nodes send prompts with the same shared part to
-/// the same endpoint without exchanging messages.
+/// The endpoint with the lowest predicted time to the first byte is chosen, with many peers the
+/// better one of two or three random endpoints: nodes that choose by the same reports would
+/// otherwise all choose the same one. The prediction adds up the time to read the prompts that all
+/// nodes have sent there, the
+/// estimate of `endpoint_estimator` for this request, the link latency, and penalties for recent
+/// failures and for a load beyond the concurrency limit. By rendezvous hashing, all nodes send
+/// prompts with the same shared part to the same endpoint without exchanging messages.
 class endpoint_pool
 {
 public:
@@ -63,7 +67,8 @@
     void set_version_share(const service_id& service, const version_id& version, double share);
     void clear_version_share(const service_id& service);
 
-    /// Chooses an endpoint. `random` is uniform in [0, 1) and selects the side of a version split.
+    /// Chooses an endpoint. `random` is uniform in [0, 1). It selects the side of a version split
+    /// and the endpoints between which the choice is made.
     /// Errors: `unknown_service` if the service has no endpoint, `no_endpoint` if none is eligible,
     /// `shed` if the best one is full.
     result<endpoint_choice> choose(const endpoint_query& query, double random,
@@ -75,6 +80,11 @@
     /// beyond the predicted time.
     void on_first_byte(const endpoint_id& id, const endpoint_query& query, absl::Duration lateness,
                        absl::Time now);
+    /// A response that isn't an error started `elapsed` after the endpoint was chosen.
+    void on_response_time(const endpoint_choice& endpoint, absl::Duration elapsed, absl::Time now);
+    /// A response carried the endpoint's load.
+    void on_load_reading(const endpoint_id& id, const endpoints::load_reading& reading,
+                         absl::Time now);
     /// Data of a response arrived.
     void on_bytes(const endpoint_id& id, absl::Time now);
     /// `answered` tells whether the response had started.
@@ -106,14 +116,17 @@
     /// recent use are left out.
     std::vector<endpoint_load> own_load(absl::Time now) const;
 
+    /// Number of endpoints that slow down before all their slots are in use.
+    int slowed_endpoints(absl::Time now) const;
+
 private:
     struct endpoint_state
     {
         endpoint_record record;
+        bool is_in_own_region = true;
         bool announced_leaving = false;
         absl::Time retry_at = absl::InfinitePast();
         absl::Time removal_due = absl::InfiniteFuture();
-        int own_requests = 0;
         int peer_requests = 0;
         std::int64_t own_sent_tokens = 0;
         std::int64_t own_answered = 0;
@@ -122,6 +135,7 @@
         // Expected time at which the endpoint has read all prompts sent to it.
         absl::Time prefill_done_at = absl::InfinitePast();
         endpoint_health health;
+        endpoints::endpoint_estimator estimator;
         // When this node's requests last put each prompt part into the endpoint's cache.
         absl::flat_hash_map<std::string, absl::Time> cached_parts;
     };
@@ -131,6 +145,7 @@
         const endpoint_state* candidate;
         double predicted_ms;
         std::int64_t cached_tokens;
+        bool is_full;
     };
 
     using loads_by_endpoint = std::map<endpoint_id, endpoint_load>;
@@ -160,10 +175,19 @@
                                bool is_rendezvous_endpoint, absl::Time now) const;
     double predict_ms(const endpoint_state& endpoint, const endpoint_query& query,
                       std::int64_t cached_prompt_tokens, absl::Time now) const;
+    const scored_endpoint& pick_among_best(const std::vector<scored_endpoint>& scores,
+                                           double random) const;
+    // Requests at the endpoint that this node knows of.
+    static int known_requests(const endpoint_state& endpoint);
+    // The same, corrected by what the endpoint reported itself.
+    static int requests_in_flight(const endpoint_state& endpoint, absl::Time now);
+    static bool is_full(const endpoint_state& endpoint, int requests, absl::Time now);
+    endpoint_state* find(const endpoint_id& id);
+    std::shared_ptr<endpoints::service_model> service_model(const service_id& service);
     static void add_prefill(endpoint_state& endpoint, std::int64_t tokens, absl::Time now);
     std::vector<const endpoint_state*> eligible_endpoints(const endpoint_query& query,
                                                           double random, absl::Time now) const;
-    bool is_in_own_region(const endpoint_state& endpoint) const;
+    static bool is_in_own_region(const endpoint_state& endpoint);
     // Adds a peer's requests in progress and silence reports if `sign` is 1, and subtracts them if
     // it is -1.
     void add_peer_load(const loads_by_endpoint& loads, int sign);
@@ -172,6 +196,7 @@
     absl::flat_hash_map<endpoint_id, endpoint_state> m_endpoints;
     absl::flat_hash_map<endpoint_id, endpoint_demand> m_demands;
     std::map<service_id, std::vector<endpoint_id>> m_ids_by_service;
+    std::map<service_id, std::shared_ptr<endpoints::service_model>> m_service_models;
     std::map<service_id, version_split> m_version_splits;
     std::map<node_id, loads_by_endpoint> m_peer_loads;
     std::vector<prompt_notice> m_notices;
--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-// Conservative estimate of the prefill speed, which engines don't report.
-constexpr double prefill_tokens_per_ms = 50;
 // Each preceding token lengthens the prefill of a token by this fraction, as attention covers all
 // of them. Without this, the predicted time for a prompt of 40,000 tokens was two thirds of the
 // actual.
@@ -20,18 +18,34 @@
 // by volume.
 constexpr double remote_region_link_ms = 120;
 constexpr double own_region_link_ms = 4;
-// Additional wait for the first token when all slots are in use, scaled by the share in use.
-constexpr double full_batch_delay_ms = 72;
+// Part of a response time from another region that isn't the endpoint's: 12 ms each way.
+constexpr double remote_region_round_trip_ms = 24;
 // Share of an unexpected delay that is attributed to a backlog, and the limit of that delay.
 constexpr double backlog_share_of_lateness = 0.3;
 constexpr absl::Duration max_counted_lateness = absl::Seconds(1);
-// Wait for a free slot, for each request beyond the slots.
-constexpr double queued_request_delay_ms = 60;
+// For each request beyond an endpoint's concurrency limit: the wait for a free slot of an endpoint
+// without observations. Other endpoints are used first, but none in another region for one request
+// too many.
+constexpr double over_limit_penalty_ms = 60;
 // Added to the predicted time of an endpoint that fails all requests, and scaled by its failure
 // share otherwise.
 constexpr double full_failure_penalty_ms = 2000;
-// An endpoint counts as full at this many running and queued requests per slot.
-constexpr double max_requests_per_slot = 1.25;
+// An endpoint is drawn for a choice only if its prediction is at most this multiple of the lowest
+// one and this time above it: as long as a full batch may take longer than an idle endpoint.
+constexpr double max_drawn_ratio = 2;
+constexpr double max_drawn_excess_ms = 100;
+// Of two random endpoints, the better one is chosen, so that one that looks idle to all nodes gets
+// at most 2 / n of the requests. With three draws, 400 nodes whose reports are up to a second old
+// overload such an endpoint before they see it.
+constexpr std::size_t draws_per_choice = 2;
+// Predictions that differ by less are equal. Without this, all nodes choose the first of several
+// idle endpoints when they start together.
+constexpr double max_tie_ms = 1;
+// A node without peers knows the load and needs no draws; from this many on, all choices are draws.
+constexpr double peers_for_draws_only = 16;
+// The digits of the random number below 1 / this decide whether endpoints are drawn. Those above
+// select the side of a version split.
+constexpr double version_split_resolution = 4096;
 // A shared prefix of at least this many tokens has one rendezvous endpoint across all regions, as
 // reading it again costs more than the link to another region. Shorter ones have one per region.
 constexpr std::int64_t min_global_affinity_tokens = 2000;
@@ -62,10 +76,19 @@
                              (static_cast<double>(cached_prompt_tokens) + tokens / 2));
 }
 
-std::uint64_t rendezvous_score(const std::string& part, const endpoint_id& endpoint)
+// Whole percents take at most three bytes of a report.
+int pace_percent(double pace)
 {
-    const std::string joined = part + "\n" + endpoint.str();
-    return XXH3_64bits(joined.data(), joined.size());
+    constexpr double max_percent = 10000;
+    return static_cast<int>(std::lround(std::min(pace * 100, max_percent)));
+}
+
+// `buffer` is reused between calls, as a decision computes one score for each endpoint.
+std::uint64_t rendezvous_score(const std::string& part, const endpoint_id& endpoint,
+                               std::string& buffer)
+{
+    buffer.assign(part).append("\n").append(endpoint.str());
+    return XXH3_64bits(buffer.data(), buffer.size());
 }
 
 // The last part belongs to this request only. The one before it ends the longest shared prefix, and
@@ -101,13 +124,38 @@
         current.cached_parts.clear();
         current.health = {};
     }
+    if (current.record.id.empty() || is_restarted) {
+        const int own_requests = current.estimator.own_requests();
+        current.estimator = endpoints::endpoint_estimator(service_model(record.service));
+        for (int i = 0; i < own_requests; ++i)
+            current.estimator.on_sent();
+    }
     current.record = record;
+    const auto region = m_options.zones.find(record.zone);
+    current.is_in_own_region =
+        region == m_options.zones.end() || region->second == m_options.region;
+    current.estimator.set_slots(record.slots);
     current.removal_due = absl::InfiniteFuture();
     apply_demand(current);
     auto& service_endpoints = m_ids_by_service[record.service];
     if (std::find(service_endpoints.begin(), service_endpoints.end(), record.id) ==
         service_endpoints.end())
         service_endpoints.push_back(record.id);
+    service_model(record.service)->endpoints = static_cast<int>(service_endpoints.size());
+}
+
+std::shared_ptr<endpoints::service_model> endpoint_pool::service_model(const service_id& service)
+{
+    auto& model = m_service_models[service];
+    if (model == nullptr)
+        model = std::make_shared<endpoints::service_model>();
+    return model;
+}
+
+endpoint_pool::endpoint_state* endpoint_pool::find(const endpoint_id& id)
+{
+    const auto found = m_endpoints.find(id);
+    return found == m_endpoints.end() ? nullptr : &found->second;
 }
 
 void endpoint_pool::remove(const endpoint_id& id)
@@ -118,6 +166,8 @@
     auto& service_endpoints = m_ids_by_service[found->second.record.service];
     service_endpoints.erase(std::remove(service_endpoints.begin(), service_endpoints.end(), id),
                             service_endpoints.end());
+    service_model(found->second.record.service)->endpoints =
+        static_cast<int>(service_endpoints.size());
     for (auto& [peer, loads] : m_peer_loads)
         loads.erase(id);
     m_endpoints.erase(found);
@@ -221,38 +271,100 @@
     const bool is_global = shared_tokens(query) >= min_global_affinity_tokens;
     const endpoint_state* rendezvous_endpoint = nullptr;
     std::uint64_t best_score = 0;
+    std::string buffer;
     for (const endpoint_state* endpoint : candidates) {
         if (affinity_part.empty() || (!is_global && !is_in_own_region(*endpoint)))
             continue;
-        const std::uint64_t score = rendezvous_score(affinity_part, endpoint->record.id);
+        const std::uint64_t score = rendezvous_score(affinity_part, endpoint->record.id, buffer);
         if (rendezvous_endpoint == nullptr || score > best_score) {
             rendezvous_endpoint = endpoint;
             best_score = score;
         }
     }
     std::vector<scored_endpoint> scores;
+    scores.reserve(candidates.size());
     for (const endpoint_state* endpoint : candidates) {
         const std::int64_t cached_prompt_tokens =
             cached_tokens(*endpoint, query, endpoint == rendezvous_endpoint, now);
         scores.push_back({endpoint, predict_ms(*endpoint, query, cached_prompt_tokens, now),
-                          cached_prompt_tokens});
+                          cached_prompt_tokens,
+                          is_full(*endpoint, requests_in_flight(*endpoint, now), now)});
     }
-    const auto best = std::min_element(scores.begin(), scores.end(),
-                                       [](const scored_endpoint& a, const scored_endpoint& b) {
-                                           return a.predicted_ms < b.predicted_ms;
-                                       });
-    const endpoint_state& chosen = *best->candidate;
-    if (chosen.own_requests + chosen.peer_requests >= chosen.record.slots * max_requests_per_slot)
+    const scored_endpoint& picked = pick_among_best(scores, random);
+    const endpoint_state& chosen = *picked.candidate;
+    // A report that is false or out of date must not lead to a refusal.
+    if (picked.is_full && is_full(chosen, known_requests(chosen), now))
         return error{.code = result_code::shed, .message = "all endpoints are full"};
-    return endpoint_choice{.id = chosen.record.id,
-                           .address = chosen.record.address,
-                           .version = chosen.record.version,
-                           .started_at_unix_ms = chosen.record.started_at_unix_ms,
-                           .predicted_first_byte_time = absl::Milliseconds(best->predicted_ms),
-                           .cached_tokens = best->cached_tokens,
-                           .prefill_cost_tokens = static_cast<std::int64_t>(prefill_cost_tokens(
-                               query.prompt_tokens - best->cached_tokens, best->cached_tokens)),
-                           .candidates = static_cast<int>(candidates.size())};
+    const double cost =
+        prefill_cost_tokens(query.prompt_tokens - picked.cached_tokens, picked.cached_tokens);
+    const double backlog_ms =
+        std::max(0.0, absl::ToDoubleMilliseconds(chosen.prefill_done_at - now));
+    return endpoint_choice{
+        .id = chosen.record.id,
+        .address = chosen.record.address,
+        .version = chosen.record.version,
+        .started_at_unix_ms = chosen.record.started_at_unix_ms,
+        .predicted_first_byte_time = absl::Milliseconds(picked.predicted_ms),
+        .cached_tokens = picked.cached_tokens,
+        .prefill_cost_tokens = static_cast<std::int64_t>(cost),
+        .expected_work = {.prompt_cost_tokens =
+                              cost + backlog_ms * chosen.estimator.prompt_tokens_per_ms(now),
+                          .requests = requests_in_flight(chosen, now)},
+        .concurrency_limit = chosen.estimator.concurrency_limit(now),
+        .candidates = static_cast<int>(candidates.size())};
+}
+
+const endpoint_pool::scored_endpoint&
+endpoint_pool::pick_among_best(const std::vector<scored_endpoint>& scores, double random) const
+{
+    const scored_endpoint& best = *std::min_element(
+        scores.begin(), scores.end(), [](const scored_endpoint& a, const scored_endpoint& b) {
+            return std::pair(a.is_full, a.predicted_ms) < std::pair(b.is_full, b.predicted_ms);
+        });
+    const double drawn_share =
+        std::min(1.0, static_cast<double>(m_peer_loads.size()) / peers_for_draws_only);
+    const double fraction = std::fmod(random * version_split_resolution, 1);
+    const bool draws_all = fraction >= 1 - drawn_share;
+    // Requests whose shared part is cached stay together, and traffic between regions doesn't grow.
+    const bool is_best_in_own_region = is_in_own_region(*best.candidate);
+    const double max_predicted_ms = draws_all
+                                        ? best.predicted_ms * max_drawn_ratio + max_drawn_excess_ms
+                                        : best.predicted_ms + max_tie_ms;
+    std::vector<const scored_endpoint*> similar{&best};
+    for (const scored_endpoint& other : scores)
+        if (other.predicted_ms <= max_predicted_ms && &other != &best &&
+            other.is_full == best.is_full && other.cached_tokens == best.cached_tokens &&
+            is_in_own_region(*other.candidate) == is_best_in_own_region)
+            similar.push_back(&other);
+    if (!draws_all)
+        return *similar[static_cast<std::size_t>(fraction / (1 - drawn_share) *
+                                                 static_cast<double>(similar.size()))];
+    const std::size_t draws = std::min(similar.size(), draws_per_choice);
+    for (std::size_t i = 0; i < draws; ++i) {
+        const std::uint64_t drawn = XXH3_64bits_withSeed(&random, sizeof(random), i);
+        std::swap(similar[i], similar[i + drawn % (similar.size() - i)]);
+    }
+    return **std::min_element(similar.begin(), similar.begin() + static_cast<std::ptrdiff_t>(draws),
+                              [](const scored_endpoint* a, const scored_endpoint* b) {
+                                  return a->predicted_ms < b->predicted_ms;
+                              });
+}
+
+int endpoint_pool::known_requests(const endpoint_state& endpoint)
+{
+    return endpoint.estimator.own_requests() + endpoint.peer_requests;
+}
+
+int endpoint_pool::requests_in_flight(const endpoint_state& endpoint, absl::Time now)
+{
+    return endpoint.estimator.requests_in_flight(known_requests(endpoint), now);
+}
+
+bool endpoint_pool::is_full(const endpoint_state& endpoint, int requests, absl::Time now)
+{
+    // Nothing is refused while slots are free, although the endpoint may be slow already.
+    return requests >=
+           std::max<double>(endpoint.estimator.concurrency_limit(now), endpoint.record.slots);
 }
 
 std::vector<const endpoint_pool::endpoint_state*>
@@ -302,16 +414,17 @@
            endpoint.record.version == split->second.version;
 }
 
-bool endpoint_pool::is_in_own_region(const endpoint_state& endpoint) const
+bool endpoint_pool::is_in_own_region(const endpoint_state& endpoint)
 {
-    const auto region = m_options.zones.find(endpoint.record.zone);
-    return region == m_options.zones.end() || region->second == m_options.region;
+    return endpoint.is_in_own_region;
 }
 
 std::int64_t endpoint_pool::cached_tokens(const endpoint_state& endpoint,
                                           const endpoint_query& query, bool is_rendezvous_endpoint,
                                           absl::Time now) const
 {
+    if (endpoint.cached_parts.empty() && !is_rendezvous_endpoint)
+        return 0;
     std::int64_t cached_prompt_tokens = 0;
     for (const prompt_part& part : query.prefix) {
         const auto known = endpoint.cached_parts.find(part.id);
@@ -332,17 +445,18 @@
 {
     const absl::Duration prefill_backlog =
         std::max(absl::ZeroDuration(), endpoint.prefill_done_at - now);
-    const int requests = endpoint.own_requests + endpoint.peer_requests;
-    const int queued = std::max(0, requests + 1 - endpoint.record.slots);
+    const int requests = requests_in_flight(endpoint, now);
+    const double excess_requests =
+        std::max(0.0, requests + 1 - std::ceil(endpoint.estimator.concurrency_limit(now)));
     double predicted_ms =
         absl::ToDoubleMilliseconds(prefill_backlog) +
-        prefill_cost_tokens(query.prompt_tokens - cached_prompt_tokens, cached_prompt_tokens) /
-            prefill_tokens_per_ms +
+        endpoint.estimator.predict_ms(
+            prefill_cost_tokens(query.prompt_tokens - cached_prompt_tokens, cached_prompt_tokens),
+            requests, now) +
         static_cast<double>(
             std::max<std::int64_t>(0, shared_tokens(query) - cached_prompt_tokens)) *
             reread_penalty_ms_per_token +
-        full_batch_delay_ms * requests / std::max(endpoint.record.slots, 1) +
-        queued_request_delay_ms * queued +
+        over_limit_penalty_ms * excess_requests +
         full_failure_penalty_ms * endpoint.health.failure_share();
     predicted_ms += is_in_own_region(endpoint) ? own_region_link_ms : remote_region_link_ms;
     return predicted_ms;
@@ -350,9 +464,9 @@
 
 void endpoint_pool::add_prefill(endpoint_state& endpoint, std::int64_t tokens, absl::Time now)
 {
-    endpoint.prefill_done_at =
-        std::max(endpoint.prefill_done_at, now) +
-        absl::Milliseconds(static_cast<double>(tokens) / prefill_tokens_per_ms);
+    endpoint.prefill_done_at = std::max(endpoint.prefill_done_at, now) +
+                               absl::Milliseconds(static_cast<double>(tokens) /
+                                                  endpoint.estimator.prompt_tokens_per_ms(now));
 }
 
 void endpoint_pool::on_sent(const endpoint_id& id, std::int64_t prefill_cost_tokens, absl::Time now)
@@ -361,7 +475,7 @@
     if (found == m_endpoints.end())
         return;
     endpoint_state& endpoint = found->second;
-    ++endpoint.own_requests;
+    endpoint.estimator.on_sent();
     endpoint.health.on_sent(now);
     endpoint.own_sent_tokens += prefill_cost_tokens;
     endpoint.last_used = now;
@@ -390,6 +504,35 @@
         endpoint.cached_parts[part.id] = now;
 }
 
+void endpoint_pool::on_response_time(const endpoint_choice& endpoint, absl::Duration elapsed,
+                                     absl::Time now)
+{
+    endpoint_state* state = find(endpoint.id);
+    // The estimate of a restarted endpoint starts anew.
+    if (state == nullptr || state->record.started_at_unix_ms != endpoint.started_at_unix_ms)
+        return;
+    const double link_ms =
+        is_in_own_region(*state) ? own_region_link_ms : remote_region_round_trip_ms;
+    state->estimator.on_first_byte(endpoint.expected_work, elapsed - absl::Milliseconds(link_ms),
+                                   now);
+}
+
+void endpoint_pool::on_load_reading(const endpoint_id& id, const endpoints::load_reading& reading,
+                                    absl::Time now)
+{
+    if (endpoint_state* endpoint = find(id))
+        endpoint->estimator.on_load_header(reading, known_requests(*endpoint), now);
+}
+
+int endpoint_pool::slowed_endpoints(absl::Time now) const
+{
+    return static_cast<int>(
+        std::count_if(m_endpoints.begin(), m_endpoints.end(), [now](const auto& entry) {
+            const endpoint_state& endpoint = entry.second;
+            return endpoint.estimator.concurrency_limit(now) < endpoint.record.slots;
+        }));
+}
+
 void endpoint_pool::on_bytes(const endpoint_id& id, absl::Time now)
 {
     const auto found = m_endpoints.find(id);
@@ -403,9 +546,10 @@
     if (found == m_endpoints.end())
         return;
     endpoint_state& endpoint = found->second;
-    endpoint.own_requests = std::max(0, endpoint.own_requests - 1);
-    if (!answered)
-        endpoint.health.on_ended_without_response();
+    if (answered)
+        return endpoint.estimator.on_completed();
+    endpoint.estimator.on_failed();
+    endpoint.health.on_ended_without_response();
 }
 
 void endpoint_pool::on_success(const endpoint_id& id, absl::Time now)
@@ -478,6 +622,10 @@
             found->second.health.on_outcomes(std::min<std::int64_t>(load.answered, 1),
                                              std::min<std::int64_t>(load.failed, 1), now);
         }
+        // Repeated reports of the same responses count once.
+        if (previous == peer_load.end() || load.answered > previous->second.answered ||
+            load.pace_percent != previous->second.pace_percent)
+            found->second.estimator.on_peer_pace(load.pace_percent / 100.0, now);
         // A prompt notice may have arrived before this older report.
         endpoint_load merged = load;
         if (previous != peer_load.end())
@@ -525,14 +673,15 @@
 {
     std::vector<endpoint_load> loads;
     for (const auto& [id, endpoint] : m_endpoints)
-        if (endpoint.own_requests > 0 || now - endpoint.last_used < load_report_window)
-            loads.push_back({.endpoint = id,
-                             .requests = endpoint.own_requests,
-                             .sent_prefill_tokens = endpoint.own_sent_tokens,
-                             .answered = endpoint.own_answered,
-                             .failed = endpoint.own_failed,
-                             .is_silent = endpoint.health.is_silent_to_this_node(
-                                 now, endpoint.prefill_done_at)});
+        if (endpoint.estimator.own_requests() > 0 || now - endpoint.last_used < load_report_window)
+            loads.push_back(
+                {.endpoint = id,
+                 .requests = endpoint.estimator.own_requests(),
+                 .sent_prefill_tokens = endpoint.own_sent_tokens,
+                 .answered = endpoint.own_answered,
+                 .failed = endpoint.own_failed,
+                 .is_silent = endpoint.health.is_silent_to_this_node(now, endpoint.prefill_done_at),
+                 .pace_percent = pace_percent(endpoint.estimator.observed_pace(now))});
     return loads;
 }
 
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -318,6 +318,7 @@
     m_counters.set("chivedeal_requests_under_way", static_cast<double>(m_runner.active_count()));
     m_counters.set("chivedeal_caller_connections", static_cast<double>(m_callers.size()));
     m_counters.set("chivedeal_endpoint_connections", static_cast<double>(m_endpoints.size()));
+    m_counters.set("chivedeal_endpoints_slowed", m_pool.slowed_endpoints(now));
     m_counters.set("chivedeal_endpoint_connections_opened_total",
                    static_cast<double>(m_endpoints.opened()));
 }
--- a/src/forward/peer_codec.cpp
+++ b/src/forward/peer_codec.cpp
@@ -13,9 +13,12 @@
 json encode_loads(const node_beacon& beacon)
 {
     json loads = json::array();
-    for (const endpoint_load& load : beacon.loads)
+    for (const endpoint_load& load : beacon.loads) {
         loads.push_back({load.endpoint.str(), load.requests, load.sent_prefill_tokens,
                          load.answered, load.failed, load.is_silent});
+        if (load.pace_percent != 0)
+            loads.back().push_back(load.pace_percent);
+    }
     return loads;
 }
 
@@ -92,7 +95,9 @@
                                 .sent_prefill_tokens = load.at(2).get<std::int64_t>(),
                                 .answered = load.at(3).get<std::int64_t>(),
                                 .failed = load.at(4).get<std::int64_t>(),
-                                .is_silent = load.at(5).get<bool>()});
+                                .is_silent = load.at(5).get<bool>(),
+                                // Absent without observations, and from nodes of earlier versions.
+                                .pace_percent = load.size() > 6 ? load.at(6).get<int>() : 0});
     for (const json& outcome : fields.at(12))
         beacon.outcomes.push_back({.service = service_id(outcome.at(0).get<std::string>()),
                                    .target = version_id(outcome.at(1).get<std::string>()),
--- a/src/forward/request_observations.cpp
+++ b/src/forward/request_observations.cpp
@@ -10,6 +10,7 @@
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace chivedeal::forward {
@@ -60,12 +61,24 @@
     const absl::Duration late =
         now - current.attempt_started_at - current.attempt_choice->predicted_first_byte_time;
     m_pool.on_first_byte(current.attempt_choice->id, current.query, late, now);
+    record_response_time(current, late, now);
     current.attempt_body_started = true;
     current.attempt_body_started_at = now;
     current.attempt_later_bytes = 0;
     count_usage(current, now);
 }
 
+void request_runner::record_response_time(const exchange& current, absl::Duration late,
+                                          absl::Time now)
+{
+    // A fast error says nothing about the speed of the endpoint.
+    if (current.response_head.status / 100 != 2)
+        return;
+    m_pool.on_response_time(*current.attempt_choice, now - current.attempt_started_at, now);
+    m_counters.observe("chivedeal_first_byte_prediction_error_seconds",
+                       std::abs(absl::ToDoubleSeconds(late)));
+}
+
 void request_runner::record_later_bytes(exchange& current, std::size_t bytes, absl::Time now)
 {
     m_pool.on_bytes(current.attempt_choice->id, now);
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -675,23 +675,26 @@
     if (current.first_byte_at != absl::InfiniteFuture())
         m_counters.observe("chivedeal_first_byte_seconds",
                            absl::ToDoubleSeconds(current.first_byte_at - current.arrived_at));
-    log_event(event_id::request_finished,
-              {{"request", current.head.id.str()},
-               {"route", current.match.matched->name},
-               {"workspace",
-                current.match.workspace == nullptr ? "" : current.match.workspace->name.str()},
-               {"endpoint", current.last_choice.id.str()},
-               {"predicted_ms", format_milliseconds(current.last_choice.predicted_first_byte_time)},
-               {"cached_tokens", absl::StrCat(current.last_choice.cached_tokens)},
-               {"candidates", absl::StrCat(current.last_choice.candidates)},
-               {"status", absl::StrCat(status)},
-               {"reason", reason},
-               {"attempts", absl::StrCat(current.attempts_sent)},
-               {"first_ms", current.first_byte_at == absl::InfiniteFuture()
-                                ? "none"
-                                : format_milliseconds(current.first_byte_at - current.arrived_at)},
-               {"total_ms", format_milliseconds(now - current.arrived_at)},
-               {"config", absl::StrCat(current.index->config().version)}});
+    log_event(
+        event_id::request_finished,
+        {{"request", current.head.id.str()},
+         {"route", current.match.matched->name},
+         {"workspace",
+          current.match.workspace == nullptr ? "" : current.match.workspace->name.str()},
+         {"endpoint", current.last_choice.id.str()},
+         {"predicted_ms", format_milliseconds(current.last_choice.predicted_first_byte_time)},
+         {"cached_tokens", absl::StrCat(current.last_choice.cached_tokens)},
+         {"requests_ahead", absl::StrCat(current.last_choice.expected_work.requests)},
+         {"concurrency_limit", absl::StrFormat("%.1f", current.last_choice.concurrency_limit)},
+         {"candidates", absl::StrCat(current.last_choice.candidates)},
+         {"status", absl::StrCat(status)},
+         {"reason", reason},
+         {"attempts", absl::StrCat(current.attempts_sent)},
+         {"first_ms", current.first_byte_at == absl::InfiniteFuture()
+                          ? "none"
+                          : format_milliseconds(current.first_byte_at - current.arrived_at)},
+         {"total_ms", format_milliseconds(now - current.arrived_at)},
+         {"config", absl::StrCat(current.index->config().version)}});
     drop_body(current);
     m_timers.erase({current.timer_at, current.id});
     m_exchange_by_connection.erase(current.connection);
