Move the selection and the prompt costs out of endpoint_pool

Ruled out: leaving the selection in the pool and moving eligibility, which another part owns. Change: select_endpoint in endpoints, prefill cost and rendezvous score in prompt_affinity; shorter look-ups. No change of behaviour.

--- a/include/chivedeal/endpoints/endpoint_estimator.hpp
+++ b/include/chivedeal/endpoints/endpoint_estimator.hpp
@@ -58,6 +58,8 @@
     /// Times that this node observed recently, as a multiple of what the prior predicts; 0 if there
     /// are none.
     double observed_pace(absl::Time now) const;
+    /// The same in whole percents, which take at most three bytes of a report.
+    int observed_pace_percent(absl::Time now) const;
 
 private:
     latency_model::vector features(double prompt_cost_tokens, int requests) const;
--- a/include/chivedeal/forward/endpoint_pool.hpp
+++ b/include/chivedeal/forward/endpoint_pool.hpp
@@ -140,14 +140,6 @@
         absl::flat_hash_map<std::string, absl::Time> cached_parts;
     };
 
-    struct scored_endpoint
-    {
-        const endpoint_state* candidate;
-        double predicted_ms;
-        std::int64_t cached_tokens;
-        bool is_full;
-    };
-
     using loads_by_endpoint = std::map<endpoint_id, endpoint_load>;
 
     /// What an incarnation of an endpoint asked for, kept beyond the removal of its record.
@@ -175,8 +167,6 @@
                                bool is_rendezvous_endpoint, absl::Time now) const;
     double predict_ms(const endpoint_state& endpoint, const endpoint_query& query,
                       std::int64_t cached_prompt_tokens, absl::Time now) const;
-    const scored_endpoint& pick_among_best(const std::vector<scored_endpoint>& scores,
-                                           double random) const;
     // Requests at the endpoint that this node knows of.
     static int known_requests(const endpoint_state& endpoint);
     // The same, corrected by what the endpoint reported itself.
--- a/src/endpoints/endpoint_estimator.cpp
+++ b/src/endpoints/endpoint_estimator.cpp
@@ -255,4 +255,10 @@
     return now - m_observed_at < max_observed_pace_age ? m_observed_pace : 0;
 }
 
+int endpoint_estimator::observed_pace_percent(absl::Time now) const
+{
+    constexpr double max_percent = 10000;
+    return static_cast<int>(std::lround(std::min(observed_pace(now) * 100, max_percent)));
+}
+
 } // namespace chivedeal::endpoints
--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -1,6 +1,7 @@
 #include "chivedeal/forward/endpoint_pool.hpp"
 
-#include <xxhash.h>
+#include "chivedeal/endpoints/endpoint_selector.hpp"
+#include "chivedeal/forward/prompt_affinity.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -10,10 +11,6 @@
 
 namespace {
 
-// Each preceding token lengthens the prefill of a token by this fraction, as attention covers all
-// of them. Without this, the predicted time for a prompt of 40,000 tokens was two thirds of the
-// actual.
-constexpr double attention_cost_per_token = 1.4e-5;
 // Covers a latency of about 12 ms each way, and a penalty because traffic between regions is billed
 // by volume.
 constexpr double remote_region_link_ms = 120;
@@ -30,22 +27,6 @@
 // Added to the predicted time of an endpoint that fails all requests, and scaled by its failure
 // share otherwise.
 constexpr double full_failure_penalty_ms = 2000;
-// An endpoint is drawn for a choice only if its prediction is at most this multiple of the lowest
-// one and this time above it: as long as a full batch may take longer than an idle endpoint.
-constexpr double max_drawn_ratio = 2;
-constexpr double max_drawn_excess_ms = 100;
-// Of two random endpoints, the better one is chosen, so that one that looks idle to all nodes gets
-// at most 2 / n of the requests. With three draws, 400 nodes whose reports are up to a second old
-// overload such an endpoint before they see it.
-constexpr std::size_t draws_per_choice = 2;
-// Predictions that differ by less are equal. Without this, all nodes choose the first of several
-// idle endpoints when they start together.
-constexpr double max_tie_ms = 1;
-// A node without peers knows the load and needs no draws; from this many on, all choices are draws.
-constexpr double peers_for_draws_only = 16;
-// The digits of the random number below 1 / this decide whether endpoints are drawn. Those above
-// select the side of a version split.
-constexpr double version_split_resolution = 4096;
 // A shared prefix of at least this many tokens has one rendezvous endpoint across all regions, as
 // reading it again costs more than the link to another region. Shorter ones have one per region.
 constexpr std::int64_t min_global_affinity_tokens = 2000;
@@ -67,47 +48,6 @@
 // then unlikely to be the endpoints alone, and the others can't take all requests.
 constexpr double max_failing_ratio = 0.5;
 
-// Converts the prefill time of `unread_tokens` that follow `cached_prompt_tokens` into the number
-// of tokens that would take as long at the start of a prompt.
-double prefill_cost_tokens(std::int64_t unread_tokens, std::int64_t cached_prompt_tokens)
-{
-    const auto tokens = static_cast<double>(unread_tokens);
-    return tokens * (1 + attention_cost_per_token *
-                             (static_cast<double>(cached_prompt_tokens) + tokens / 2));
-}
-
-// Whole percents take at most three bytes of a report.
-int pace_percent(double pace)
-{
-    constexpr double max_percent = 10000;
-    return static_cast<int>(std::lround(std::min(pace * 100, max_percent)));
-}
-
-// `buffer` is reused between calls, as a decision computes one score for each endpoint.
-std::uint64_t rendezvous_score(const std::string& part, const endpoint_id& endpoint,
-                               std::string& buffer)
-{
-    buffer.assign(part).append("\n").append(endpoint.str());
-    return XXH3_64bits(buffer.data(), buffer.size());
-}
-
-// The last part belongs to this request only. The one before it ends the longest shared prefix, and
-// so identifies the requests that benefit from each other's cached tokens.
-std::string affinity_part_id(const endpoint_query& query)
-{
-    if (query.prefix.size() < 2)
-        return {};
-    return query.prefix[query.prefix.size() - 2].id;
-}
-
-std::int64_t shared_tokens(const endpoint_query& query)
-{
-    std::int64_t tokens = 0;
-    for (std::size_t i = 0; i + 1 < query.prefix.size(); ++i)
-        tokens += query.prefix[i].tokens;
-    return tokens;
-}
-
 } // namespace
 
 void endpoint_pool::update(const endpoint_record& record)
@@ -175,9 +115,8 @@
 
 void endpoint_pool::schedule_removal(const endpoint_id& id, absl::Time due)
 {
-    const auto found = m_endpoints.find(id);
-    if (found != m_endpoints.end())
-        found->second.removal_due = due;
+    if (endpoint_state* endpoint = find(id))
+        endpoint->removal_due = due;
 }
 
 endpoint_pool::endpoint_demand& endpoint_pool::demand_of(const endpoint_choice& endpoint,
@@ -281,17 +220,19 @@
             best_score = score;
         }
     }
-    std::vector<scored_endpoint> scores;
+    std::vector<endpoints::scored_endpoint> scores;
     scores.reserve(candidates.size());
     for (const endpoint_state* endpoint : candidates) {
         const std::int64_t cached_prompt_tokens =
             cached_tokens(*endpoint, query, endpoint == rendezvous_endpoint, now);
-        scores.push_back({endpoint, predict_ms(*endpoint, query, cached_prompt_tokens, now),
-                          cached_prompt_tokens,
-                          is_full(*endpoint, requests_in_flight(*endpoint, now), now)});
+        scores.push_back({.predicted_ms = predict_ms(*endpoint, query, cached_prompt_tokens, now),
+                          .cached_tokens = cached_prompt_tokens,
+                          .is_full = is_full(*endpoint, requests_in_flight(*endpoint, now), now),
+                          .is_in_own_region = is_in_own_region(*endpoint)});
     }
-    const scored_endpoint& picked = pick_among_best(scores, random);
-    const endpoint_state& chosen = *picked.candidate;
+    const std::size_t selected = endpoints::select_endpoint(scores, m_peer_loads.size(), random);
+    const endpoints::scored_endpoint& picked = scores[selected];
+    const endpoint_state& chosen = *candidates[selected];
     // A report that is false or out of date must not lead to a refusal.
     if (picked.is_full && is_full(chosen, known_requests(chosen), now))
         return error{.code = result_code::shed, .message = "all endpoints are full"};
@@ -314,42 +255,6 @@
         .candidates = static_cast<int>(candidates.size())};
 }
 
-const endpoint_pool::scored_endpoint&
-endpoint_pool::pick_among_best(const std::vector<scored_endpoint>& scores, double random) const
-{
-    const scored_endpoint& best = *std::min_element(
-        scores.begin(), scores.end(), [](const scored_endpoint& a, const scored_endpoint& b) {
-            return std::pair(a.is_full, a.predicted_ms) < std::pair(b.is_full, b.predicted_ms);
-        });
-    const double drawn_share =
-        std::min(1.0, static_cast<double>(m_peer_loads.size()) / peers_for_draws_only);
-    const double fraction = std::fmod(random * version_split_resolution, 1);
-    const bool draws_all = fraction >= 1 - drawn_share;
-    // Requests whose shared part is cached stay together, and traffic between regions doesn't grow.
-    const bool is_best_in_own_region = is_in_own_region(*best.candidate);
-    const double max_predicted_ms = draws_all
-                                        ? best.predicted_ms * max_drawn_ratio + max_drawn_excess_ms
-                                        : best.predicted_ms + max_tie_ms;
-    std::vector<const scored_endpoint*> similar{&best};
-    for (const scored_endpoint& other : scores)
-        if (other.predicted_ms <= max_predicted_ms && &other != &best &&
-            other.is_full == best.is_full && other.cached_tokens == best.cached_tokens &&
-            is_in_own_region(*other.candidate) == is_best_in_own_region)
-            similar.push_back(&other);
-    if (!draws_all)
-        return *similar[static_cast<std::size_t>(fraction / (1 - drawn_share) *
-                                                 static_cast<double>(similar.size()))];
-    const std::size_t draws = std::min(similar.size(), draws_per_choice);
-    for (std::size_t i = 0; i < draws; ++i) {
-        const std::uint64_t drawn = XXH3_64bits_withSeed(&random, sizeof(random), i);
-        std::swap(similar[i], similar[i + drawn % (similar.size() - i)]);
-    }
-    return **std::min_element(similar.begin(), similar.begin() + static_cast<std::ptrdiff_t>(draws),
-                              [](const scored_endpoint* a, const scored_endpoint* b) {
-                                  return a->predicted_ms < b->predicted_ms;
-                              });
-}
-
 int endpoint_pool::known_requests(const endpoint_state& endpoint)
 {
     return endpoint.estimator.own_requests() + endpoint.peer_requests;
@@ -471,10 +376,10 @@
 
 void endpoint_pool::on_sent(const endpoint_id& id, std::int64_t prefill_cost_tokens, absl::Time now)
 {
-    const auto found = m_endpoints.find(id);
-    if (found == m_endpoints.end())
+    endpoint_state* found = find(id);
+    if (found == nullptr)
         return;
-    endpoint_state& endpoint = found->second;
+    endpoint_state& endpoint = *found;
     endpoint.estimator.on_sent();
     endpoint.health.on_sent(now);
     endpoint.own_sent_tokens += prefill_cost_tokens;
@@ -488,10 +393,10 @@
 void endpoint_pool::on_first_byte(const endpoint_id& id, const endpoint_query& query,
                                   absl::Duration lateness, absl::Time now)
 {
-    const auto found = m_endpoints.find(id);
-    if (found == m_endpoints.end())
+    endpoint_state* found = find(id);
+    if (found == nullptr)
         return;
-    endpoint_state& endpoint = found->second;
+    endpoint_state& endpoint = *found;
     endpoint.health.on_response_started(now);
     // A late response indicates a backlog that this node doesn't know of; part of it remains.
     if (lateness > absl::ZeroDuration())
@@ -535,17 +440,16 @@
 
 void endpoint_pool::on_bytes(const endpoint_id& id, absl::Time now)
 {
-    const auto found = m_endpoints.find(id);
-    if (found != m_endpoints.end())
-        found->second.health.on_bytes(now);
+    if (endpoint_state* endpoint = find(id))
+        endpoint->health.on_bytes(now);
 }
 
 void endpoint_pool::on_request_ended(const endpoint_id& id, bool answered)
 {
-    const auto found = m_endpoints.find(id);
-    if (found == m_endpoints.end())
+    endpoint_state* found = find(id);
+    if (found == nullptr)
         return;
-    endpoint_state& endpoint = found->second;
+    endpoint_state& endpoint = *found;
     if (answered)
         return endpoint.estimator.on_completed();
     endpoint.estimator.on_failed();
@@ -574,23 +478,20 @@
 
 void endpoint_pool::on_timeout(const endpoint_id& id, absl::Time now)
 {
-    const auto found = m_endpoints.find(id);
-    if (found != m_endpoints.end())
-        found->second.health.on_outcomes(0, 1, now);
+    if (endpoint_state* endpoint = find(id))
+        endpoint->health.on_outcomes(0, 1, now);
 }
 
 void endpoint_pool::on_unreachable(const endpoint_id& id, absl::Time now)
 {
-    const auto found = m_endpoints.find(id);
-    if (found != m_endpoints.end())
-        found->second.health.on_unreachable(now);
+    if (endpoint_state* endpoint = find(id))
+        endpoint->health.on_unreachable(now);
 }
 
 void endpoint_pool::on_refused(const endpoint_id& id, absl::Time now)
 {
-    const auto found = m_endpoints.find(id);
-    if (found != m_endpoints.end())
-        found->second.health.on_refused(now);
+    if (endpoint_state* endpoint = find(id))
+        endpoint->health.on_refused(now);
 }
 
 void endpoint_pool::set_peer_load(const node_id& peer, const std::vector<endpoint_load>& loads,
@@ -681,7 +582,7 @@
                  .answered = endpoint.own_answered,
                  .failed = endpoint.own_failed,
                  .is_silent = endpoint.health.is_silent_to_this_node(now, endpoint.prefill_done_at),
-                 .pace_percent = pace_percent(endpoint.estimator.observed_pace(now))});
+                 .pace_percent = endpoint.estimator.observed_pace_percent(now)});
     return loads;
 }
 
