Read the load that endpoints report in responses

Cause: peers' beacons are up to 1.6 s old, while endpoints report their load with each response. Ruled out: passing the header's figures on in beacons, as they are outdated when they arrive; parsing in platform/, as only the name is the platform's. Change: header_names::endpoint_load, filled by the platform adapter; responses that can't be attributed or have status 421 don't count. Counters of readings and of malformed headers. Conclusion: malformed, contradictory and additional figures have no effect on responses.

--- a/include/chivedeal/forward/header_names.hpp
+++ b/include/chivedeal/forward/header_names.hpp
@@ -24,6 +24,9 @@
     std::string not_run = "Chivedeal-Not-Run";
     /// Response header with the value 1 by which an endpoint announces that it is leaving.
     std::string leaving = "Chivedeal-Leaving";
+    /// Response header with the endpoint's load: running and waiting requests, slots and, on some
+    /// services, how long work takes now in percent of the usual time, separated by commas.
+    std::string endpoint_load = "Chivedeal-Load";
     /// A 2xx response without this header did not come from the endpoint. Empty if responses aren't
     /// signed.
     std::string signature;
--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -114,6 +114,9 @@
     void end_attempt(exchange& current, attempt_outcome outcome, const char* reason,
                      absl::Time now);
     void retry_or_fail(exchange& current, attempt_outcome outcome, absl::Time now);
+    void record_response_head(const exchange& current, const http_response_head& head,
+                              absl::Time now);
+    void record_load(const exchange& current, const http_response_head& head, absl::Time now);
     void record_announced_leaving(const exchange& current, const http_response_head& head,
                                   absl::Time now);
     void record_retry_after(const exchange& current, const http_response_head& head,
--- a/src/forward/request_observations.cpp
+++ b/src/forward/request_observations.cpp
@@ -24,6 +24,32 @@
 
 } // namespace
 
+void request_runner::record_response_head(const exchange& current, const http_response_head& head,
+                                          absl::Time now)
+{
+    record_announced_leaving(current, head, now);
+    if (!head.is_attributed)
+        return;
+    record_retry_after(current, head, now);
+    record_load(current, head, now);
+}
+
+void request_runner::record_load(const exchange& current, const http_response_head& head,
+                                 absl::Time now)
+{
+    const std::string* text = find_field(head.fields, m_names.endpoint_load);
+    // A response with status 421 comes from another endpoint.
+    if (text == nullptr || head.status == 421)
+        return;
+    const auto reading = endpoints::parse_load_reading(*text);
+    if (!reading) {
+        m_counters.add("chivedeal_endpoint_load_malformed_total", 1);
+        return;
+    }
+    m_counters.add("chivedeal_endpoint_load_readings_total", 1);
+    m_pool.on_load_reading(current.attempt_choice->id, *reading, now);
+}
+
 void request_runner::record_announced_leaving(const exchange& current,
                                               const http_response_head& head, absl::Time now)
 {
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -252,8 +252,7 @@
         current.response_head = {};
         current.foreign_head = {};
         drop_body(current);
-        m_pool.on_sent(current.attempt_choice->id, current.attempt_choice->prefill_cost_tokens,
-                       now);
+        m_pool.on_sent(current.last_choice.id, current.last_choice.prefill_cost_tokens, now);
         const std::uint64_t exchange_id = current.id;
         const bool sent =
             m_endpoints.send({.exchange_id = current.id,
@@ -304,9 +303,7 @@
         return;
     current->response_head = head;
     current->attempt_head_received = true;
-    record_announced_leaving(*current, head, now);
-    if (head.is_attributed)
-        record_retry_after(*current, head, now);
+    record_response_head(*current, head, now);
     const bool is_signed =
         m_names.signature.empty() || find_field(head.fields, m_names.signature) != nullptr;
     const bool is_stream = current->match.matched->kind == route_kind::streaming &&
@@ -675,26 +672,25 @@
     if (current.first_byte_at != absl::InfiniteFuture())
         m_counters.observe("chivedeal_first_byte_seconds",
                            absl::ToDoubleSeconds(current.first_byte_at - current.arrived_at));
-    log_event(
-        event_id::request_finished,
-        {{"request", current.head.id.str()},
-         {"route", current.match.matched->name},
-         {"workspace",
-          current.match.workspace == nullptr ? "" : current.match.workspace->name.str()},
-         {"endpoint", current.last_choice.id.str()},
-         {"predicted_ms", format_milliseconds(current.last_choice.predicted_first_byte_time)},
-         {"cached_tokens", absl::StrCat(current.last_choice.cached_tokens)},
-         {"requests_ahead", absl::StrCat(current.last_choice.expected_work.requests)},
-         {"concurrency_limit", absl::StrFormat("%.1f", current.last_choice.concurrency_limit)},
-         {"candidates", absl::StrCat(current.last_choice.candidates)},
-         {"status", absl::StrCat(status)},
-         {"reason", reason},
-         {"attempts", absl::StrCat(current.attempts_sent)},
-         {"first_ms", current.first_byte_at == absl::InfiniteFuture()
-                          ? "none"
-                          : format_milliseconds(current.first_byte_at - current.arrived_at)},
-         {"total_ms", format_milliseconds(now - current.arrived_at)},
-         {"config", absl::StrCat(current.index->config().version)}});
+    log_event(event_id::request_finished,
+              {{"request", current.head.id.str()},
+               {"route", current.match.matched->name},
+               {"workspace",
+                current.match.workspace == nullptr ? "" : current.match.workspace->name.str()},
+               {"endpoint", current.last_choice.id.str()},
+               {"predicted_ms", format_milliseconds(current.last_choice.predicted_first_byte_time)},
+               {"cached_tokens", absl::StrCat(current.last_choice.cached_tokens)},
+               {"requests_ahead", absl::StrCat(current.last_choice.expected_work.requests)},
+               {"limit", absl::StrFormat("%.1f", current.last_choice.concurrency_limit)},
+               {"candidates", absl::StrCat(current.last_choice.candidates)},
+               {"status", absl::StrCat(status)},
+               {"reason", reason},
+               {"attempts", absl::StrCat(current.attempts_sent)},
+               {"first_ms", current.first_byte_at == absl::InfiniteFuture()
+                                ? "none"
+                                : format_milliseconds(current.first_byte_at - current.arrived_at)},
+               {"total_ms", format_milliseconds(now - current.arrived_at)},
+               {"config", absl::StrCat(current.index->config().version)}});
     drop_body(current);
     m_timers.erase({current.timer_at, current.id});
     m_exchange_by_connection.erase(current.connection);
--- a/test/forward_endpoint_faults_test.cpp
+++ b/test/forward_endpoint_faults_test.cpp
@@ -7,6 +7,8 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <vector>
@@ -109,6 +111,27 @@
     EXPECT_EQ(request_count(), 1);
 }
 
+// Guards against losing responses, or the node, to an endpoint that reports its load in a malformed
+// header.
+TEST_F(endpoint_faults_test, answers_whatever_load_its_endpoints_report)
+{
+    const std::vector<std::string> loads{"",         "1,2",          "a,b,c",
+                                         "-1,-2,-3", "1,2,3,4,5",    "99999999999999999999,1,1",
+                                         "9,0,4",    "0,0,4,999999", std::string(4000, ',')};
+    std::atomic<std::size_t> sent = 0;
+    start_with(1, [&](const std::string& /*request*/) {
+        return raw_response{
+            .bytes = "HTTP/1.1 200 OK\r\nChivedeal-Load: " + loads[sent++ % loads.size()] +
+                     "\r\nContent-Length: 2\r\n\r\nok"};
+    });
+    for (std::size_t i = 0; i < loads.size(); ++i) {
+        const auto answer = post("/app/x");
+        ASSERT_TRUE(answer) << loads[i];
+        EXPECT_EQ(answer->status, 200) << loads[i];
+    }
+    EXPECT_EQ(sent, loads.size());
+}
+
 // Guards against callers of a less urgent workspace that return first and fill the endpoint.
 TEST_F(endpoint_faults_test, lets_more_urgent_workspaces_return_first_after_a_pause)
 {
--- a/test/platform_format_test.cpp
+++ b/test/platform_format_test.cpp
@@ -214,5 +214,11 @@
     EXPECT_EQ(settings.node.seeds.size(), 1U);
 }
 
+// Guards against a header of the platform that is never read because its name differs.
+TEST(platform_headers, name_the_load_of_an_endpoint)
+{
+    EXPECT_EQ(platform_headers().endpoint_load, "Server-Load");
+}
+
 } // namespace
 } // namespace chivedeal::platform
