Count requests that were given up as slow responses

Cause: an endpoint whose requests all time out never shows a response time, so its estimate stayed at the last value, or the prior, while it was three to eight times slower than usual. Ruled out: counting each request that was given up, as a caller with a short deadline says nothing about the endpoint. Change: a request that was given up later than predicted, before its response started, is an observation of the time until then (a lower bound). Conclusion: the estimate follows endpoints that answer too late to be seen.

--- a/include/chivedeal/forward/endpoint_pool.hpp
+++ b/include/chivedeal/forward/endpoint_pool.hpp
@@ -82,6 +82,8 @@
                        absl::Time now);
     /// A response that isn't an error started `elapsed` after the endpoint was chosen.
     void on_response_time(const endpoint_choice& endpoint, absl::Duration elapsed, absl::Time now);
+    /// A request was given up `elapsed` after the endpoint was chosen, before its response started.
+    void on_no_response(const endpoint_choice& endpoint, absl::Duration elapsed, absl::Time now);
     /// A response carried the endpoint's load.
     void on_load_reading(const endpoint_id& id, const endpoints::load_reading& reading,
                          absl::Time now);
--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -128,6 +128,7 @@
     void deliver_response(exchange& current, absl::Time now);
     void release_attempt(exchange& current);
     void record_first_byte(exchange& current, absl::Time now);
+    void record_timeout(const exchange& current, absl::Time now);
     void record_response_time(const exchange& current, absl::Duration late, absl::Time now);
     void record_later_bytes(exchange& current, std::size_t bytes, absl::Time now);
     void record_sound_prompt(exchange& current, absl::Time now);
--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -422,6 +422,14 @@
                                    now);
 }
 
+void endpoint_pool::on_no_response(const endpoint_choice& endpoint, absl::Duration elapsed,
+                                   absl::Time now)
+{
+    // The response would have taken longer. A request that was given up early says nothing.
+    if (elapsed > endpoint.predicted_first_byte_time)
+        on_response_time(endpoint, elapsed, now);
+}
+
 void endpoint_pool::on_load_reading(const endpoint_id& id, const endpoints::load_reading& reading,
                                     absl::Time now)
 {
--- a/src/forward/request_observations.cpp
+++ b/src/forward/request_observations.cpp
@@ -105,6 +105,13 @@
                        std::abs(absl::ToDoubleSeconds(late)));
 }
 
+void request_runner::record_timeout(const exchange& current, absl::Time now)
+{
+    m_pool.on_timeout(current.attempt_choice->id, now);
+    if (!current.attempt_body_started)
+        m_pool.on_no_response(*current.attempt_choice, now - current.attempt_started_at, now);
+}
+
 void request_runner::record_later_bytes(exchange& current, std::size_t bytes, absl::Time now)
 {
     m_pool.on_bytes(current.attempt_choice->id, now);
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -511,7 +511,7 @@
     case attempt_outcome::timed_out:
     case attempt_outcome::failed:
         if (outcome == attempt_outcome::timed_out)
-            m_pool.on_timeout(endpoint, now);
+            record_timeout(current, now);
         else
             m_pool.on_failure(endpoint, now);
         count_outcome(current, false);
@@ -589,7 +589,7 @@
     if (current.attempt_choice) {
         m_endpoints.cancel(current.id);
         if (silent)
-            m_pool.on_timeout(current.attempt_choice->id, now);
+            record_timeout(current, now);
         count_outcome(current, false);
         release_attempt(current);
     }
--- a/test/endpoints_pool_estimates_test.cpp
+++ b/test/endpoints_pool_estimates_test.cpp
@@ -112,6 +112,29 @@
     EXPECT_NE(get_value(pool.choose(make_query(), 0.5, now)).id, endpoint_id("e1"));
 }
 
+// Guards against an endpoint that is so slow that its requests are given up, and so never shows a
+// response time. A caller that gives up early must not make an endpoint look slow, or fast.
+TEST(endpoint_pool_estimates, learns_from_requests_that_were_given_up)
+{
+    endpoint_pool pool = make_pool({make_record("e1"), make_record("e2"), make_record("e3")});
+    absl::Time now = start;
+    const auto give_up = [&pool, &now](const char* id, absl::Duration elapsed) {
+        const endpoint_choice choice = choice_of(pool, id, now);
+        pool.on_sent(choice.id, choice.prefill_cost_tokens, now);
+        pool.on_no_response(choice, elapsed, now + elapsed);
+        pool.on_request_ended(choice.id, false);
+    };
+    for (int i = 0; i < 10; ++i, now += absl::Milliseconds(500)) {
+        for (const char* id : {"e2", "e3"})
+            serve(pool, id, absl::Milliseconds(24), now);
+        give_up("e1", absl::Milliseconds(400));
+    }
+    EXPECT_GT(predicted_ms(pool, "e1", now), 200);
+    const double before = predicted_ms(pool, "e2", now);
+    give_up("e2", absl::Milliseconds(5));
+    EXPECT_NEAR(predicted_ms(pool, "e2", now + absl::Milliseconds(100)), before, 1);
+}
+
 // Guards against a stalled node that moves all its requests to the endpoints that it hasn't used.
 TEST(endpoint_pool_estimates, keeps_the_choice_when_all_endpoints_are_late)
 {
