--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -117,6 +117,9 @@
     void end_attempt(exchange& current, attempt_outcome outcome, const char* reason,
                      absl::Time now);
     void retry_or_fail(exchange& current, attempt_outcome outcome, absl::Time now);
+    void record_response_head(const exchange& current, const http_response_head& head,
+                              absl::Time now);
+    void record_load(const exchange& current, const http_response_head& head, absl::Time now);
     void record_announced_leaving(const exchange& current, const http_response_head& head,
                                   absl::Time now);
     void record_retry_after(const exchange& current, const http_response_head& head,
@@ -129,6 +132,8 @@
     void deliver_response(exchange& current, absl::Time now);
     void release_attempt(exchange& current);
     void record_first_byte(exchange& current, absl::Time now);
+    void record_timeout(const exchange& current, absl::Time now);
+    void record_response_time(const exchange& current, absl::Duration late, absl::Time now);
     void record_later_bytes(exchange& current, std::size_t bytes, absl::Time now);
     void record_sound_prompt(exchange& current, absl::Time now);
     void record_trial(const exchange& current, absl::Time now);
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -350,6 +350,7 @@
     m_counters.set("chivedeal_cold_endpoints",
                    static_cast<double>(m_pool.gate().cold_count(m_time.now())));
     m_counters.set("chivedeal_endpoint_connections", static_cast<double>(m_endpoints.size()));
+    m_counters.set("chivedeal_endpoints_slowed", m_pool.slowed_endpoints(now));
     m_counters.set("chivedeal_endpoint_connections_opened_total",
                    static_cast<double>(m_endpoints.opened()));
 }
--- a/src/forward/request_observations.cpp
+++ b/src/forward/request_observations.cpp
@@ -10,6 +10,7 @@
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace chivedeal::forward {
@@ -23,6 +24,33 @@
 
 } // namespace
 
+void request_runner::record_response_head(const exchange& current, const http_response_head& head,
+                                          absl::Time now)
+{
+    record_announced_leaving(current, head, now);
+    if (!head.is_attributed)
+        return;
+    record_retry_after(current, head, now);
+    record_load(current, head, now);
+    record_cold(current, head, now);
+}
+
+void request_runner::record_load(const exchange& current, const http_response_head& head,
+                                 absl::Time now)
+{
+    const std::string* text = find_field(head.fields, m_names.endpoint_load);
+    // A response with status 421 comes from another endpoint.
+    if (text == nullptr || head.status == 421)
+        return;
+    const auto reading = endpoints::parse_load_reading(*text);
+    if (!reading) {
+        m_counters.add("chivedeal_endpoint_load_malformed_total", 1);
+        return;
+    }
+    m_counters.add("chivedeal_endpoint_load_readings_total", 1);
+    m_pool.on_load_reading(current.attempt_choice->id, *reading, now);
+}
+
 void request_runner::record_announced_leaving(const exchange& current,
                                               const http_response_head& head, absl::Time now)
 {
@@ -60,6 +88,7 @@
     const absl::Duration late =
         now - current.attempt_started_at - current.attempt_choice->predicted_first_byte_time;
     m_pool.on_first_byte(current.attempt_choice->id, current.query, late, now);
+    record_response_time(current, late, now);
     current.attempt_body_started = true;
     current.attempt_body_started_at = now;
     current.attempt_later_bytes = 0;
@@ -71,11 +100,31 @@
 {
     const std::string* value = find_field(head.fields, m_names.cold_ms);
     std::int64_t remaining_ms = 0;
-    if (value != nullptr && absl::SimpleAtoi(*value, &remaining_ms) && remaining_ms >= 0)
+    // A response with status 421 comes from another endpoint.
+    if (value != nullptr && head.status != 421 && absl::SimpleAtoi(*value, &remaining_ms) &&
+        remaining_ms >= 0)
         m_pool.gate().on_cold_reported(current.attempt_choice->id, absl::Milliseconds(remaining_ms),
                                        now);
 }
 
+void request_runner::record_response_time(const exchange& current, absl::Duration late,
+                                          absl::Time now)
+{
+    // A fast error says nothing about the speed of the endpoint.
+    if (current.response_head.status / 100 != 2)
+        return;
+    m_pool.on_response_time(*current.attempt_choice, now - current.attempt_started_at, now);
+    m_counters.observe("chivedeal_first_byte_prediction_error_seconds",
+                       std::abs(absl::ToDoubleSeconds(late)));
+}
+
+void request_runner::record_timeout(const exchange& current, absl::Time now)
+{
+    m_pool.on_timeout(current.attempt_choice->id, now);
+    if (!current.attempt_body_started)
+        m_pool.on_no_response(*current.attempt_choice, now - current.attempt_started_at, now);
+}
+
 void request_runner::record_later_bytes(exchange& current, std::size_t bytes, absl::Time now)
 {
     m_pool.on_bytes(current.attempt_choice->id, now);
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -258,8 +258,7 @@
         current.response_head = {};
         current.foreign_head = {};
         drop_body(current);
-        m_pool.on_sent(current.attempt_choice->id, current.attempt_choice->prefill_cost_tokens,
-                       now);
+        m_pool.on_sent(current.last_choice.id, current.last_choice.prefill_cost_tokens, now);
         const std::uint64_t exchange_id = current.id;
         const bool sent =
             m_endpoints.send({.exchange_id = current.id,
@@ -310,11 +309,7 @@
         return;
     current->response_head = head;
     current->attempt_head_received = true;
-    record_announced_leaving(*current, head, now);
-    if (head.is_attributed)
-        record_retry_after(*current, head, now);
-    if (head.is_attributed)
-        record_cold(*current, head, now);
+    record_response_head(*current, head, now);
     const bool is_signed =
         m_names.signature.empty() || find_field(head.fields, m_names.signature) != nullptr;
     const bool is_stream = current->match.matched->kind == route_kind::streaming &&
@@ -524,7 +519,7 @@
     case attempt_outcome::timed_out:
     case attempt_outcome::failed:
         if (outcome == attempt_outcome::timed_out)
-            m_pool.on_timeout(endpoint, now);
+            record_timeout(current, now);
         else
             m_pool.on_failure(endpoint, now);
         count_outcome(current, false);
@@ -602,7 +597,7 @@
     if (current.attempt_choice) {
         m_endpoints.cancel(current.id);
         if (silent)
-            m_pool.on_timeout(current.attempt_choice->id, now);
+            record_timeout(current, now);
         count_outcome(current, false);
         release_attempt(current);
     }
@@ -693,6 +688,8 @@
                {"endpoint", current.last_choice.id.str()},
                {"predicted_ms", format_milliseconds(current.last_choice.predicted_first_byte_time)},
                {"cached_tokens", absl::StrCat(current.last_choice.cached_tokens)},
+               {"requests_ahead", absl::StrCat(current.last_choice.expected_work.requests)},
+               {"limit", absl::StrFormat("%.1f", current.last_choice.concurrency_limit)},
                {"candidates", absl::StrCat(current.last_choice.candidates)},
                {"status", absl::StrCat(status)},
                {"reason", reason},
--- a/test/platform_format_test.cpp
+++ b/test/platform_format_test.cpp
@@ -233,5 +233,11 @@
     EXPECT_EQ(std::get<std::vector<error>>(invalid).size(), 2U);
 }
 
+// Guards against a header of the platform that is never read because its name differs.
+TEST(platform_headers, name_the_load_of_an_endpoint)
+{
+    EXPECT_EQ(platform_headers().endpoint_load, "Server-Load");
+}
+
 } // namespace
 } // namespace chivedeal::platform
