Share workspace limits by demand and priority

Ruled out: shares or demand in beacons (the admitted amounts give the demand); a proportional rule on the level alone and a fast correction of deficits (the nodes then admitted all or nothing in turns of three seconds in trials). Change: token_quota moves to admission. All nodes admit the same fraction of the demand, derived from the level, which extrapolates what peers admit. Silent peers count with their equal share. demand_by_priority divides the fraction, the most urgent first, with a guaranteed part. Retry-After follows the level and the priority. New counters chivedeal_quota_refused_total and chivedeal_quota_silent_peers, and field priority in request_finished.

--- a/fakes/quota_simulation.hpp
+++ b/fakes/quota_simulation.hpp
@@ -1,7 +1,7 @@
 #ifndef FAKES_QUOTA_SIMULATION_HPP
 #define FAKES_QUOTA_SIMULATION_HPP
 
-#include "chivedeal/forward/token_quota.hpp"
+#include "chivedeal/admission/token_quota.hpp"
 
 #include "absl/time/time.h"
 
@@ -12,6 +12,7 @@
 #include <deque>
 #include <map>
 #include <random>
+#include <string>
 #include <vector>
 
 namespace chivedeal::fakes {
@@ -32,7 +33,7 @@
     struct options
     {
         int nodes = 3;
-        /// The limit, in tokens per second and tokens; nodes add the usual tolerance to it.
+        /// The limit, in tokens per second and tokens; nodes add part of the tolerance to it.
         double rate = 0;
         double burst = 0;
         /// Costs are log-normal.
@@ -108,7 +109,7 @@
             if (now >= next_exchange) {
                 next_exchange = now + absl::Milliseconds(500);
                 for (node& each : m_nodes)
-                    each.quota.on_exchange();
+                    each.quota.on_exchange(now);
             }
             for (std::size_t i = 0; i < m_nodes.size(); ++i)
                 send_reports(i, now);
@@ -119,10 +120,10 @@
     /// Largest total cost admitted in any span of this length.
     double max_admitted_within(absl::Duration span) const
     {
-        std::deque<admission> recent;
+        std::deque<admitted_request> recent;
         double sum = 0;
         double largest = 0;
-        for (const admission& each : m_admissions) {
+        for (const admitted_request& each : m_admissions) {
             recent.push_back(each);
             sum += each.cost;
             while (recent.front().at < each.at - span) {
@@ -157,17 +158,14 @@
     /// The most that may be admitted in a span of this length.
     double bound(absl::Duration span) const
     {
-        constexpr double tolerated_excess = 0.1;
-        constexpr double slack_tokens = 140'000;
         return (m_options.rate * absl::ToDoubleSeconds(span) + m_options.burst) *
                    (1 + tolerated_excess) +
                slack_tokens;
     }
 
 private:
-    // What `request_runner` adds to the limits.
-    static constexpr double rate_tolerance = 1.04;
-    static constexpr double burst_tolerance_tokens = 56'000;
+    static constexpr double tolerated_excess = 0.1;
+    static constexpr double slack_tokens = 140'000;
     static constexpr absl::Duration step = absl::Milliseconds(10);
     static constexpr absl::Duration down_time = absl::Milliseconds(700);
     static constexpr absl::Duration other_region_interval = absl::Milliseconds(500);
@@ -175,7 +173,7 @@
 
     struct node
     {
-        forward::token_quota quota;
+        admission::token_quota quota;
         absl::Time next_report;
         absl::Time next_report_to_others;
         // The last totals received from each node.
@@ -189,7 +187,7 @@
         double total;
     };
 
-    struct admission
+    struct admitted_request
     {
         absl::Time at;
         double cost;
@@ -206,13 +204,14 @@
     void start_node(std::size_t index, absl::Time now, bool starts_empty)
     {
         node& started = m_nodes[index];
-        started.quota = forward::token_quota({.starts_empty = starts_empty});
+        started.quota = admission::token_quota({.starts_empty = starts_empty,
+                                                .excess_ratio = tolerated_excess,
+                                                .slack_tokens = slack_tokens});
         started.quota.set_node_count(m_options.nodes);
-        started.quota.set_report_delay(region_interval() / 2 + other_region_interval / 2);
         started.quota.set_workspaces({{.name = m_workspace,
                                        .counts_tokens = true,
-                                       .rate = m_options.rate * rate_tolerance,
-                                       .burst = m_options.burst + burst_tolerance_tokens}},
+                                       .rate = m_options.rate,
+                                       .burst = m_options.burst}},
                                      now);
         started.next_report = now + region_interval() * uniform();
         started.next_report_to_others = now + other_region_interval * uniform();
@@ -221,9 +220,8 @@
 
     void send_requests(absl::Time now, bool nodes_are_up)
     {
-        m_reference_level = std::min(m_options.burst, m_reference_level +
-                                                          m_options.rate *
-                                                              absl::ToDoubleSeconds(step));
+        m_reference_level = std::min(
+            m_options.burst, m_reference_level + m_options.rate * absl::ToDoubleSeconds(step));
         const double demand =
             now - m_start >= m_options.later_from ? m_options.later_demand : m_options.demand;
         const double asked = demand * m_options.rate * absl::ToDoubleSeconds(step);
@@ -231,17 +229,16 @@
             const int count = std::poisson_distribution<>(asked / m_options.mean_cost)(m_random);
             for (int i = 0; i < count; ++i)
                 // The mean of this distribution is `mean_cost`.
-                send_request(std::min(m_options.mean_cost *
-                                          std::lognormal_distribution<>(-0.5, 1)(m_random),
-                                      m_options.max_cost),
-                             0, 0, now, nodes_are_up);
+                send_request(
+                    std::min(m_options.mean_cost * std::lognormal_distribution<>(-0.5, 1)(m_random),
+                             m_options.max_cost),
+                    0, 0, now, nodes_are_up);
             return;
         }
         std::vector<std::size_t> arrivals;
         for (std::size_t i = 0; i < m_options.classes.size(); ++i) {
             const traffic_class& each = m_options.classes[i];
-            const int count =
-                std::poisson_distribution<>(asked * each.share / each.cost)(m_random);
+            const int count = std::poisson_distribution<>(asked * each.share / each.cost)(m_random);
             arrivals.insert(arrivals.end(), static_cast<std::size_t>(count), i);
         }
         std::shuffle(arrivals.begin(), arrivals.end(), m_random);
@@ -254,8 +251,8 @@
                       bool nodes_are_up)
     {
         const std::size_t hot_nodes = std::max<std::size_t>(1, m_nodes.size() / 10);
-        const std::size_t receivers = uniform() < m_options.concentration ? hot_nodes
-                                                                          : m_nodes.size();
+        const std::size_t receivers =
+            uniform() < m_options.concentration ? hot_nodes : m_nodes.size();
         node& receiver = m_nodes[m_random() % receivers];
         const bool is_allowed = m_reference_level >= cost;
         m_reference_level -= is_allowed ? cost : 0;
@@ -273,9 +270,11 @@
         counts.admitted += is_admitted ? cost : 0;
     }
 
-    bool admit(node& receiver, double cost, int /*priority*/, absl::Time now)
+    bool admit(node& receiver, double cost, int priority, absl::Time now)
     {
-        return receiver.quota.try_admit(m_workspace, cost, uniform(), now);
+        return receiver.quota.try_admit(m_workspace,
+                                        {.cost = cost, .priority = priority, .sample = uniform()},
+                                        now) == admission::token_quota::decision::admitted;
     }
 
     bool is_cut(std::size_t index, absl::Time now) const
@@ -317,9 +316,10 @@
             m_reports.erase(m_reports.begin());
             node& receiver = m_nodes[arrived.to];
             double& heard = receiver.heard[arrived.from];
-            if (arrived.total > heard)
-                receiver.quota.on_peers_admitted(m_workspace, arrived.total - heard, now);
             heard = std::max(heard, arrived.total);
+            const std::map<workspace_id, double> admitted{{m_workspace, heard}};
+            receiver.quota.on_peer_report(node_id(std::to_string(arrived.from)),
+                                          {.admitted = admitted}, now);
         }
     }
 
@@ -328,7 +328,7 @@
     options m_options;
     std::vector<node> m_nodes;
     std::multimap<absl::Time, report> m_reports;
-    std::vector<admission> m_admissions;
+    std::vector<admitted_request> m_admissions;
     std::vector<outcome> m_classes;
     // Level of one bucket for all nodes, without tolerance.
     double m_reference_level;
--- a/include/chivedeal/forward/forwarder.hpp
+++ b/include/chivedeal/forward/forwarder.hpp
@@ -118,7 +118,6 @@
     absl::Time m_started_at;
     node_count_estimate m_node_count;
     // Mean time between two beacons of a peer.
-    absl::Duration m_report_delay;
     bool m_endpoints_loaded = false;
     absl::Time m_next_periodic_run = absl::InfinitePast();
     absl::Time m_next_report = absl::InfinitePast();
--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -1,6 +1,7 @@
 #ifndef CHIVEDEAL_FORWARD_REQUEST_RUNNER_HPP
 #define CHIVEDEAL_FORWARD_REQUEST_RUNNER_HPP
 
+#include "chivedeal/admission/token_quota.hpp"
 #include "chivedeal/forward/attempt_outcome.hpp"
 #include "chivedeal/forward/crash_tracker.hpp"
 #include "chivedeal/forward/endpoint_listener.hpp"
@@ -11,7 +12,6 @@
 #include "chivedeal/forward/outcome_counter.hpp"
 #include "chivedeal/forward/prompt_quarantine.hpp"
 #include "chivedeal/forward/shutdown_admission.hpp"
-#include "chivedeal/forward/token_quota.hpp"
 #include "chivedeal/forward/usage_ledger.hpp"
 #include "chivedeal/requests/retry_budget.hpp"
 
@@ -88,8 +88,8 @@
     /// Handles expired timers and returns the due time of the next one.
     absl::Time tick(absl::Time now);
 
-    token_quota& quota() { return m_quota; }
-    const token_quota& quota() const { return m_quota; }
+    admission::token_quota& quota() { return m_quota; }
+    const admission::token_quota& quota() const { return m_quota; }
     const usage_ledger& usage() const { return m_usage; }
     /// Sets the difference between true time and the steady clock. Usage windows are in true time.
     void set_true_time_offset(absl::Duration offset) { m_true_time_offset = offset; }
@@ -108,7 +108,6 @@
     std::size_t active_count() const { return m_exchanges.size(); }
 
 private:
-    std::vector<workspace_spec> limits_with_tolerance() const;
     bool admit(exchange& current, absl::Time now);
     void try_endpoint(exchange& current, absl::Time now);
     void end_attempt(exchange& current, attempt_outcome outcome, const char* reason,
@@ -159,7 +158,7 @@
     metrics& m_counters;
     std::shared_ptr<const route_index> m_index;
     int m_node_count = 1;
-    token_quota m_quota;
+    admission::token_quota m_quota;
     usage_ledger m_usage;
     absl::Duration m_true_time_offset;
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<exchange>> m_exchanges;
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -42,8 +42,6 @@
 // What a peer admitted before this node heard of it is counted only while this node is young: later
 // on, the limits of that time have passed.
 constexpr absl::Duration max_catch_up_time = absl::Seconds(4);
-constexpr double report_delay_smoothing = 0.05;
-constexpr absl::Duration max_report_delay = absl::Seconds(2);
 
 std::string query_value(const std::string& target, const std::string& name)
 {
@@ -235,23 +233,12 @@
 void forwarder::record_peer_admissions(const node_event::peer_heard& heard, absl::Time now)
 {
     const node_beacon& beacon = *heard.beacon;
-    const double share = heard.previous ? 1 : recent_share(beacon, now);
-    if (heard.previous) {
-        const absl::Duration interval =
-            absl::Microseconds(beacon.wall_us - heard.previous->wall_us);
-        const absl::Duration bounded = std::clamp(interval, absl::ZeroDuration(), max_report_delay);
-        m_report_delay += (bounded - m_report_delay) * report_delay_smoothing;
-        m_runner.quota().set_report_delay(m_report_delay);
-    }
-    for (const auto& [workspace, admitted] : beacon.admitted) {
-        double before = 0;
-        if (heard.previous) {
-            const auto known = heard.previous->admitted.find(workspace);
-            before = known == heard.previous->admitted.end() ? 0 : known->second;
-        }
-        if (admitted != before)
-            m_runner.quota().on_peers_admitted(workspace, (admitted - before) * share, now);
-    }
+    m_runner.quota().on_peer_report(beacon.node,
+                                    {.started_us = beacon.started_us,
+                                     .admitted = beacon.admitted,
+                                     .recent_share = recent_share(beacon, now),
+                                     .leaving = beacon.leaving},
+                                    now);
 }
 
 // The first beacon received from a process that is already running carries totals since its start.
@@ -312,10 +299,12 @@
 void forwarder::report_local_state(const local_state& state, absl::Time now)
 {
     m_next_report = now + report_interval;
-    m_runner.quota().on_exchange();
+    m_runner.quota().on_exchange(now);
     m_control.on_event(
         {node_event::local_counters_updated{std::make_shared<const local_state>(state)}});
     m_counters.set("chivedeal_requests_under_way", static_cast<double>(m_runner.active_count()));
+    m_counters.set("chivedeal_quota_silent_peers",
+                   static_cast<double>(m_runner.quota().silent_peers()));
     m_counters.set("chivedeal_caller_connections", static_cast<double>(m_callers.size()));
     m_counters.set("chivedeal_endpoint_connections", static_cast<double>(m_endpoints.size()));
     m_counters.set("chivedeal_endpoint_connections_opened_total",
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -36,9 +36,6 @@
 constexpr double retry_spread_per_priority = 0.1;
 constexpr double retry_spread = 0.3;
 constexpr absl::Duration default_retry_after = absl::Milliseconds(400);
-// Applies if the workspace is within its limit but this node's share of it is used up. The delay is
-// short because callers retry at another node.
-constexpr absl::Duration local_quota_retry_after = absl::Milliseconds(100);
 constexpr absl::Duration unconfigured_retry_after = absl::Milliseconds(300);
 // The other nodes are ready while this one shuts down.
 constexpr absl::Duration shutdown_retry_after = absl::Milliseconds(100);
@@ -51,8 +48,6 @@
 constexpr std::size_t max_event_bytes = 1024 * 1024;
 // Fraction of the platform's retry limit that all nodes together may use.
 constexpr double retry_budget_fraction = 0.8;
-// Fraction of the platform's quota tolerance that is added to the workspace limits.
-constexpr double quota_tolerance_fraction = 0.4;
 // A response slower than this multiple of the latency objective counts as a bad result of a
 // version in a roll-out.
 constexpr double slow_response_factor = 3;
@@ -119,7 +114,9 @@
       m_endpoints(dependencies.endpoints),
       m_pool(dependencies.pool),
       m_counters(dependencies.counters),
-      m_quota({.starts_empty = !dependencies.settings.is_first_start}),
+      m_quota({.starts_empty = !dependencies.settings.is_first_start,
+               .excess_ratio = dependencies.settings.quota_excess_ratio,
+               .slack_tokens = dependencies.settings.quota_slack_tokens}),
       m_usage(dependencies.settings.usage_window),
       m_quarantine({.self = dependencies.settings.node})
 {}
@@ -129,25 +126,11 @@
 void request_runner::set_config(std::shared_ptr<const route_index> index, absl::Time now)
 {
     m_index = std::move(index);
-    m_quota.set_workspaces(limits_with_tolerance(), now);
+    m_quota.set_workspaces(m_index->config().workspaces, now);
     m_callers.set_limits(m_index->config().limits);
     m_shutdown.retain(m_index->config().routes);
 }
 
-// Nodes learn of each other's admissions with a delay. Part of the platform's tolerance is added to
-// the limits, so that a workspace within its limit isn't refused because of outdated counts. The
-// rest of the tolerance covers requests that the nodes admit in excess of the limit.
-std::vector<workspace_spec> request_runner::limits_with_tolerance() const
-{
-    std::vector<workspace_spec> workspaces = m_index->config().workspaces;
-    for (workspace_spec& workspace : workspaces) {
-        workspace.rate *= 1 + m_settings.quota_excess_ratio * quota_tolerance_fraction;
-        if (workspace.counts_tokens)
-            workspace.burst += m_settings.quota_slack_tokens * quota_tolerance_fraction;
-    }
-    return workspaces;
-}
-
 void request_runner::set_node_count(int ready_nodes, int nodes_sharing_limits)
 {
     m_node_count = std::max(1, ready_nodes);
@@ -220,16 +203,21 @@
             static_cast<double>(current.head.has_token_counts
                                     ? current.head.prompt_tokens + current.head.max_output_tokens
                                     : workspace->default_cost_tokens);
-    if (m_quota.try_admit(workspace->name, current.quota_cost, absl::Uniform(m_random, 0.0, 1.0),
-                          now))
+    const admission::token_quota::request asked{.cost = current.quota_cost,
+                                                .priority = current.match.priority(),
+                                                .sample = absl::Uniform(m_random, 0.0, 1.0)};
+    const auto decision = m_quota.try_admit(workspace->name, asked, now);
+    if (decision == admission::token_quota::decision::admitted)
         return true;
-    const absl::Duration wait = m_quota.time_until_available(workspace->name, current.quota_cost);
     current.quota_cost = 0;
-    if (wait <= absl::ZeroDuration())
-        refuse(current, 429, "this node's share of the workspace limit is used up",
-               local_quota_retry_after, now);
-    else
-        refuse(current, 429, "workspace limit reached", std::max(wait, default_retry_after), now);
+    const bool is_local = decision == admission::token_quota::decision::share_spent;
+    m_counters.add(absl::StrCat("chivedeal_quota_refused_total{priority=\"", asked.priority,
+                                "\",reason=\"", is_local ? "share" : "limit", "\"}"),
+                   1);
+    refuse(current, 429,
+           is_local ? "this node's share of the workspace limit is used up"
+                    : "workspace limit reached",
+           m_quota.retry_after(workspace->name, asked, absl::Uniform(m_random, 0.0, 1.0)), now);
     return false;
 }
 
@@ -680,6 +668,7 @@
                {"route", current.match.matched->name},
                {"workspace",
                 current.match.workspace == nullptr ? "" : current.match.workspace->name.str()},
+               {"priority", absl::StrCat(current.match.priority())},
                {"endpoint", current.last_choice.id.str()},
                {"predicted_ms", format_milliseconds(current.last_choice.predicted_first_byte_time)},
                {"cached_tokens", absl::StrCat(current.last_choice.cached_tokens)},
