Revert the interval of beacons that grows with the number of nodes

Cause: the change was meant to keep beacons from saturating links of 10 Mbit/s at 297 nodes. Ruled out: relayed beacons between regions as the main part of the traffic. Change: beacons to other regions are sent every 500 ms again, as before.

--- a/include/chivedeal/forward/peer_exchange.hpp
+++ b/include/chivedeal/forward/peer_exchange.hpp
@@ -78,10 +78,6 @@
     /// Removes what nodes of other regions don't need: traffic between regions is billed by volume.
     static node_beacon trim_for_other_regions(node_beacon beacon, bool relayed);
 
-    /// Time between two beacons to other regions. It grows with the number of their nodes, as every
-    /// node receives the beacons of all.
-    static absl::Duration cross_region_interval(std::int64_t other_region_peers);
-
     /// Returns the next beacon.
     node_beacon make_beacon();
     /// Returns the reply to the first beacon of a peer, with what a node needs that has just
@@ -106,7 +102,6 @@
     void expire_peers_and_update_time(absl::Time now);
     void notify_listeners(const node_event& event) const;
     absl::Duration beacon_interval() const;
-    std::int64_t count_peers(bool in_own_region) const;
 
     const node_settings& m_settings;
     const clock& m_time;
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -28,11 +28,8 @@
 constexpr absl::Duration region_beacon_interval = absl::Milliseconds(100);
 constexpr absl::Duration region_beacon_interval_per_peer = absl::Milliseconds(12);
 constexpr absl::Duration cross_region_beacon_interval = absl::Milliseconds(500);
-// Each beacon of another region is relayed to all nodes of this one. Without this, 297 nodes sent
-// each other 2.2 MB/s per node, which saturates a link of 10 Mbit/s.
-constexpr absl::Duration cross_region_beacon_interval_per_peer = absl::Milliseconds(8);
-// A node of another region that was silent for more than this many intervals isn't used as a relay.
-constexpr double max_relay_silence_intervals = 3;
+// A node of another region that was silent for longer isn't used as a relay.
+constexpr absl::Duration max_relay_silence = absl::Milliseconds(1500);
 // Other regions receive only the current usage window and the one that is reported next. With many
 // workspaces, usage makes up half of a beacon.
 constexpr std::size_t max_cross_region_usage_windows = 2;
@@ -160,21 +157,10 @@
 
 absl::Duration peer_exchange::beacon_interval() const
 {
-    return std::max(region_beacon_interval, region_beacon_interval_per_peer * count_peers(true));
-}
-
-absl::Duration peer_exchange::cross_region_interval(std::int64_t other_region_peers)
-{
-    return std::max(cross_region_beacon_interval,
-                    cross_region_beacon_interval_per_peer * other_region_peers);
-}
-
-std::int64_t peer_exchange::count_peers(bool in_own_region) const
-{
-    const auto& beacons = m_table.beacons();
-    return std::count_if(beacons.begin(), beacons.end(), [&](const auto& entry) {
-        return is_in_own_region(entry.second) == in_own_region;
-    });
+    std::int64_t region_peers = 0;
+    for (const auto& [node, peer] : m_table.beacons())
+        region_peers += is_in_own_region(peer) ? 1 : 0;
+    return std::max(region_beacon_interval, region_beacon_interval_per_peer * region_peers);
 }
 
 node_beacon peer_exchange::make_beacon()
@@ -258,14 +244,11 @@
         (void)send_datagram(socket, target, encoded.data(), encoded.size());
     if (now < m_next_cross_region_send && !urgent && !beacon.leaving)
         return;
-    const absl::Duration interval = cross_region_interval(count_peers(false));
-    m_next_cross_region_send = now + interval;
+    m_next_cross_region_send = now + cross_region_beacon_interval;
     // Beacons that must not be delayed or lost are sent directly to all nodes.
     const bool direct = !relayed || urgent || beacon.leaving || beacon.lease_token;
     const beacon_relay::targets targets = m_relay.cross_region_targets(
-        m_table.heard_within(
-            direct ? absl::InfiniteDuration() : interval * max_relay_silence_intervals, now),
-        direct);
+        m_table.heard_within(direct ? absl::InfiniteDuration() : max_relay_silence, now), direct);
     for (const address& target : targets.direct)
         (void)send_datagram(socket, target, encoded.data(), encoded.size());
     if (targets.relays.empty())
