Scan the endpoints for cold ends on the report timer only

Cause: set_node_count scanned all endpoints for their cold ends, and it is called for every beacon received, several hundred times a second with hundreds of nodes. Ruled out: an early return when no service has a cold limit, which leaves the scan per beacon where there is one. A cold end that is forgotten later only makes check look endpoints up; its verdicts are the same. Conclusion: the work per beacon no longer grows with the number of endpoints.

--- a/include/chivedeal/regions/endpoint_gate.hpp
+++ b/include/chivedeal/regions/endpoint_gate.hpp
@@ -60,6 +60,10 @@
     /// A response states for how long the endpoint remains cold.
     void on_cold_reported(const endpoint_id& id, absl::Duration remaining, absl::Time now);
 
+    /// Forgets the cold ends that have passed, which makes `check` faster. Goes through all
+    /// endpoints.
+    void recompute_latest_cold_end();
+
     gate_verdict check(const forward::endpoint_record& record, const home_regions& homes,
                        absl::Time now) const;
     bool is_evacuated(const endpoint_id& id) const;
@@ -89,7 +93,6 @@
     absl::Time cold_end(const tracked_endpoint& endpoint) const;
     // To be called after a change that may prolong `cold_end`.
     void extend_latest_cold_end(const tracked_endpoint& endpoint);
-    void recompute_latest_cold_end();
     void apply_report(tracked_endpoint& endpoint, absl::Duration remaining, absl::Time now) const;
     void update_share(tracked_endpoint& endpoint, absl::Time now);
 
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -336,6 +336,7 @@
     m_counters.set("chivedeal_quota_silent_peers",
                    static_cast<double>(m_runner.quota().silent_peers()));
     m_counters.set("chivedeal_caller_connections", static_cast<double>(m_callers.size()));
+    m_pool.gate().recompute_latest_cold_end();
     m_counters.set("chivedeal_cold_endpoints",
                    static_cast<double>(m_pool.gate().cold_count(m_time.now())));
     m_counters.set("chivedeal_endpoint_connections", static_cast<double>(m_endpoints.size()));
--- a/src/regions/endpoint_gate.cpp
+++ b/src/regions/endpoint_gate.cpp
@@ -33,7 +33,6 @@
 
 void endpoint_gate::set_node_count(int nodes, absl::Time now)
 {
-    recompute_latest_cold_end();
     if (std::exchange(m_node_count, nodes) == nodes)
         return;
     for (auto& [id, endpoint] : m_endpoints)
