--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Exits with 1 if RECOVER was broken, 0 if it held, 2 if the case couldn't run.
+# TROUBLE=0 leaves out the rolling restart and the final fault, TROUBLE=restart only the final fault,
+# TROUBLE=fault only the rolling restart.
+set -u
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.." || exit 2
+[ -x target/chivedeal ] && [ -x build/review-2/rollout_case ] || exit 2
+work=$(mktemp -d) || exit 2
+trap 'rm -rf "$work"' EXIT
+timeout -k 5 115 build/review-2/rollout_case "$here/record.txt" "$work"
+result=$?
+grep -hE 'lease_acquired|move_|drain_started|node_started' "$work"/*.log 2>/dev/null | sort >> "$here/record.txt"
+[ $result -le 1 ] || exit 2
+exit $result
