--- a/review/stand-ins-2/server.hpp
+++ b/review/stand-ins-2/server.hpp
@@ -47,6 +47,8 @@
     struct behaviour
     {
         std::chrono::milliseconds work{30};
+        /// For requests whose body is shorter than 1 KB, if it differs.
+        std::chrono::milliseconds small_work{0};
         /// Multiple of the site file's error shares.
         int error_share = 1;
         /// Size of the answers below the path `/booking/large`.
@@ -113,7 +115,8 @@
         if (m_runs != nullptr)
             m_runs->add(request_id);
         m_seen.line("server %s %s begins %s", m_id.c_str(), m_version.c_str(), request_id.c_str());
-        std::this_thread::sleep_for(m_behaviour.work);
+        const bool is_small = request.body.size() < 1024 && m_behaviour.small_work.count() > 0;
+        std::this_thread::sleep_for(is_small ? m_behaviour.small_work : m_behaviour.work);
         const std::size_t draw = std::hash<std::string>()(request_id + m_id) % 1000;
         const bool fails =
             draw < static_cast<std::size_t>(m_behaviour.error_share * (request.method == "GET" ? 140 : 4));
--- a/review/stand-ins-2/upload_case.cpp
+++ b/review/stand-ins-2/upload_case.cpp
@@ -22,14 +22,16 @@
 namespace {
 
 constexpr const char* service_name = "anmeldung";
-constexpr std::size_t body_bytes = 4'000'000;
+constexpr std::size_t body_bytes = 4'190'000;
 constexpr std::size_t max_body_bytes = 4'194'304;
 constexpr int usual_clients = 9;
-// The largest `burst` of the site file has 1.78 times the usual traffic.
-constexpr int burst_clients = 16;
+// A `burst` of the site file: 1.7 times the usual traffic for 3 s.
+constexpr int burst_clients = 15;
 constexpr double usual_s = 12;
-constexpr double burst_s = 12;
+constexpr double burst_s = 3;
+constexpr double after_burst_s = 6;
 constexpr std::chrono::milliseconds work{2000};
+constexpr std::chrono::milliseconds small_work{100};
 // "more than three times" break the rule.
 constexpr int allowed = 3;
 
@@ -48,7 +50,8 @@
     std::atomic<int> on_new_connection = 0;
 };
 
-/// A client that sends one booking after the other on a connection that it keeps open.
+/// A client that sends one booking after the other on a connection that it keeps open. The first one
+/// on a connection is small.
 class uploader
 {
 public:
@@ -64,10 +67,14 @@
     uploader(const uploader&) = delete;
     uploader& operator=(const uploader&) = delete;
 
+    /// The client sends no further request.
+    void request_stop() { m_stopping = true; }
+
 private:
     void run()
     {
-        const std::string body(body_bytes, 'b');
+        const std::string large(body_bytes, 'b');
+        const std::string small = "booking";
         std::unique_ptr<httplib::Client> kept;
         bool has_served = false;
         while (!m_stopping) {
@@ -83,8 +90,9 @@
             const httplib::Headers headers{{"Host", "h.example"}, {"Request-Id", id},
                                            {"Deadline-Ms", "15000"},
                                            {"Authorization", "Bearer key"}};
-            m_seen.line("client %s books on a %s connection", id.c_str(), has_served ? "kept" : "new");
-            const httplib::Result answer = kept->Post("/booking/1", headers, body, "text/plain");
+            m_seen.line("client %s books on a %s connection, %zu bytes", id.c_str(),
+                        has_served ? "kept" : "new", has_served ? large.size() : small.size());
+            const httplib::Result answer = kept->Post("/booking/1", headers, has_served ? large : small, "text/plain");
             if (answer) {
                 m_seen.line("client %s gets %d", id.c_str(), answer->status);
                 ++(answer->status == 503 || answer->status == 429 ? m_results.refused
@@ -142,7 +150,7 @@
     std::vector<std::unique_ptr<server>> servers;
     for (int i = 0; i < 3; ++i)
         servers.push_back(std::make_unique<server>("i-" + std::to_string(i), service_name, "v1", seen,
-                                                   server::behaviour{.work = work, .error_share = 0},
+                                                   server::behaviour{.work = work, .small_work = small_work, .error_share = 0},
                                                    &runs));
     std::atomic<bool> stopping = false;
     std::thread beats([&] {
@@ -169,17 +177,25 @@
             const int usual = results.closed_after_run;
             seen.line("after %.0f s with %d clients: %d connections closed without an answer after the "
                       "request had reached a server", usual_s, usual_clients, usual);
+            std::vector<std::unique_ptr<uploader>> guests;
             if (with_burst) {
-                seen.line("burst: %d clients", burst_clients);
+                seen.line("burst: %d clients for %.0f s", burst_clients, burst_s);
                 for (int i = usual_clients + 1; i <= burst_clients; ++i)
-                    clients.push_back(
+                    guests.push_back(
                         std::make_unique<uploader>(i, machine.front_port(), seen, runs, results));
             }
             int most_mb = 0;
             for (const double end = seen.now() + burst_s; seen.now() < end; sleep_s(0.1))
                 most_mb = std::max(most_mb, machine.resident_mb());
             seen.line("resident memory of the process: at most %d MB of its 260 MB", most_mb);
+            for (auto& each : guests)
+                each->request_stop();
+            guests.clear();
+            seen.line("end of the burst");
+            sleep_s(after_burst_s);
             const bool still_runs = machine.is_running();
+            for (auto& each : clients)
+                each->request_stop();
             clients.clear();
             seen.line("answered %d, refused %d, closed on a kept connection without an answer: %d after the "
                       "request had reached a server, %d before; on a new connection: %d; the process %s",
