--- a/review/stand-ins-2/client.hpp
+++ b/review/stand-ins-2/client.hpp
@@ -73,8 +73,11 @@
     };
 
     client(options settings, record& seen, outcomes& results)
-        : m_options(std::move(settings)), m_seen(seen), m_results(results),
-          m_random(static_cast<unsigned>(m_options.number)), m_thread([this] { run(); })
+        : m_options(std::move(settings)),
+          m_seen(seen),
+          m_results(results),
+          m_random(static_cast<unsigned>(m_options.number)),
+          m_thread([this] { run(); })
     {}
     ~client()
     {
@@ -113,14 +116,16 @@
                 !(is_lookup || promised))
                 return;
             const double limit = std::chrono::duration<double>(left).count() / 3;
-            std::this_thread::sleep_for(std::chrono::duration<double>(std::min(retry_after, limit)));
+            std::this_thread::sleep_for(
+                std::chrono::duration<double>(std::min(retry_after, limit)));
         }
     }
 
     outcome send(bool is_lookup, bool on_new_connection, std::chrono::milliseconds left,
                  double& retry_after)
     {
-        const std::string id = "c" + std::to_string(m_options.number) + "-" + std::to_string(++m_sent);
+        const std::string id =
+            "c" + std::to_string(m_options.number) + "-" + std::to_string(++m_sent);
         outcome result{.sent_at = m_seen.now()};
         const int port = pick_port();
         if (port == 0) {
@@ -183,7 +188,8 @@
             for (const std::string address : body["addrs"])
                 m_ports.push_back(std::stoi(address.substr(address.find(':') + 1)));
             const double ttl = std::min(5.0, body["ttl_s"].get<double>());
-            m_addresses_until = steady::now() + std::chrono::milliseconds(static_cast<int>(ttl * 1000));
+            m_addresses_until =
+                steady::now() + std::chrono::milliseconds(static_cast<int>(ttl * 1000));
             return;
         }
     }
--- a/review/stand-ins-2/node.hpp
+++ b/review/stand-ins-2/node.hpp
@@ -55,31 +55,40 @@
     /// The fields of DEPLOY.md, with the bounds of the site file.
     void write_settings(const std::vector<std::string>& seeds, bool is_first_start) const
     {
-        const nlohmann::json settings{
-            {"node", m_options.name},
-            {"role", "entry"},
-            {"class", "front"},
-            {"serves", {"front", "control", "directory"}},
-            {"ip", loopback},
-            {"zone", "zuerich-a"},
-            {"region", "zuerich"},
-            {"zones", {{"zuerich-a", "zuerich"}}},
-            {"port_range", {m_metrics, m_metrics}},
-            {"seeds", seeds},
-            {"bootstrap", is_first_start},
-            {"listen",
-             {{"front", local_address(m_front)},
-              {"ready", local_address(m_ready)},
-              {"control", local_address(m_control)},
-              {"directory", local_address(m_directory)}}},
-            {"limits", {{"memory_mb", 260}, {"max_fds", 1000}}},
-            {"bounds",
-             {{"contact_ms", 4000},   {"drain_ms", 2500},   {"grace_s", 8},
-              {"config_ms", 2500},    {"retry_ratio", 0.2}, {"retry_window_s", 10},
-              {"retry_slack", 58},    {"lease_ms", 3000},   {"window_s", 5},
-              {"usage_late_s", 10},   {"expose_share", 0.1}, {"expose_slack", 50},
-              {"rollback_ms", 5000},  {"recover_s", 12},    {"ttl_max_s", 5}}},
-            {"provider", {{"addr", m_options.store}, {"form", "log"}}}};
+        const nlohmann::json settings{{"node", m_options.name},
+                                      {"role", "entry"},
+                                      {"class", "front"},
+                                      {"serves", {"front", "control", "directory"}},
+                                      {"ip", loopback},
+                                      {"zone", "zuerich-a"},
+                                      {"region", "zuerich"},
+                                      {"zones", {{"zuerich-a", "zuerich"}}},
+                                      {"port_range", {m_metrics, m_metrics}},
+                                      {"seeds", seeds},
+                                      {"bootstrap", is_first_start},
+                                      {"listen",
+                                       {{"front", local_address(m_front)},
+                                        {"ready", local_address(m_ready)},
+                                        {"control", local_address(m_control)},
+                                        {"directory", local_address(m_directory)}}},
+                                      {"limits", {{"memory_mb", 260}, {"max_fds", 1000}}},
+                                      {"bounds",
+                                       {{"contact_ms", 4000},
+                                        {"drain_ms", 2500},
+                                        {"grace_s", 8},
+                                        {"config_ms", 2500},
+                                        {"retry_ratio", 0.2},
+                                        {"retry_window_s", 10},
+                                        {"retry_slack", 58},
+                                        {"lease_ms", 3000},
+                                        {"window_s", 5},
+                                        {"usage_late_s", 10},
+                                        {"expose_share", 0.1},
+                                        {"expose_slack", 50},
+                                        {"rollback_ms", 5000},
+                                        {"recover_s", 12},
+                                        {"ttl_max_s", 5}}},
+                                      {"provider", {{"addr", m_options.store}, {"form", "log"}}}};
         std::ofstream(settings_path()) << settings.dump();
     }
 
@@ -140,7 +149,10 @@
     }
 
 private:
-    std::string settings_path() const { return m_options.directory + "/" + m_options.name + ".json"; }
+    std::string settings_path() const
+    {
+        return m_options.directory + "/" + m_options.name + ".json";
+    }
 
     options m_options;
     int m_front = 0;
--- a/review/stand-ins-2/pipeline_case.cpp
+++ b/review/stand-ins-2/pipeline_case.cpp
@@ -66,8 +66,9 @@
         std::string requests;
         const int first = m_sent + 1;
         for (int i = 0; i < count; ++i)
-            requests += "GET /catalogue/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + id(++m_sent) +
-                        "\r\nDeadline-Ms: 8000\r\nAuthorization: Bearer key\r\n\r\n";
+            requests +=
+                "GET /catalogue/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + id(++m_sent) +
+                "\r\nDeadline-Ms: 8000\r\nAuthorization: Bearer key\r\n\r\n";
         const double sent_at = m_seen.now();
         m_seen.line("client sends %s to %s", id(first).c_str(), id(m_sent).c_str());
         if (send(m_socket, requests.data(), requests.size(), MSG_NOSIGNAL) !=
@@ -79,9 +80,10 @@
             const ssize_t received = recv(m_socket, buffer, sizeof buffer, 0);
             if (received <= 0) {
                 const double open_s = m_seen.now() - sent_at;
-                m_seen.line("client: the connection ended %.3f s after %s was sent (%s): %d without an answer",
-                            open_s, id(m_sent).c_str(), received == 0 ? "closed" : std::strerror(errno),
-                            m_sent - next + 1);
+                m_seen.line("client: the connection ended %.3f s after %s was sent (%s): %d "
+                            "without an answer",
+                            open_s, id(m_sent).c_str(),
+                            received == 0 ? "closed" : std::strerror(errno), m_sent - next + 1);
                 return open_s > lost_s ? m_sent - next + 1 : 0;
             }
             input.append(buffer, static_cast<std::size_t>(received));
@@ -107,7 +109,8 @@
             head_end + 4 + (length < head_end ? std::stoul(input.substr(length + 16)) : 0);
         if (input.size() < size)
             return false;
-        const bool closes = input.substr(0, head_end).find("Connection: close") != std::string::npos;
+        const bool closes =
+            input.substr(0, head_end).find("Connection: close") != std::string::npos;
         m_seen.line("client gets the answer to %s: %s%s", id(number).c_str(),
                     input.substr(9, 3).c_str(), closes ? ", Connection: close" : "");
         input.erase(0, size);
@@ -126,14 +129,24 @@
     return nlohmann::json{
         {"version", 7},
         {"routes",
-         {{{"name", "catalogue"}, {"host", "h.example"}, {"path_prefix", "/catalogue/"},
-           {"kind", "idempotent"}, {"timeout_ms", 8000}, {"goal_ms", 1000}, {"priority", 2},
-           {"service", service_name}, {"attempts", 2}, {"public", false}}}},
+         {{{"name", "catalogue"},
+           {"host", "h.example"},
+           {"path_prefix", "/catalogue/"},
+           {"kind", "idempotent"},
+           {"timeout_ms", 8000},
+           {"goal_ms", 1000},
+           {"priority", 2},
+           {"service", service_name},
+           {"attempts", 2},
+           {"public", false}}}},
         {"services", {{{"name", service_name}, {"health_path", "/health"}, {"max_conns", 110}}}},
         {"limits",
-         {{"max_header_bytes", 16384}, {"max_body_bytes", 4194304},
-          {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}},
-        {"tenants", {{{"name", "clubs"}, {"api_keys", {"key"}}, {"priority", 1}}}}}.dump();
+         {{"max_header_bytes", 16384},
+          {"max_body_bytes", 4194304},
+          {"header_timeout_ms", 3000},
+          {"idle_timeout_ms", 15000}}},
+        {"tenants", {{{"name", "clubs"}, {"api_keys", {"key"}}, {"priority", 1}}}}}
+        .dump();
 }
 
 int run(const std::string& directory, bool with_sigterm, record& seen)
@@ -143,7 +156,8 @@
     server catalogue("i-1", service_name, "v1", seen,
                      server::behaviour{.work = work, .error_share = 0}, nullptr);
     platform.put("keyed.servers", catalogue.id(), catalogue.entry());
-    node machine({.name = "front-zuerich-a-1", .directory = directory, .store = platform.address()});
+    node machine(
+        {.name = "front-zuerich-a-1", .directory = directory, .store = platform.address()});
     machine.write_settings({machine.control()}, true);
     machine.start();
     for (int i = 0; i < 200 && !machine.is_ready(); ++i)
--- a/review/stand-ins-2/rollout_case.cpp
+++ b/review/stand-ins-2/rollout_case.cpp
@@ -106,8 +106,11 @@
 {
 public:
     rollout_case(const std::string& directory, trouble with, record& seen)
-        : m_trouble(with), m_seen(seen), m_fleet(seen),
-          m_store([this](const std::string& key, const std::string& value) { on_status(key, value); })
+        : m_trouble(with),
+          m_seen(seen),
+          m_fleet(seen),
+          m_store(
+              [this](const std::string& key, const std::string& value) { on_status(key, value); })
     {
         // With these names the third machine takes the control lease first, then the second one.
         for (const char* name : {"front-zuerich-a-1", "front-zuerich-a-2", "front-zuerich-a-4"})
@@ -147,8 +150,10 @@
         sleep_s(8);
         m_fleet.start(m_store, "v2");
         m_store.put("keyed.op", std::string("rollout/") + service_name,
-                    nlohmann::json{{"service", service_name}, {"target", "v2"},
-                                   {"duration_s", rollout_duration_s}}.dump());
+                    nlohmann::json{{"service", service_name},
+                                   {"target", "v2"},
+                                   {"duration_s", rollout_duration_s}}
+                        .dump());
         m_ordered_at = m_seen.now();
         m_seen.line("operator orders version v2 within %.0f s", rollout_duration_s);
         // A rolling restart, one machine at a time, each 5 s after the one before.
@@ -158,14 +163,19 @@
         restart(1);
         wait_until_after_order(11);
         restart(2);
-        wait_until_after_order(15.6);
+        // The final fault follows the acknowledgement of a status, or comes at 18 s.
+        wait_until_after_order(15.4);
+        while (!m_runs_again && m_seen.now() < m_ordered_at + 18)
+            sleep_s(0.02);
+        sleep_s(0.2);
         const double fault_at = m_seen.now();
         final_fault();
         const double back_at = m_seen.now();
         sleep_s(recover_s + observed_s);
         const double end = m_seen.now() - 3;
         clients.clear();
-        return judge(results.between(traffic_at, fault_at), results.between(back_at + recover_s, end));
+        return judge(results.between(traffic_at, fault_at),
+                     results.between(back_at + recover_s, end));
     }
 
     int judge(const outcomes::share& before, const outcomes::share& after)
@@ -182,21 +192,28 @@
 
     static std::string configuration()
     {
-        const auto route = [](const char* name, const char* prefix, const char* kind, int attempts) {
-            return nlohmann::json{{"name", name}, {"host", "h.example"}, {"path_prefix", prefix},
-                                  {"kind", kind}, {"timeout_ms", 1500}, {"goal_ms", 200},
-                                  {"priority", 2}, {"service", service_name},
-                                  {"attempts", attempts}, {"public", false}};
+        const auto route = [](const char* name, const char* prefix, const char* kind,
+                              int attempts) {
+            return nlohmann::json{{"name", name},          {"host", "h.example"},
+                                  {"path_prefix", prefix}, {"kind", kind},
+                                  {"timeout_ms", 1500},    {"goal_ms", 200},
+                                  {"priority", 2},         {"service", service_name},
+                                  {"attempts", attempts},  {"public", false}};
         };
         return nlohmann::json{
             {"version", 7},
             {"routes",
-             {route("booking", "/booking/", "unsafe", 1), route("catalogue", "/catalogue/", "idempotent", 2)}},
-            {"services", {{{"name", service_name}, {"health_path", "/health"}, {"max_conns", 110}}}},
+             {route("booking", "/booking/", "unsafe", 1),
+              route("catalogue", "/catalogue/", "idempotent", 2)}},
+            {"services",
+             {{{"name", service_name}, {"health_path", "/health"}, {"max_conns", 110}}}},
             {"limits",
-             {{"max_header_bytes", 16384}, {"max_body_bytes", 4194304},
-              {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}},
-            {"tenants", {{{"name", "clubs"}, {"api_keys", {"key"}}, {"priority", 1}}}}}.dump();
+             {{"max_header_bytes", 16384},
+              {"max_body_bytes", 4194304},
+              {"header_timeout_ms", 3000},
+              {"idle_timeout_ms", 15000}}},
+            {"tenants", {{{"name", "clubs"}, {"api_keys", {"key"}}, {"priority", 1}}}}}
+            .dump();
     }
 
     void start_nodes()
@@ -267,7 +284,8 @@
         const std::string state = nlohmann::json::parse(value).value("state", "");
         const std::lock_guard<std::mutex> lock(m_mutex);
         if (state == "done")
-            m_stop_old = true;
+            m_is_done = m_stop_old = true;
+        m_runs_again = m_runs_again || (m_is_done && state == "running");
         if (state == "rolled_back" && m_drain_new_at < 0)
             m_drain_new_at = m_seen.now() + 3;
     }
@@ -311,6 +329,8 @@
     fleet m_fleet;
     std::mutex m_mutex;
     bool m_stop_old = false;
+    bool m_is_done = false;
+    std::atomic<bool> m_runs_again = false;
     double m_drain_new_at = -1;
     std::atomic<bool> m_stopping = false;
     store m_store;
--- a/review/stand-ins-2/server.hpp
+++ b/review/stand-ins-2/server.hpp
@@ -60,15 +60,24 @@
     {}
     server(std::string id, std::string service, std::string version, record& seen, behaviour works,
            run_log* runs)
-        : m_id(std::move(id)), m_service(std::move(service)), m_version(std::move(version)),
-          m_behaviour(works), m_seen(seen), m_runs(runs), m_port(free_port()), m_born(std::chrono::duration_cast<std::chrono::milliseconds>(
-              std::chrono::system_clock::now().time_since_epoch()).count())
+        : m_id(std::move(id)),
+          m_service(std::move(service)),
+          m_version(std::move(version)),
+          m_behaviour(works),
+          m_seen(seen),
+          m_runs(runs),
+          m_port(free_port()),
+          m_born(std::chrono::duration_cast<std::chrono::milliseconds>(
+                     std::chrono::system_clock::now().time_since_epoch())
+                     .count())
     {
         m_server.new_task_queue = [] { return new httplib::ThreadPool(128); };
         m_server.set_keep_alive_max_count(1000000);
         m_server.set_keep_alive_timeout(10);
         m_server.set_tcp_nodelay(true);
-        const auto handler = [this](const httplib::Request& in, httplib::Response& out) { run(in, out); };
+        const auto handler = [this](const httplib::Request& in, httplib::Response& out) {
+            run(in, out);
+        };
         m_server.Get(".*", handler);
         m_server.Post(".*", handler);
         m_server.bind_to_port(loopback.c_str(), m_port);
@@ -90,10 +99,13 @@
     /// The server's entry in the store.
     std::string entry()
     {
-        return nlohmann::json{{"service", m_service}, {"addr", local_address(m_port)},
-                              {"zone", "zuerich-a"}, {"version", m_version}, {"slots", 32},
-                              {"state", m_is_draining ? "draining" : "ready"},
-                              {"cold_left_ms", 0}, {"seq", ++m_seq}, {"born", m_born}}.dump();
+        return nlohmann::json{
+            {"service", m_service}, {"addr", local_address(m_port)},
+            {"zone", "zuerich-a"},  {"version", m_version},
+            {"slots", 32},          {"state", m_is_draining ? "draining" : "ready"},
+            {"cold_left_ms", 0},    {"seq", ++m_seq},
+            {"born", m_born}}
+            .dump();
     }
 
 private:
@@ -107,7 +119,8 @@
         }
         if (!request_id.empty())
             response.set_header("Request-Id", request_id);
-        if (request.has_header("Expect-Instance") && request.get_header_value("Expect-Instance") != m_id) {
+        if (request.has_header("Expect-Instance") &&
+            request.get_header_value("Expect-Instance") != m_id) {
             response.status = 421;
             response.set_header("Instance-Id", m_id);
             return;
@@ -118,16 +131,16 @@
         const bool is_small = request.body.size() < 1024 && m_behaviour.small_work.count() > 0;
         std::this_thread::sleep_for(is_small ? m_behaviour.small_work : m_behaviour.work);
         const std::size_t draw = std::hash<std::string>()(request_id + m_id) % 1000;
-        const bool fails =
-            draw < static_cast<std::size_t>(m_behaviour.error_share * (request.method == "GET" ? 140 : 4));
+        const bool fails = draw < static_cast<std::size_t>(m_behaviour.error_share *
+                                                           (request.method == "GET" ? 140 : 4));
         response.status = fails ? 500 : 200;
         response.set_header("Server-Stamp", m_id + "." + request_id);
         if (request.path == "/booking/large")
             response.set_content(std::string(m_behaviour.large_answer_bytes, 'a'), "text/plain");
         else
             response.set_content(fails ? "error" : "answer to " + request_id, "text/plain");
-        m_seen.line("server %s %s answers %s: %d", m_id.c_str(), m_version.c_str(), request_id.c_str(),
-                    response.status);
+        m_seen.line("server %s %s answers %s: %d", m_id.c_str(), m_version.c_str(),
+                    request_id.c_str(), response.status);
     }
 
     std::string m_id;
--- a/review/stand-ins-2/slow_reader_case.cpp
+++ b/review/stand-ins-2/slow_reader_case.cpp
@@ -67,9 +67,10 @@
     bool book(const char* path, double pause)
     {
         const std::string id = "s" + std::to_string(m_number) + "-" + std::to_string(++m_sent);
-        const std::string request = std::string("POST ") + path + " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " +
-                                    id + "\r\nDeadline-Ms: 15000\r\nAuthorization: Bearer key\r\n"
-                                         "Content-Length: 7\r\n\r\nbooking";
+        const std::string request = std::string("POST ") + path +
+                                    " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + id +
+                                    "\r\nDeadline-Ms: 15000\r\nAuthorization: Bearer key\r\n"
+                                    "Content-Length: 7\r\n\r\nbooking";
         m_seen.line("client %s sends a booking", id.c_str());
         if (send(m_socket, request.data(), request.size(), MSG_NOSIGNAL) !=
             static_cast<ssize_t>(request.size()))
@@ -80,8 +81,9 @@
             char buffer[16 * 1024];
             const ssize_t received = recv(m_socket, buffer, sizeof buffer, 0);
             if (received <= 0) {
-                m_seen.line("client %s: the connection ended after %zu of %zu bytes: %s", id.c_str(),
-                            input.size(), expected, received == 0 ? "closed" : std::strerror(errno));
+                m_seen.line("client %s: the connection ended after %zu of %zu bytes: %s",
+                            id.c_str(), input.size(), expected,
+                            received == 0 ? "closed" : std::strerror(errno));
                 return false;
             }
             input.append(buffer, static_cast<std::size_t>(received));
@@ -91,7 +93,8 @@
             const std::size_t length = input.find("Content-Length: ");
             expected = head_end + 4 +
                        (length == std::string::npos ? 0 : std::stoul(input.substr(length + 16)));
-            m_seen.line("client %s reads \"%s\"", id.c_str(), input.substr(0, input.find('\r')).c_str());
+            m_seen.line("client %s reads \"%s\"", id.c_str(),
+                        input.substr(0, input.find('\r')).c_str());
             if (pause > 0)
                 sleep_s(pause);
         }
@@ -112,14 +115,24 @@
     return nlohmann::json{
         {"version", 7},
         {"routes",
-         {{{"name", "booking"}, {"host", "h.example"}, {"path_prefix", "/booking/"}, {"kind", "unsafe"},
-           {"timeout_ms", 15000}, {"goal_ms", 1000}, {"priority", 2}, {"service", service_name},
-           {"attempts", 1}, {"public", false}}}},
+         {{{"name", "booking"},
+           {"host", "h.example"},
+           {"path_prefix", "/booking/"},
+           {"kind", "unsafe"},
+           {"timeout_ms", 15000},
+           {"goal_ms", 1000},
+           {"priority", 2},
+           {"service", service_name},
+           {"attempts", 1},
+           {"public", false}}}},
         {"services", {{{"name", service_name}, {"health_path", "/health"}, {"max_conns", 110}}}},
         {"limits",
-         {{"max_header_bytes", 16384}, {"max_body_bytes", 4194304},
-          {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}},
-        {"tenants", {{{"name", "clubs"}, {"api_keys", {"key"}}, {"priority", 1}}}}}.dump();
+         {{"max_header_bytes", 16384},
+          {"max_body_bytes", 4194304},
+          {"header_timeout_ms", 3000},
+          {"idle_timeout_ms", 15000}}},
+        {"tenants", {{{"name", "clubs"}, {"api_keys", {"key"}}, {"priority", 1}}}}}
+        .dump();
 }
 
 int run(const std::string& directory, bool with_sigterm, record& seen)
@@ -127,9 +140,11 @@
     store platform([](const std::string&, const std::string&) {});
     platform.put("keyed.op", "config", configuration());
     server booking("i-1", service_name, "v1", seen,
-                   server::behaviour{.error_share = 0, .large_answer_bytes = answer_bytes}, nullptr);
+                   server::behaviour{.error_share = 0, .large_answer_bytes = answer_bytes},
+                   nullptr);
     platform.put("keyed.servers", booking.id(), booking.entry());
-    node machine({.name = "front-zuerich-a-1", .directory = directory, .store = platform.address()});
+    node machine(
+        {.name = "front-zuerich-a-1", .directory = directory, .store = platform.address()});
     machine.write_settings({machine.control()}, true);
     machine.start();
     for (int i = 0; i < 200 && !machine.is_ready(); ++i)
@@ -147,7 +162,8 @@
     std::atomic<int> cut = 0;
     std::vector<std::thread> threads;
     for (auto& each : clients)
-        threads.emplace_back([&cut, &each] { cut += each->book("/booking/large", pause_s) ? 0 : 1; });
+        threads.emplace_back(
+            [&cut, &each] { cut += each->book("/booking/large", pause_s) ? 0 : 1; });
     sleep_s(sigterm_after_s);
     if (with_sigterm) {
         seen.line("%s gets SIGTERM", machine.name().c_str());
--- a/review/stand-ins-2/store.hpp
+++ b/review/stand-ins-2/store.hpp
@@ -27,7 +27,8 @@
     using status_listener = std::function<void(const std::string& key, const std::string& value)>;
 
     /// `on_status` is called when a record of `keyed.status` has been accepted.
-    explicit store(status_listener on_status) : m_on_status(std::move(on_status)), m_port(free_port())
+    explicit store(status_listener on_status)
+        : m_on_status(std::move(on_status)), m_port(free_port())
     {
         m_server.new_task_queue = [] { return new httplib::ThreadPool(64); };
         m_server.set_keep_alive_max_count(1000000);
@@ -35,9 +36,11 @@
         m_server.set_tcp_nodelay(true);
         using httplib::Request;
         using httplib::Response;
-        m_server.Post("/v1/log-append", [this](const Request& in, Response& out) { append(in, out); });
+        m_server.Post("/v1/log-append",
+                      [this](const Request& in, Response& out) { append(in, out); });
         m_server.Get("/v1/log-read", [this](const Request& in, Response& out) { read(in, out); });
-        m_server.Get("/v1/log-newest", [this](const Request& in, Response& out) { newest(in, out); });
+        m_server.Get("/v1/log-newest",
+                     [this](const Request& in, Response& out) { newest(in, out); });
         m_server.bind_to_port(loopback.c_str(), m_port);
         m_thread = std::thread([this] { m_server.listen_after_bind(); });
     }
@@ -74,7 +77,8 @@
     }
     static std::string key_of(const std::string& content)
     {
-        return content.empty() ? "" : content.substr(1, static_cast<unsigned char>(content.front()));
+        return content.empty() ? ""
+                               : content.substr(1, static_cast<unsigned char>(content.front()));
     }
     static std::string value_of(const std::string& content)
     {
@@ -82,12 +86,14 @@
     }
     static std::string base64(const std::string& bytes)
     {
-        constexpr char digits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+        constexpr char digits[] =
+            "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
         std::string encoded;
         for (std::size_t at = 0; at < bytes.size(); at += 3) {
             std::uint32_t group = 0;
             for (std::size_t i = 0; i < 3; ++i)
-                group = group << 8 | (at + i < bytes.size() ? static_cast<unsigned char>(bytes[at + i]) : 0);
+                group = group << 8 |
+                        (at + i < bytes.size() ? static_cast<unsigned char>(bytes[at + i]) : 0);
             for (std::size_t i = 0; i < 4; ++i)
                 encoded += at + i <= bytes.size() ? digits[group >> (18 - 6 * i) & 63] : '=';
         }
@@ -118,13 +124,14 @@
             auto& records = m_topics[topic];
             if (request.has_param("at") && number(request, "at") != records.size()) {
                 response.status = 412;
-                response.set_content(nlohmann::json{{"end", records.size()}}.dump(), "application/json");
+                response.set_content(nlohmann::json{{"end", records.size()}}.dump(),
+                                     "application/json");
                 return;
             }
             const std::size_t offset = records.size();
             records.insert(records.end(), contents.begin(), contents.end());
-            response.set_content(
-                nlohmann::json{{"offset", offset}, {"end", records.size()}}.dump(), "application/json");
+            response.set_content(nlohmann::json{{"offset", offset}, {"end", records.size()}}.dump(),
+                                 "application/json");
         }
         m_changed.notify_all();
         if (topic == "keyed.status")
--- a/review/stand-ins-2/upload_case.cpp
+++ b/review/stand-ins-2/upload_case.cpp
@@ -56,7 +56,11 @@
 {
 public:
     uploader(int number, int port, record& seen, run_log& runs, counts& results)
-        : m_number(number), m_port(port), m_seen(seen), m_runs(runs), m_results(results),
+        : m_number(number),
+          m_port(port),
+          m_seen(seen),
+          m_runs(runs),
+          m_results(results),
           m_thread([this] { run(); })
     {}
     ~uploader()
@@ -87,12 +91,14 @@
                 has_served = false;
             }
             const std::string id = "u" + std::to_string(m_number) + "-" + std::to_string(++m_sent);
-            const httplib::Headers headers{{"Host", "h.example"}, {"Request-Id", id},
+            const httplib::Headers headers{{"Host", "h.example"},
+                                           {"Request-Id", id},
                                            {"Deadline-Ms", "15000"},
                                            {"Authorization", "Bearer key"}};
             m_seen.line("client %s books on a %s connection, %zu bytes", id.c_str(),
                         has_served ? "kept" : "new", has_served ? large.size() : small.size());
-            const httplib::Result answer = kept->Post("/booking/1", headers, has_served ? large : small, "text/plain");
+            const httplib::Result answer =
+                kept->Post("/booking/1", headers, has_served ? large : small, "text/plain");
             if (answer) {
                 m_seen.line("client %s gets %d", id.c_str(), answer->status);
                 ++(answer->status == 503 || answer->status == 429 ? m_results.refused
@@ -106,8 +112,8 @@
                 continue;
             }
             const bool has_run = m_runs.has(id);
-            m_seen.line("client %s gets no answer: the connection was closed; the request %s", id.c_str(),
-                        has_run ? "had reached a server" : "had not reached a server");
+            m_seen.line("client %s gets no answer: the connection was closed; the request %s",
+                        id.c_str(), has_run ? "had reached a server" : "had not reached a server");
             if (!has_served)
                 ++m_results.on_new_connection;
             else
@@ -132,14 +138,24 @@
     return nlohmann::json{
         {"version", 7},
         {"routes",
-         {{{"name", "booking"}, {"host", "h.example"}, {"path_prefix", "/booking/"}, {"kind", "unsafe"},
-           {"timeout_ms", 15000}, {"goal_ms", 5000}, {"priority", 2}, {"service", service_name},
-           {"attempts", 1}, {"public", false}}}},
+         {{{"name", "booking"},
+           {"host", "h.example"},
+           {"path_prefix", "/booking/"},
+           {"kind", "unsafe"},
+           {"timeout_ms", 15000},
+           {"goal_ms", 5000},
+           {"priority", 2},
+           {"service", service_name},
+           {"attempts", 1},
+           {"public", false}}}},
         {"services", {{{"name", service_name}, {"health_path", "/health"}, {"max_conns", 110}}}},
         {"limits",
-         {{"max_header_bytes", 16384}, {"max_body_bytes", max_body_bytes},
-          {"header_timeout_ms", 3000}, {"idle_timeout_ms", 15000}}},
-        {"tenants", {{{"name", "clubs"}, {"api_keys", {"key"}}, {"priority", 1}}}}}.dump();
+         {{"max_header_bytes", 16384},
+          {"max_body_bytes", max_body_bytes},
+          {"header_timeout_ms", 3000},
+          {"idle_timeout_ms", 15000}}},
+        {"tenants", {{{"name", "clubs"}, {"api_keys", {"key"}}, {"priority", 1}}}}}
+        .dump();
 }
 
 int run(const std::string& directory, bool with_burst, record& seen)
@@ -149,9 +165,9 @@
     platform.put("keyed.op", "config", configuration());
     std::vector<std::unique_ptr<server>> servers;
     for (int i = 0; i < 3; ++i)
-        servers.push_back(std::make_unique<server>("i-" + std::to_string(i), service_name, "v1", seen,
-                                                   server::behaviour{.work = work, .small_work = small_work, .error_share = 0},
-                                                   &runs));
+        servers.push_back(std::make_unique<server>(
+            "i-" + std::to_string(i), service_name, "v1", seen,
+            server::behaviour{.work = work, .small_work = small_work, .error_share = 0}, &runs));
     std::atomic<bool> stopping = false;
     std::thread beats([&] {
         while (!stopping) {
@@ -162,7 +178,8 @@
     });
     int result = 2;
     {
-        node machine({.name = "front-zuerich-a-1", .directory = directory, .store = platform.address()});
+        node machine(
+            {.name = "front-zuerich-a-1", .directory = directory, .store = platform.address()});
         machine.write_settings({machine.control()}, true);
         machine.start();
         for (int i = 0; i < 200 && !machine.is_ready(); ++i)
@@ -175,8 +192,10 @@
                     std::make_unique<uploader>(i, machine.front_port(), seen, runs, results));
             sleep_s(usual_s);
             const int usual = results.closed_after_run;
-            seen.line("after %.0f s with %d clients: %d connections closed without an answer after the "
-                      "request had reached a server", usual_s, usual_clients, usual);
+            seen.line(
+                "after %.0f s with %d clients: %d connections closed without an answer after the "
+                "request had reached a server",
+                usual_s, usual_clients, usual);
             std::vector<std::unique_ptr<uploader>> guests;
             if (with_burst) {
                 seen.line("burst: %d clients for %.0f s", burst_clients, burst_s);
@@ -197,11 +216,13 @@
             for (auto& each : clients)
                 each->request_stop();
             clients.clear();
-            seen.line("answered %d, refused %d, closed on a kept connection without an answer: %d after the "
-                      "request had reached a server, %d before; on a new connection: %d; the process %s",
-                      results.answered.load(), results.refused.load(), results.closed_after_run.load(),
-                      results.closed_before_run.load(), results.on_new_connection.load(),
-                      still_runs ? "runs" : "has ended");
+            seen.line(
+                "answered %d, refused %d, closed on a kept connection without an answer: %d after "
+                "the "
+                "request had reached a server, %d before; on a new connection: %d; the process %s",
+                results.answered.load(), results.refused.load(), results.closed_after_run.load(),
+                results.closed_before_run.load(), results.on_new_connection.load(),
+                still_runs ? "runs" : "has ended");
             const bool broken = results.closed_after_run > allowed;
             seen.line("LOST %s", broken ? "is broken" : "holds");
             result = results.answered == 0 ? 2 : broken ? 1 : 0;
