Discard trailers of chunked requests

What callers could do: send "Host", "Authorization" or any other field in a trailer, after the head had been checked; it was then treated as a field of the head and forwarded as one. Cause: Beast's parser reports trailers like fields of the head. Change: fields after the head are dropped, as RFC 9112, section 7.1.2 allows. Conclusion: a request has the fields of its head only, and their memory is bounded by the limit of the head.

--- a/src/forward/request_reader.cpp
+++ b/src/forward/request_reader.cpp
@@ -54,12 +54,16 @@
     void on_field_impl(http::field /*name*/, beast_view name_text, beast_view value,
                        boost::system::error_code& /*failure*/) override
     {
+        // A trailer field could otherwise pass for one of the head, which has been checked.
+        if (m_has_head)
+            return;
         m_request.fields.push_back({.name = std::string(name_text.data(), name_text.size()),
                                     .value = std::string(trim(value))});
         m_head_bytes += size_in_memory(m_request.fields.back());
     }
     void on_header_impl(boost::system::error_code& /*failure*/) override
     {
+        m_has_head = true;
         m_request.fields.shrink_to_fit();
     }
     void on_body_init_impl(const boost::optional<std::uint64_t>& length,
@@ -88,6 +92,7 @@
     http_request m_request;
     std::size_t m_head_bytes = 0;
     int m_version = 0;
+    bool m_has_head = false;
 };
 
 request_reader::request_reader(limits bounds) : m_parser(std::make_unique<parser>())
--- a/test/forward_http_reader_test.cpp
+++ b/test/forward_http_reader_test.cpp
@@ -81,6 +81,19 @@
     EXPECT_LT(reader.held_bytes(), 2 * fields * sizeof(http_field));
 }
 
+// A trailer field could otherwise pass for one of the head, which has been checked by then.
+TEST(request_reader, discards_trailers)
+{
+    request_reader reader({});
+    reader.feed("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "2\r\nab\r\n0\r\nAuthorization: Bearer other\r\nHost: i\r\n\r\n");
+    ASSERT_EQ(reader.current_state(), request_reader::state::complete);
+    const http_request request = reader.take();
+    EXPECT_EQ(request.body, "ab");
+    EXPECT_EQ(count_field(request.fields, "Host"), 1);
+    EXPECT_EQ(find_field(request.fields, "Authorization"), nullptr);
+}
+
 // A read may end anywhere in a request, also inside a chunk header; no byte may be lost or read
 // twice.
 RC_GTEST_PROP(request_reader, reads_the_same_request_for_any_split_of_its_bytes, ())
