Account what a node keeps of a request in progress

What callers saw: requests in progress with thousands of prompt parts in 16 KB of Prefix-Hash take far more memory than the node accounts; the process is killed. Cause: caller_side charged twice the size of the HTTP request. The runner also keeps the parsed parts, twice, at 40 bytes for a part of 4. Change: the handler tells caller_side what it keeps of a request, with the parsed parts and the bytes that wait to be written to an endpoint (memory_size.hpp).

--- a/include/chivedeal/forward/caller_connection.hpp
+++ b/include/chivedeal/forward/caller_connection.hpp
@@ -53,7 +53,7 @@
     bool processing = false;
     /// The connection is in the list of those whose buffered input can be processed.
     bool resumable = false;
-    /// Memory of the request in progress and of its response outside of this connection.
+    /// Memory of the request in progress and of its response, which the handler keeps.
     std::size_t request_bytes = 0;
     std::size_t response_bytes = 0;
     /// Input that the kernel held when reading was last found to be paused.
--- a/include/chivedeal/forward/caller_side.hpp
+++ b/include/chivedeal/forward/caller_side.hpp
@@ -62,6 +62,8 @@
     std::size_t backlog(std::uint64_t id) const;
     unsent_output unsent() const;
 
+    /// Accounts what the handler keeps of the request in progress.
+    void charge_request(std::uint64_t id, std::size_t bytes);
     /// Accounts the part of a response that is kept until it is complete.
     void charge_response(std::uint64_t id, std::size_t bytes);
     /// Rejects or closes the connections that hold most until the buffers are within their limit.
--- a/include/chivedeal/forward/http_fields.hpp
+++ b/include/chivedeal/forward/http_fields.hpp
@@ -4,15 +4,12 @@
 #include "chivedeal/forward/http_field.hpp"
 #include "chivedeal/forward/http_response_head.hpp"
 
-#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace chivedeal::forward {
 
-struct http_request;
-
 /// Returns the first value of a field, or null if it is absent. Names are compared ignoring case.
 const std::string* find_field(const std::vector<http_field>& fields, std::string_view name);
 
@@ -23,10 +20,6 @@
 std::vector<http_field> end_to_end_fields(const std::vector<http_field>& fields,
                                           const std::vector<std::string>& dropped);
 
-/// A short field takes many times the bytes that it has in the head of a request.
-std::size_t size_in_memory(const http_field& field);
-std::size_t size_in_memory(const http_request& request);
-
 /// Appends "name: value" lines.
 void append_fields(std::string& out, const std::vector<http_field>& fields);
 
--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -113,6 +113,8 @@
 private:
     bool admit(exchange& current, absl::Time now);
     void try_endpoint(exchange& current, absl::Time now);
+    // Accounts the request to its caller's connection.
+    void charge_request(const exchange& current, std::size_t unwritten_bytes);
     void end_attempt(exchange& current, attempt_outcome outcome, const char* reason,
                      absl::Time now);
     void retry_or_fail(exchange& current, attempt_outcome outcome, absl::Time now);
--- a/src/forward/caller_side.cpp
+++ b/src/forward/caller_side.cpp
@@ -30,8 +30,6 @@
 // Memory of a connection without buffers, and of the parser of a request.
 constexpr std::size_t connection_bytes = 4 * 1024;
 constexpr std::size_t reader_bytes = 2 * 1024;
-// A request is kept for retries, and once more as it is written to an endpoint.
-constexpr std::size_t copies_of_request = 2;
 // The kernel's structures take about as much memory as the input they hold.
 constexpr std::size_t kernel_overhead_factor = 2;
 // The heaviest connections have been rejected by then, if callers within the limits are the rest.
@@ -200,7 +198,6 @@
         connection.awaiting_response = true;
         connection.keep_alive = request.keep_alive;
         connection.is_head_request = request.method == "HEAD";
-        connection.request_bytes = size_in_memory(request) * copies_of_request;
         m_handler.on_request(connection.id, connection.listener, std::move(request),
                              connection.request_started, now);
     }
@@ -430,6 +427,15 @@
     m_closed_ids.clear();
 }
 
+void caller_side::charge_request(std::uint64_t id, std::size_t bytes)
+{
+    caller_connection* connection = find(id);
+    if (connection == nullptr || !connection->awaiting_response)
+        return;
+    connection->request_bytes = bytes;
+    account(*connection);
+}
+
 void caller_side::charge_response(std::uint64_t id, std::size_t bytes)
 {
     caller_connection* connection = find(id);
--- a/src/forward/http_fields.cpp
+++ b/src/forward/http_fields.cpp
@@ -1,7 +1,5 @@
 #include "chivedeal/forward/http_fields.hpp"
 
-#include "chivedeal/forward/http_request.hpp"
-
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
@@ -26,12 +24,6 @@
                                   absl::string_view(b.data(), b.size()));
 }
 
-// Shorter strings are stored inside the object.
-std::size_t heap_bytes(const std::string& text)
-{
-    return text.capacity() > std::string().capacity() ? text.size() + 1 : 0;
-}
-
 std::vector<std::string> connection_options(const std::vector<http_field>& fields)
 {
     std::vector<std::string> options;
@@ -78,20 +70,6 @@
     return kept;
 }
 
-std::size_t size_in_memory(const http_field& field)
-{
-    return sizeof field + heap_bytes(field.name) + heap_bytes(field.value);
-}
-
-std::size_t size_in_memory(const http_request& request)
-{
-    std::size_t bytes = sizeof request + heap_bytes(request.method) + heap_bytes(request.target) +
-                        heap_bytes(request.body);
-    for (const http_field& field : request.fields)
-        bytes += size_in_memory(field);
-    return bytes;
-}
-
 void append_fields(std::string& out, const std::vector<http_field>& fields)
 {
     for (const http_field& field : fields)
--- a/src/forward/request_reader.cpp
+++ b/src/forward/request_reader.cpp
@@ -1,6 +1,7 @@
 #include "chivedeal/forward/request_reader.hpp"
 
 #include "chivedeal/forward/http_fields.hpp"
+#include "chivedeal/forward/memory_size.hpp"
 
 #include "absl/strings/match.h"
 #include "absl/strings/string_view.h"
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -6,6 +6,7 @@
 #include "chivedeal/forward/endpoint_side.hpp"
 #include "chivedeal/forward/head_parser.hpp"
 #include "chivedeal/forward/http_fields.hpp"
+#include "chivedeal/forward/memory_size.hpp"
 #include "chivedeal/forward/request_format.hpp"
 #include "chivedeal/forward/unit_interval_hash.hpp"
 
@@ -14,6 +15,7 @@
 #include "absl/strings/str_format.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chivedeal::forward {
 
@@ -174,6 +176,8 @@
                      .prompt_tokens = current.head.prompt_tokens,
                      .prefix = current.head.prefix,
                      .homes = current.match.homes()};
+    current.request_bytes = size_in_memory(current.request) + size_in_memory(current.head) +
+                            size_in_memory(current.query.prefix);
     m_exchange_by_connection[connection] = current.id;
     m_exchanges.emplace(current.id, std::move(new_exchange));
     schedule(current);
@@ -248,11 +252,13 @@
         drop_body(current);
         m_pool.on_sent(current.last_choice.id, current.last_choice.prefill_cost_tokens, now);
         const std::uint64_t exchange_id = current.id;
+        std::string bytes = format_request(current, m_names, now);
+        charge_request(current, bytes.size());
         const bool sent =
             m_endpoints.send({.exchange_id = current.id,
                               .endpoint = current.attempt_choice->id,
                               .address = current.attempt_choice->address,
-                              .bytes = format_request(current, m_names, now),
+                              .bytes = std::move(bytes),
                               .expected_id = current.head.id,
                               .is_head_request = current.head.method == "HEAD",
                               .max_connections = connection_limit(current.query.service)},
@@ -269,6 +275,11 @@
     schedule(current);
 }
 
+void request_runner::charge_request(const exchange& current, std::size_t unwritten_bytes)
+{
+    m_callers.charge_request(current.connection, current.request_bytes + unwritten_bytes);
+}
+
 void request_runner::on_request_sent(std::uint64_t exchange_id, absl::Time now)
 {
     exchange* current = find_exchange(exchange_id);
--- a/test/guard_process_crowds_test.cpp
+++ b/test/guard_process_crowds_test.cpp
@@ -49,6 +49,22 @@
     {}
 };
 
+// Guards against a process that is ended for its memory because requests in progress name thousands
+// of prompt parts.
+TEST_F(guard_process_many_slots_test, survives_prompts_of_many_parts)
+{
+    constexpr int callers = 400;
+    constexpr std::size_t parts_bytes = 15'800;
+    const std::string parts = repeat("a:1,", parts_bytes);
+    fakes::caller_crowd crowd(m_node.front());
+    for (int i = 0; i < callers; ++i)
+        crowd.add(head("/app/silent", absl::StrCat("parts", i), "key",
+                       absl::StrCat("Prefix-Hash: ", parts, "\r\nContent-Length: 0\r\n")));
+    run_crowd(crowd);
+    observe_for(absl::Seconds(2));
+    check();
+}
+
 class guard_process_large_instance_test : public guard_process_fixture
 {
 protected:
