Give up retries before requests when memory is short

Cause: a request in progress was charged twice its size until its end, although it was written to the endpoint and could not be sent again; the connection that holds most was therefore one whose request ran, and it was closed, while requests that were still being read could be refused as not run. Change: a request is freed when it is written and no attempt is left. When memory is short, requests that are kept for a retry only are freed first; then requests that are still being read get 503 if they hold at least a quarter of what the heaviest connection holds; only then is a request in progress ended, with 502 or, if it has not run, 503. A connection is closed only if a response is under way on it. chivedeal_retries_shed_total counts the first of these.

--- a/include/chivedeal/forward/caller_connection.hpp
+++ b/include/chivedeal/forward/caller_connection.hpp
@@ -55,6 +55,7 @@
     bool resumable = false;
     /// Memory of the request in progress and of its response, which the handler keeps.
     std::size_t request_bytes = 0;
+    std::size_t releasable_bytes = 0;
     std::size_t response_bytes = 0;
     /// Input that the kernel held when reading was last found to be paused.
     std::size_t kernel_bytes = 0;
--- a/include/chivedeal/forward/caller_listener.hpp
+++ b/include/chivedeal/forward/caller_listener.hpp
@@ -25,6 +25,11 @@
     /// All output so far is written to the socket while a response is in progress, so that parts
     /// of the response that were held back can be sent.
     virtual void on_caller_writable(std::uint64_t connection_id) = 0;
+    /// Memory is short: gives up what `caller_side::charge_request` was told to be releasable.
+    virtual void on_release_requested(std::uint64_t connection_id, absl::Time now) = 0;
+    /// Memory is short: ends the request in progress. The connection is closed if that leaves it
+    /// without a complete response.
+    virtual void on_shed(std::uint64_t connection_id, absl::Time now) = 0;
 };
 
 } // namespace chivedeal::forward
--- a/include/chivedeal/forward/caller_side.hpp
+++ b/include/chivedeal/forward/caller_side.hpp
@@ -62,12 +62,14 @@
     std::size_t backlog(std::uint64_t id) const;
     unsent_output unsent() const;
 
-    /// Accounts what the handler keeps of the request in progress.
-    void charge_request(std::uint64_t id, std::size_t bytes);
+    /// Accounts what the handler keeps of the request in progress, of which it can give up
+    /// `releasable_bytes` while the request goes on.
+    void charge_request(std::uint64_t id, std::size_t bytes, std::size_t releasable_bytes);
     /// Accounts the part of a response that is kept until it is complete.
     void charge_response(std::uint64_t id, std::size_t bytes);
-    /// Rejects or closes the connections that hold most until the buffers are within their limit.
-    /// Not to be called while an event is handled.
+    /// Frees memory until the buffers are within their limit: first what requests in progress can
+    /// give up, then the connections that hold most are rejected or closed. Not to be called while
+    /// an event is handled.
     void enforce_budget(absl::Time now);
     guard::shed_counts shed() const { return m_shed; }
     std::size_t buffered_bytes() const { return m_memory.total(); }
@@ -105,7 +107,9 @@
     // Brings the memory that the connection holds up to date.
     void account(const caller_connection& connection);
     bool make_room(absl::Time now);
-    void shed_heaviest(caller_connection& connection, absl::Time now);
+    // Returns null if no connection holds anything.
+    caller_connection* next_to_shed();
+    void shed(caller_connection& connection, absl::Time now);
     void drop(caller_connection& connection, absl::Time now);
     void close(caller_connection& connection);
     caller_connection* find(std::uint64_t id);
@@ -114,6 +118,10 @@
     caller_listener& m_handler;
     guard::connection_limits m_bounds;
     guard::memory_budget m_memory;
+    // Parts of it: what requests in progress can give up, and connections whose request is still
+    // being read.
+    guard::memory_budget m_releasable{0};
+    guard::memory_budget m_reading{0};
     guard::shed_counts m_shed;
     caller_limits m_limits;
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<caller_connection>> m_connections;
--- a/include/chivedeal/forward/endpoint_listener.hpp
+++ b/include/chivedeal/forward/endpoint_listener.hpp
@@ -22,6 +22,8 @@
 
     /// The first byte of the request was written to the socket.
     virtual void on_request_sent(std::uint64_t exchange_id, absl::Time now) = 0;
+    /// The whole request was written to the socket.
+    virtual void on_request_written(std::uint64_t exchange_id, absl::Time now) = 0;
     virtual void on_response_head(std::uint64_t exchange_id, const http_response_head& head,
                                   absl::Time now) = 0;
     virtual void on_response_body(std::uint64_t exchange_id, std::string_view bytes,
--- a/include/chivedeal/forward/exchange.hpp
+++ b/include/chivedeal/forward/exchange.hpp
@@ -75,8 +75,9 @@
     bool usage_counted = false;
     /// An endpoint has answered for long enough to show that the prompt doesn't crash it.
     bool prompt_is_sound = false;
-    /// Memory of the request and of what was parsed from it, which doesn't change.
+    /// Memory of the request, until it is released, and of what was parsed from it.
     std::size_t request_bytes = 0;
+    std::size_t parsed_bytes = 0;
     /// Due time under which the exchange is registered in the timer queue.
     absl::Time timer_at = absl::InfiniteFuture();
 };
--- a/include/chivedeal/forward/forwarder.hpp
+++ b/include/chivedeal/forward/forwarder.hpp
@@ -77,6 +77,8 @@
                     absl::Time started, absl::Time now) override;
     void on_caller_disconnected(std::uint64_t connection, absl::Time now) override;
     void on_caller_writable(std::uint64_t connection) override;
+    void on_release_requested(std::uint64_t connection, absl::Time now) override;
+    void on_shed(std::uint64_t connection, absl::Time now) override;
 
     void open_listener(const address& at, listener kind);
     void dispatch(const poller::ready& event, absl::Time now);
--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -77,8 +77,13 @@
                     absl::Time now);
     void on_caller_disconnected(std::uint64_t connection, absl::Time now);
     void on_caller_writable(std::uint64_t connection);
+    /// Keeps the connection's request no longer for another attempt.
+    void on_release_requested(std::uint64_t connection);
+    /// Ends the connection's request to free its memory.
+    void on_shed(std::uint64_t connection, absl::Time now);
 
     void on_request_sent(std::uint64_t exchange_id, absl::Time now) override;
+    void on_request_written(std::uint64_t exchange_id, absl::Time now) override;
     void on_response_head(std::uint64_t exchange_id, const http_response_head& head,
                           absl::Time now) override;
     void on_response_body(std::uint64_t exchange_id, std::string_view bytes,
@@ -113,8 +118,9 @@
 private:
     bool admit(exchange& current, absl::Time now);
     void try_endpoint(exchange& current, absl::Time now);
-    // Accounts the request to its caller's connection.
+    // Accounts the request to its caller's connection. It can be released once it is written.
     void charge_request(const exchange& current, std::size_t unwritten_bytes);
+    void release_request(exchange& current);
     void end_attempt(exchange& current, attempt_outcome outcome, const char* reason,
                      absl::Time now);
     void retry_or_fail(exchange& current, attempt_outcome outcome, absl::Time now);
@@ -160,6 +166,7 @@
     requests::retry_budget& retry_budget_for(const service_id& service);
     int connection_limit(const service_id& service) const;
     exchange* find_exchange(std::uint64_t exchange_id);
+    exchange* find_exchange_of(std::uint64_t connection);
 
     const node_settings& m_settings;
     const header_names& m_names;
--- a/include/chivedeal/forward/retry_rule.hpp
+++ b/include/chivedeal/forward/retry_rule.hpp
@@ -28,6 +28,12 @@
 
     void on_outcome(attempt_outcome outcome);
 
+    /// Rules out further attempts, because the request is not kept.
+    void end_attempts() { m_options.max_attempts = m_attempts_sent; }
+
+    /// Whether another endpoint may be tried after any outcome of the attempt in progress.
+    bool has_attempts_left() const { return m_attempts_sent < m_options.max_attempts; }
+
     /// Whether another endpoint may be tried. Attempts that were never sent don't count.
     bool may_retry() const;
 
--- a/include/chivedeal/guard/shed_counts.hpp
+++ b/include/chivedeal/guard/shed_counts.hpp
@@ -5,12 +5,14 @@
 
 namespace chivedeal::guard {
 
-/// Callers' connections that were rejected or closed because a limit was reached, since the start.
+/// What was given up because a limit was reached, since the start.
 struct shed_counts
 {
-    /// The buffers of all connections exceeded the memory budget; the connection held most.
+    /// Requests in progress that can't be sent to another endpoint any more.
+    std::uint64_t retries = 0;
+    /// Connections that were rejected or closed because the buffers exceeded the memory budget.
     std::uint64_t for_memory = 0;
-    /// There were too many connections.
+    /// Connections that were closed because there were too many.
     std::uint64_t for_connections = 0;
 
     friend bool operator==(const shed_counts&, const shed_counts&) = default;
--- a/src/forward/caller_side.cpp
+++ b/src/forward/caller_side.cpp
@@ -34,6 +34,7 @@
 constexpr std::size_t kernel_overhead_factor = 2;
 // The heaviest connections have been rejected by then, if callers within the limits are the rest.
 constexpr const char* shed_retry_after = "0.500";
+constexpr double min_reading_share = 0.25;
 // Limits a chunk size, its extension and a trailer, for which the parser has no limit. They have to
 // be complete before it consumes them.
 constexpr std::size_t max_unparsed_bytes = 64 * 1024;
@@ -295,6 +296,7 @@
     connection.awaiting_response = false;
     connection.has_served = true;
     connection.request_bytes = 0;
+    connection.releasable_bytes = 0;
     connection.response_bytes = 0;
     connection.last_activity = now;
     connection.closing = connection.closing || !connection.keep_alive;
@@ -427,12 +429,13 @@
     m_closed_ids.clear();
 }
 
-void caller_side::charge_request(std::uint64_t id, std::size_t bytes)
+void caller_side::charge_request(std::uint64_t id, std::size_t bytes, std::size_t releasable_bytes)
 {
     caller_connection* connection = find(id);
     if (connection == nullptr || !connection->awaiting_response)
         return;
     connection->request_bytes = bytes;
+    connection->releasable_bytes = releasable_bytes;
     account(*connection);
 }
 
@@ -451,32 +454,62 @@
         return;
     const std::size_t reading_bytes =
         connection.reader ? reader_bytes + connection.reader->held_bytes() : 0;
-    m_memory.set(connection.id, connection_bytes + connection.input.capacity() +
-                                    connection.output.capacity() + reading_bytes +
-                                    connection.request_bytes + connection.response_bytes +
-                                    connection.kernel_bytes);
+    const std::size_t bytes = connection_bytes + connection.input.capacity() +
+                              connection.output.capacity() + reading_bytes +
+                              connection.request_bytes + connection.response_bytes +
+                              connection.kernel_bytes;
+    m_memory.set(connection.id, bytes);
+    if (connection.reader && !connection.awaiting_response && !connection.closing)
+        m_reading.set(connection.id, bytes);
+    else
+        m_reading.remove(connection.id);
+    if (connection.releasable_bytes > 0)
+        m_releasable.set(connection.id, connection.releasable_bytes);
+    else
+        m_releasable.remove(connection.id);
 }
 
 void caller_side::enforce_budget(absl::Time now)
 {
     while (m_memory.is_exceeded()) {
-        const auto heaviest = m_memory.heaviest();
-        caller_connection* connection = heaviest ? find(*heaviest) : nullptr;
+        if (const auto releasable = m_releasable.heaviest()) {
+            ++m_shed.retries;
+            m_releasable.remove(*releasable);
+            m_handler.on_release_requested(*releasable, now);
+            continue;
+        }
+        caller_connection* connection = next_to_shed();
         if (connection == nullptr)
             return;
         ++m_shed.for_memory;
-        shed_heaviest(*connection, now);
+        shed(*connection, now);
     }
 }
 
-void caller_side::shed_heaviest(caller_connection& connection, absl::Time now)
+// A request that is still being read can be refused as not executed, so one of at least
+// `min_reading_share` of the heaviest connection's memory goes before that.
+caller_connection* caller_side::next_to_shed()
+{
+    const auto heaviest = m_memory.heaviest();
+    if (!heaviest)
+        return nullptr;
+    const auto reading = m_reading.heaviest();
+    const bool prefers_reading =
+        reading && static_cast<double>(m_memory.held(*reading)) >=
+                       min_reading_share * static_cast<double>(m_memory.held(*heaviest));
+    return find(prefers_reading ? *reading : *heaviest);
+}
+
+void caller_side::shed(caller_connection& connection, absl::Time now)
 {
-    // A request that is still being read has not been executed, which 503 tells the caller.
     const std::size_t held_before = m_memory.held(connection.id);
     if (connection.reader && !connection.awaiting_response && !connection.closing) {
         release_buffer(connection.input);
         reject(connection, 503, now, {{.name = "Retry-After", .value = shed_retry_after}});
     }
+    else if (connection.awaiting_response) {
+        m_handler.on_shed(connection.id, now);
+    }
     if (!connection.closed && m_memory.held(connection.id) >= held_before)
         drop(connection, now);
 }
@@ -528,6 +561,8 @@
     ::close(connection.descriptor);
     connection.descriptor = -1;
     m_memory.remove(connection.id);
+    m_reading.remove(connection.id);
+    m_releasable.remove(connection.id);
     m_closed_ids.push_back(connection.id);
 }
 
--- a/src/forward/endpoint_side.cpp
+++ b/src/forward/endpoint_side.cpp
@@ -248,9 +248,13 @@
         connection.write_failed = true;
         return read_all(connection, now);
     }
-    if (connection.output_sent_bytes == connection.output.size())
+    const bool is_written =
+        !connection.output.empty() && connection.output_sent_bytes == connection.output.size();
+    if (is_written)
         std::string().swap(connection.output), connection.output_sent_bytes = 0;
     update_interest(connection);
+    if (is_written)
+        m_handler.on_request_written(connection.exchange_id, now);
 }
 
 void endpoint_side::update_interest(endpoint_connection& connection)
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -351,6 +351,7 @@
     const guard::shed_counts shed = m_callers.shed();
     m_counters.set("chivedeal_caller_buffered_bytes",
                    static_cast<double>(m_callers.buffered_bytes()));
+    m_counters.set("chivedeal_retries_shed_total", static_cast<double>(shed.retries));
     m_counters.set(R"(chivedeal_callers_shed_total{reason="memory"})",
                    static_cast<double>(shed.for_memory));
     m_counters.set(R"(chivedeal_callers_shed_total{reason="connections"})",
@@ -360,6 +361,7 @@
     log_event(
         event_id::callers_shed,
         {{"for_memory", absl::StrCat(shed.for_memory - m_reported_shed.for_memory)},
+         {"retries", absl::StrCat(shed.retries - m_reported_shed.retries)},
          {"for_connections", absl::StrCat(shed.for_connections - m_reported_shed.for_connections)},
          {"connections", absl::StrCat(m_callers.size())},
          {"buffered_bytes", absl::StrCat(m_callers.buffered_bytes())}});
@@ -490,4 +492,14 @@
     m_runner.on_caller_writable(connection);
 }
 
+void forwarder::on_release_requested(std::uint64_t connection, absl::Time /*now*/)
+{
+    m_runner.on_release_requested(connection);
+}
+
+void forwarder::on_shed(std::uint64_t connection, absl::Time now)
+{
+    m_runner.on_shed(connection, now);
+}
+
 } // namespace chivedeal::forward
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -176,8 +176,8 @@
                      .prompt_tokens = current.head.prompt_tokens,
                      .prefix = current.head.prefix,
                      .homes = current.match.homes()};
-    current.request_bytes = size_in_memory(current.request) + size_in_memory(current.head) +
-                            size_in_memory(current.query.prefix);
+    current.request_bytes = size_in_memory(current.request);
+    current.parsed_bytes = size_in_memory(current.head) + size_in_memory(current.query.prefix);
     m_exchange_by_connection[connection] = current.id;
     m_exchanges.emplace(current.id, std::move(new_exchange));
     schedule(current);
@@ -277,7 +277,17 @@
 
 void request_runner::charge_request(const exchange& current, std::size_t unwritten_bytes)
 {
-    m_callers.charge_request(current.connection, current.request_bytes + unwritten_bytes);
+    m_callers.charge_request(current.connection,
+                             current.request_bytes + current.parsed_bytes + unwritten_bytes,
+                             unwritten_bytes == 0 ? current.request_bytes : 0);
+}
+
+void request_runner::release_request(exchange& current)
+{
+    current.rule.end_attempts();
+    current.request = {};
+    current.request_bytes = 0;
+    charge_request(current, 0);
 }
 
 void request_runner::on_request_sent(std::uint64_t exchange_id, absl::Time now)
@@ -300,6 +310,17 @@
     }
 }
 
+void request_runner::on_request_written(std::uint64_t exchange_id, absl::Time /*now*/)
+{
+    exchange* current = find_exchange(exchange_id);
+    if (current == nullptr)
+        return;
+    if (current->rule.has_attempts_left())
+        charge_request(*current, 0);
+    else
+        release_request(*current);
+}
+
 void request_runner::on_response_head(std::uint64_t exchange_id, const http_response_head& head,
                                       absl::Time now)
 {
@@ -411,9 +432,25 @@
 
 void request_runner::on_caller_writable(std::uint64_t connection)
 {
-    const auto found = m_exchange_by_connection.find(connection);
-    if (found != m_exchange_by_connection.end())
-        m_endpoints.pause(found->second, false);
+    if (const exchange* current = find_exchange_of(connection))
+        m_endpoints.pause(current->id, false);
+}
+
+void request_runner::on_release_requested(std::uint64_t connection)
+{
+    if (exchange* current = find_exchange_of(connection))
+        release_request(*current);
+}
+
+void request_runner::on_shed(std::uint64_t connection, absl::Time now)
+{
+    exchange* current = find_exchange_of(connection);
+    // A response that has begun can only be broken off.
+    if (current == nullptr || current->relaying)
+        return;
+    m_endpoints.cancel(current->id);
+    release_attempt(*current);
+    finish_failed(*current, "requests use too much memory", now);
 }
 
 void request_runner::on_response_end(std::uint64_t exchange_id, absl::Time now)
@@ -626,13 +663,12 @@
 
 void request_runner::on_caller_disconnected(std::uint64_t connection, absl::Time now)
 {
-    const auto found = m_exchange_by_connection.find(connection);
-    if (found == m_exchange_by_connection.end())
+    exchange* current = find_exchange_of(connection);
+    if (current == nullptr)
         return;
-    exchange& current = *m_exchanges.at(found->second);
-    m_endpoints.cancel(current.id);
-    release_attempt(current);
-    finish(current, 0, "caller disconnected", now);
+    m_endpoints.cancel(current->id);
+    release_attempt(*current);
+    finish(*current, 0, "caller disconnected", now);
 }
 
 void request_runner::release_attempt(exchange& current)
@@ -761,6 +797,12 @@
     return std::max(2, spec->max_connections * 9 / 10 / m_node_count);
 }
 
+exchange* request_runner::find_exchange_of(std::uint64_t connection)
+{
+    const auto found = m_exchange_by_connection.find(connection);
+    return found == m_exchange_by_connection.end() ? nullptr : find_exchange(found->second);
+}
+
 exchange* request_runner::find_exchange(std::uint64_t exchange_id)
 {
     const auto found = m_exchanges.find(exchange_id);
--- a/test/guard_caller_side_test.cpp
+++ b/test/guard_caller_side_test.cpp
@@ -51,6 +51,16 @@
     }
     void on_caller_disconnected(std::uint64_t, absl::Time) override { ++m_disconnected; }
     void on_caller_writable(std::uint64_t) override {}
+    void on_release_requested(std::uint64_t connection_id, absl::Time) override
+    {
+        m_released_ids.push_back(connection_id);
+        m_side->charge_request(connection_id, 0, 0);
+    }
+    void on_shed(std::uint64_t connection_id, absl::Time now) override
+    {
+        if (m_answers_shed_requests)
+            m_side->respond(connection_id, {.status = 502, .fields = {}}, "", now);
+    }
 
     void respond(std::uint64_t connection_id, const std::string& body, absl::Time now)
     {
@@ -63,6 +73,8 @@
     bool m_in_response = false;
     bool m_nested = false;
     int m_disconnected = 0;
+    bool m_answers_shed_requests = false;
+    std::vector<std::uint64_t> m_released_ids;
     std::vector<std::string> m_paths;
     std::vector<std::uint64_t> m_connection_ids;
 };
@@ -195,6 +207,69 @@
     EXPECT_EQ(caller->receive_all(), "");
 }
 
+// Guards against a connection that is closed, or a caller that is refused, while requests in
+// progress keep memory for a retry only.
+TEST_F(guard_caller_side_test, gives_up_retries_first)
+{
+    open({.buffer_bytes = 64 * 1024,
+          .max_callers = 10,
+          .receive_buffer_bytes = 64 * 1024,
+          .send_buffer_bytes = 64 * 1024});
+    const auto running = connect();
+    ASSERT_TRUE(running->send(make_request("/hold")));
+    ASSERT_TRUE(step_until([this] { return m_handler.m_paths.size() == 1; }));
+    m_side->charge_request(m_handler.m_connection_ids.front(), 50'000, 50'000);
+    const auto uploading = connect();
+    ASSERT_TRUE(uploading->send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 30000\r\n\r\n" +
+                                std::string(29'999, 'x')));
+    ASSERT_TRUE(step_until([this] { return m_side->shed().retries == 1; }));
+    EXPECT_EQ(m_handler.m_released_ids, std::vector{m_handler.m_connection_ids.front()});
+    ASSERT_TRUE(uploading->send("x"));
+    ASSERT_TRUE(step_until([this] { return m_handler.m_paths.size() == 2; }));
+    EXPECT_EQ(m_side->shed().for_memory, 0U);
+    EXPECT_EQ(m_side->size(), 2U);
+}
+
+// Guards against a request that runs at an endpoint and is broken off although one that has not run
+// could be refused instead.
+TEST_F(guard_caller_side_test, refuses_requests_that_have_not_run_before_others)
+{
+    open({.buffer_bytes = 64 * 1024,
+          .max_callers = 10,
+          .receive_buffer_bytes = 64 * 1024,
+          .send_buffer_bytes = 64 * 1024});
+    const auto running = connect();
+    ASSERT_TRUE(running->send(make_request("/hold")));
+    ASSERT_TRUE(step_until([this] { return m_handler.m_paths.size() == 1; }));
+    m_side->charge_request(m_handler.m_connection_ids.front(), 45'000, 0);
+    const auto uploading = connect();
+    ASSERT_TRUE(uploading->send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 30000\r\n\r\n" +
+                                std::string(20'000, 'x')));
+    ASSERT_TRUE(step_until([this] { return m_side->shed().for_memory == 1; }));
+    EXPECT_TRUE(absl::StartsWith(uploading->receive_all(), "HTTP/1.1 503 "));
+    EXPECT_EQ(m_handler.m_disconnected, 0);
+}
+
+// Guards against a connection that is closed without a response where an error response would free
+// the same memory.
+TEST_F(guard_caller_side_test, answers_a_request_that_is_ended_for_its_memory)
+{
+    open({.buffer_bytes = 64 * 1024,
+          .max_callers = 10,
+          .receive_buffer_bytes = 64 * 1024,
+          .send_buffer_bytes = 64 * 1024});
+    m_handler.m_answers_shed_requests = true;
+    const auto caller = connect();
+    ASSERT_TRUE(caller->send(make_request("/hold")));
+    ASSERT_TRUE(step_until([this] { return m_handler.m_paths.size() == 1; }));
+    m_side->charge_request(m_handler.m_connection_ids.front(), 100'000, 0);
+    m_side->enforce_budget(absl::Now());
+    EXPECT_EQ(m_side->size(), 1U);
+    EXPECT_EQ(m_handler.m_disconnected, 0);
+    m_side.reset();
+    EXPECT_TRUE(absl::StartsWith(caller->receive_all(), "HTTP/1.1 502 "));
+}
+
 // Guards against callers that only connect and so keep out those with requests.
 TEST_F(guard_caller_side_test, makes_room_for_new_connections)
 {
--- a/test/regions_endpoint_side_test.cpp
+++ b/test/regions_endpoint_side_test.cpp
@@ -19,6 +19,7 @@
 {
 public:
     void on_request_sent(std::uint64_t /*exchange_id*/, absl::Time /*now*/) override { ++sent; }
+    void on_request_written(std::uint64_t /*exchange_id*/, absl::Time /*now*/) override {}
     void on_response_head(std::uint64_t /*exchange_id*/, const http_response_head& /*head*/,
                           absl::Time /*now*/) override
     {}
