Account unread responses in the kernel

What callers can do: request responses that fit into the kernel's send buffer and leave them unread; the kernel then holds up to 100 KB for each connection, which the memory budget didn't count. Cause: only output that the process still holds was charged. Change: unacknowledged output is charged like unread input, every 100 ms. When a connection is closed for its memory or because its caller stalls, its output is discarded, as the kernel would keep it beyond the close.

--- a/include/chivedeal/forward/caller_connection.hpp
+++ b/include/chivedeal/forward/caller_connection.hpp
@@ -57,7 +57,7 @@
     std::size_t request_bytes = 0;
     std::size_t releasable_bytes = 0;
     std::size_t response_bytes = 0;
-    /// Input that the kernel held when reading was last found to be paused.
+    /// Unread input and unacknowledged output that the kernel held when it was last looked at.
     std::size_t kernel_bytes = 0;
 };
 
--- a/include/chivedeal/forward/sockets.hpp
+++ b/include/chivedeal/forward/sockets.hpp
@@ -30,6 +30,10 @@
 /// Sets the sizes of the kernel's buffers. Accepted connections take over those of the listener.
 void set_buffer_sizes(int descriptor, int receive_bytes, int send_bytes);
 
+/// Makes the close of a connection discard its unsent output, which the kernel otherwise keeps until
+/// the peer has read it.
+void discard_output_on_close(int descriptor);
+
 /// Opens a non-blocking UDP socket. Errors: `io_error`.
 result<int> bind_udp(const address& local);
 
--- a/src/forward/caller_side.cpp
+++ b/src/forward/caller_side.cpp
@@ -52,6 +52,16 @@
     return connection.output.size() - connection.output_sent_bytes + in_kernel - end;
 }
 
+std::size_t bytes_in_kernel(const caller_connection& connection)
+{
+    std::size_t bytes = 0;
+    if (!connection.wants_read)
+        bytes += unread_bytes(connection.descriptor) * kernel_overhead_factor;
+    if (connection.delivery_pending)
+        bytes += unacknowledged_bytes(connection.descriptor);
+    return bytes;
+}
+
 void release_buffer(std::string& text) { std::string().swap(text); }
 
 void release_capacity(std::string& text)
@@ -382,9 +392,7 @@
     for (auto& [id, connection] : m_connections) {
         if (connection->closed)
             continue;
-        connection->kernel_bytes =
-            connection->wants_read ? 0
-                                   : unread_bytes(connection->descriptor) * kernel_overhead_factor;
+        connection->kernel_bytes = bytes_in_kernel(*connection);
         account(*connection);
         if (connection->awaiting_response)
             continue;
@@ -402,8 +410,11 @@
             reject(*connection, 408, now);
             continue;
         }
-        if (!delivering && now - connection->last_activity > m_limits.idle_timeout)
+        if (!delivering && now - connection->last_activity > m_limits.idle_timeout) {
+            if (connection->delivery_pending)
+                discard_output_on_close(connection->descriptor);
             close(*connection);
+        }
     }
 }
 
@@ -510,8 +521,10 @@
     else if (connection.awaiting_response) {
         m_handler.on_shed(connection.id, now);
     }
-    if (!connection.closed && m_memory.held(connection.id) >= held_before)
-        drop(connection, now);
+    if (connection.closed || m_memory.held(connection.id) < held_before)
+        return;
+    discard_output_on_close(connection.descriptor);
+    drop(connection, now);
 }
 
 void caller_side::drop(caller_connection& connection, absl::Time now)
--- a/src/forward/sockets.cpp
+++ b/src/forward/sockets.cpp
@@ -131,6 +131,12 @@
     set_option(descriptor, SOL_SOCKET, SO_SNDBUF, send_bytes);
 }
 
+void discard_output_on_close(int descriptor)
+{
+    const linger discard{.l_onoff = 1, .l_linger = 0};
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+}
+
 result<int> bind_udp(const address& local)
 {
     const int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/test/guard_process_crowds_test.cpp
+++ b/test/guard_process_crowds_test.cpp
@@ -73,5 +73,34 @@
     {}
 };
 
+// Guards against the memory that the kernel takes for responses that callers don't read, beside
+// bodies that the node holds.
+TEST_F(guard_process_large_instance_test, survives_unread_responses_in_the_kernel)
+{
+    // The endpoint takes as many requests at once.
+    constexpr int readers_per_turn = 900;
+    constexpr int turns = 2;
+    constexpr int senders = 60;
+    constexpr std::size_t body_bytes = 4 * 1024 * 1024;
+    fakes::caller_crowd crowd(m_node.front());
+    for (int turn = 0; turn < turns; ++turn) {
+        for (int i = 0; i < readers_per_turn; ++i)
+            crowd.add(
+                head("/app/medium", absl::StrCat(turn, ".", i), "key", "Content-Length: 0\r\n"));
+        run_crowd(crowd);
+        observe_for(absl::Milliseconds(700));
+    }
+    fakes::caller_crowd bodies(m_node.front());
+    for (int i = 0; i < senders; ++i)
+        bodies.add(head("/app/small", absl::StrCat("body", i), "key",
+                        absl::StrCat("Content-Length: ", body_bytes, "\r\n")),
+                   std::string(64 * 1024, 'x'), body_bytes - 1);
+    run_crowd(bodies);
+    check();
+    if (memory_is_comparable) {
+        EXPECT_LE(m_usage.total_kb(), m_limits.memory_mb * 1024);
+    }
+}
+
 } // namespace
 } // namespace chivedeal::platform
