Serve pipelined requests of callers in turns

What callers can do: pipeline requests with quick responses, such as 404 or 401, and read the responses. All of a connection's 256 KB of input, some thousand requests, were processed before another connection had its turn. Cause: caller_side limited the bytes that it reads per event, but not the requests that it processes. Evidence: guard_caller_side_test.serves_connections_in_turn: the request of a second caller is the 601st that is processed without the change. Change: at most 16 requests of a connection are processed in a turn; the others follow from the loop, like those that waited for a response. Figures: the second caller's request is among the first 50 of 601. Conclusion: the time that a caller waits grows with the number of callers, not with what they send ahead.

--- a/include/chivedeal/forward/caller_connection.hpp
+++ b/include/chivedeal/forward/caller_connection.hpp
@@ -53,6 +53,8 @@
     bool processing = false;
     /// The connection is in the list of those whose buffered input can be processed.
     bool resumable = false;
+    /// Requests that were processed since other connections had their turn.
+    int requests_in_turn = 0;
     /// Memory of the request in progress and of its response, which the handler keeps.
     std::size_t request_bytes = 0;
     std::size_t releasable_bytes = 0;
--- a/include/chivedeal/forward/caller_side.hpp
+++ b/include/chivedeal/forward/caller_side.hpp
@@ -96,6 +96,7 @@
     void read_all(caller_connection& connection, absl::Time now);
     void process_input(caller_connection& connection, absl::Time now);
     void process_requests(caller_connection& connection, absl::Time now);
+    void process_later(caller_connection& connection);
     bool is_held_up(const caller_connection& connection) const;
     void reject(caller_connection& connection, int status, absl::Time now,
                 std::vector<http_field> fields = {});
--- a/src/forward/caller_side.cpp
+++ b/src/forward/caller_side.cpp
@@ -24,6 +24,8 @@
 // other connections and timers get their turn.
 constexpr int max_reads_per_event = 16;
 constexpr int max_accepts_per_event = 128;
+// Limits the pipelined requests that are processed before other connections get their turn.
+constexpr int max_requests_per_turn = 16;
 // Limits the pipelined input buffered until the response before it is written; further input stays
 // in the kernel's socket buffer.
 constexpr std::size_t max_pipelined_bytes = 16 * 1024;
@@ -107,6 +109,7 @@
     caller_connection* connection = find(id);
     if (connection == nullptr)
         return;
+    connection->requests_in_turn = 0;
     if (writable)
         flush(*connection, now);
     if (!connection->closed && (readable || broken))
@@ -148,10 +151,10 @@
         update_interest(connection);
 }
 
-// Whether buffered input waits for a response, or for the caller to read one.
+// Whether buffered input waits for a response, for the caller to read one, or for its turn.
 bool caller_side::is_held_up(const caller_connection& connection) const
 {
-    return connection.awaiting_response ||
+    return connection.awaiting_response || connection.resumable ||
            (!connection.reader && connection.output_sent_bytes < connection.output.size());
 }
 
@@ -162,6 +165,7 @@
         if (connection == nullptr)
             continue;
         connection->resumable = false;
+        connection->requests_in_turn = 0;
         process_input(*connection, now);
         if (!connection->closed)
             update_interest(*connection);
@@ -183,6 +187,8 @@
     while (!connection.closed && !is_held_up(connection) && !connection.closing &&
            !connection.input.empty()) {
         if (!connection.reader) {
+            if (connection.requests_in_turn >= max_requests_per_turn)
+                return process_later(connection);
             connection.reader = std::make_unique<request_reader>(
                 request_reader::limits{.max_header_bytes = m_limits.max_header_bytes,
                                        .max_body_bytes = m_limits.max_body_bytes});
@@ -206,6 +212,7 @@
             return;
         http_request request = connection.reader->take();
         connection.reader.reset();
+        ++connection.requests_in_turn;
         connection.awaiting_response = true;
         connection.keep_alive = request.keep_alive;
         connection.is_head_request = request.method == "HEAD";
@@ -214,6 +221,12 @@
     }
 }
 
+void caller_side::process_later(caller_connection& connection)
+{
+    if (!std::exchange(connection.resumable, true))
+        m_resumable_ids.push_back(connection.id);
+}
+
 void caller_side::reject(caller_connection& connection, int status, absl::Time now,
                          std::vector<http_field> fields)
 {
@@ -354,8 +367,8 @@
         if (connection.awaiting_response)
             m_handler.on_caller_writable(connection.id);
         else if (!connection.closing && !connection.reader && !connection.input.empty() &&
-                 !connection.processing && !std::exchange(connection.resumable, true))
-            m_resumable_ids.push_back(connection.id);
+                 !connection.processing)
+            process_later(connection);
     }
     else if (connection.output_sent_bytes > min_compact_bytes) {
         connection.output.erase(0, connection.output_sent_bytes);
--- a/test/guard_caller_side_test.cpp
+++ b/test/guard_caller_side_test.cpp
@@ -18,6 +18,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -149,6 +150,25 @@
         EXPECT_EQ(m_handler.m_paths[i + 1], absl::StrCat("/", i));
 }
 
+// Guards against a caller that pipelines many requests with quick responses and so keeps the others
+// waiting.
+TEST_F(guard_caller_side_test, serves_connections_in_turn)
+{
+    constexpr int pipelined = 600;
+    open(guard::divide_instance({}));
+    const auto flooding = connect();
+    const auto ordinary = connect();
+    std::string requests;
+    for (int i = 0; i < pipelined; ++i)
+        requests += make_request("/f");
+    ASSERT_TRUE(flooding->send(requests));
+    ASSERT_TRUE(ordinary->send(make_request("/ordinary")));
+    ASSERT_TRUE(step_until([this] { return m_handler.m_paths.size() == pipelined + 1; }));
+    const auto position =
+        std::find(m_handler.m_paths.begin(), m_handler.m_paths.end(), "/ordinary");
+    EXPECT_LT(position - m_handler.m_paths.begin(), 50);
+}
+
 // Guards against responses that pile up because a caller pipelines requests and doesn't read, and
 // against a caller that reads late and gets no further response.
 TEST_F(guard_caller_side_test, waits_until_the_response_before_is_written)
