Refuse token counts whose sums overflow

What callers could do: send Token-Counts of twice 2^63-1. The cost of the request overflowed, which is undefined behaviour; as a negative cost it passes any quota. Cause: the counts were checked for their sign only, and added as 64-bit numbers. The tokens of Prefix-Hash have the same fault. Change: a count above 10^9, far above the context of any model, gets 400; a prefix ends before such an entry, as before any malformed one. Conclusion: sums over all parts of a head, and over the requests of years, fit.

--- a/src/forward/head_parser.cpp
+++ b/src/forward/head_parser.cpp
@@ -27,6 +27,14 @@
 // which is the same on all nodes.
 constexpr std::size_t max_part_name_bytes = 128;
 
+// Far above the context of any model. Sums of such numbers don't overflow.
+constexpr std::int64_t max_tokens = 1'000'000'000;
+
+bool parse_tokens(absl::string_view text, std::int64_t& tokens)
+{
+    return absl::SimpleAtoi(text, &tokens) && tokens >= 0 && tokens <= max_tokens;
+}
+
 std::string part_name(absl::string_view name)
 {
     if (name.size() <= max_part_name_bytes)
@@ -51,8 +59,7 @@
         const std::pair<absl::string_view, absl::string_view> id_and_tokens =
             absl::StrSplit(absl::StripAsciiWhitespace(entry), absl::MaxSplits(':', 1));
         std::int64_t tokens = 0;
-        if (id_and_tokens.first.empty() || !absl::SimpleAtoi(id_and_tokens.second, &tokens) ||
-            tokens < 0)
+        if (id_and_tokens.first.empty() || !parse_tokens(id_and_tokens.second, tokens))
             break;
         parts.push_back({.id = part_name(id_and_tokens.first), .tokens = tokens});
     }
@@ -82,11 +89,11 @@
     if (const std::string* text = find_field(request.fields, names.token_counts)) {
         const std::pair<absl::string_view, absl::string_view> counts =
             absl::StrSplit(*text, absl::MaxSplits(',', 1));
-        if (!absl::SimpleAtoi(counts.first, &head.prompt_tokens) ||
-            !absl::SimpleAtoi(counts.second, &head.max_output_tokens) || head.prompt_tokens < 0 ||
-            head.max_output_tokens < 0)
-            return make_invalid_request(absl::StrCat(
-                names.token_counts, " must be two non-negative integers separated by a comma"));
+        if (!parse_tokens(counts.first, head.prompt_tokens) ||
+            !parse_tokens(counts.second, head.max_output_tokens))
+            return make_invalid_request(absl::StrCat(names.token_counts,
+                                                     " must be two integers from 0 to ", max_tokens,
+                                                     ", separated by a comma"));
         head.has_token_counts = true;
     }
     if (const std::string* text = find_field(request.fields, names.prefix))
