Limit the prompt backlog that is expected at an endpoint

What callers could do: announce a prompt of up to 10^9 tokens. The node, and by its notices its peers, then expected the endpoint to read it for hours, and avoided it. Cause: the expected end of an endpoint's prompts had no limit. Evidence: found by reading; at the initial estimate of 50 tokens/ms, 10^9 tokens are 5.6 hours. Change: the expected end is at most one minute ahead. Requests that would wait longer have timed out by then. Figures: none; no deployment in force has timeouts near a minute. Conclusion: what one caller announces no longer steers the others for long.

--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -35,6 +35,9 @@
 constexpr double reread_penalty_ms_per_token = 0.04;
 constexpr absl::Duration cached_part_lifetime = absl::Seconds(60);
 constexpr std::size_t max_cached_parts = 512;
+// Limits the effect of callers that announce longer prompts than they send. Requests that would
+// wait longer have timed out.
+constexpr absl::Duration max_prefill_backlog = absl::Minutes(1);
 // Peers are notified at once of prompts of at least this many tokens. Reading one takes longer than
 // most requests can wait for their first event in addition to reading their own prompt.
 constexpr std::int64_t min_notice_tokens = 3000;
@@ -393,9 +396,11 @@
 
 void endpoint_pool::add_prefill(endpoint_state& endpoint, std::int64_t tokens, absl::Time now)
 {
-    endpoint.prefill_done_at = std::max(endpoint.prefill_done_at, now) +
-                               absl::Milliseconds(static_cast<double>(tokens) /
-                                                  endpoint.estimator.prompt_tokens_per_ms(now));
+    endpoint.prefill_done_at =
+        std::min(now + max_prefill_backlog,
+                 std::max(endpoint.prefill_done_at, now) +
+                     absl::Milliseconds(static_cast<double>(tokens) /
+                                        endpoint.estimator.prompt_tokens_per_ms(now)));
 }
 
 void endpoint_pool::on_sent(const endpoint_id& id, std::int64_t prefill_cost_tokens, absl::Time now)
