Keep hashes of prompt parts instead of their names

What callers could do: name new prompt parts of up to 128 bytes with each request. A node kept up to 512 names for each endpoint, and all parts of one more request, which may be thousands: at 1,800 endpoints, more than its memory. Cause: the names that callers choose were the keys of endpoint_pool's tables. Evidence: by calculation: 1,800 endpoints, 512 names of 128 bytes and their entries take about 180 MB. Change: the keys are 64-bit hashes, and a request adds at most 512 of them. Figures: by calculation: at most 45 MB at 1,800 endpoints, 0.5 MB at 18. Conclusion: the length of a name has no effect. A collision of hashes only makes a prediction worse.

--- a/include/chivedeal/forward/endpoint_pool.hpp
+++ b/include/chivedeal/forward/endpoint_pool.hpp
@@ -147,8 +147,9 @@
         absl::Time prefill_done_at = absl::InfinitePast();
         endpoint_health health;
         endpoints::endpoint_estimator estimator;
-        // When this node's requests last put each prompt part into the endpoint's cache.
-        absl::flat_hash_map<std::string, absl::Time> cached_parts;
+        // When this node's requests last put each prompt part into the endpoint's cache, by the hash
+        // of the part's name.
+        absl::flat_hash_map<std::uint64_t, absl::Time> cached_parts;
     };
 
     using loads_by_endpoint = std::map<endpoint_id, endpoint_load>;
--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -3,6 +3,8 @@
 #include "chivedeal/endpoints/endpoint_selector.hpp"
 #include "chivedeal/forward/prompt_affinity.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -51,6 +53,12 @@
 // then unlikely to be the endpoints alone, and the others can't take all requests.
 constexpr double max_failing_ratio = 0.5;
 
+// Callers choose the names, which may be long, and there may be thousands of endpoints.
+std::uint64_t hash_of_part(const prompt_part& part)
+{
+    return XXH3_64bits(part.id.data(), part.id.size());
+}
+
 } // namespace
 
 void endpoint_pool::update(const endpoint_record& record)
@@ -359,7 +367,7 @@
         return 0;
     std::int64_t cached_prompt_tokens = 0;
     for (const prompt_part& part : query.prefix) {
-        const auto known = endpoint.cached_parts.find(part.id);
+        const auto known = endpoint.cached_parts.find(hash_of_part(part));
         const bool is_cached =
             known != endpoint.cached_parts.end() && now - known->second < cached_part_lifetime;
         const bool is_shared = &part != &query.prefix.back();
@@ -436,8 +444,9 @@
             std::min(lateness, max_counted_lateness) * backlog_share_of_lateness;
     if (endpoint.cached_parts.size() > max_cached_parts)
         endpoint.cached_parts.clear();
-    for (const prompt_part& part : query.prefix)
-        endpoint.cached_parts[part.id] = now;
+    const std::size_t parts = std::min(query.prefix.size(), max_cached_parts);
+    for (std::size_t i = 0; i < parts; ++i)
+        endpoint.cached_parts[hash_of_part(query.prefix[i])] = now;
 }
 
 void endpoint_pool::on_response_time(const endpoint_choice& endpoint, absl::Duration elapsed,
