Limit the number of suspect prompt parts

What callers could do: have requests with thousands of new prompt parts under way when an endpoint crashes. All of the parts became suspect and stayed so for two minutes, and each crash sorted all of them. Cause: prompt_quarantine limited the sound parts, but not the suspect ones. Evidence: prompt_quarantine.limits_the_number_of_suspect_parts. Change: at most 4,096 parts are suspect; further ones are not recorded until others expire. Conclusion: memory and work of a crash are bounded. While the limit is reached, a part that crashes endpoints is found later.

--- a/include/chivedeal/forward/prompt_quarantine.hpp
+++ b/include/chivedeal/forward/prompt_quarantine.hpp
@@ -52,6 +52,8 @@
         absl::Duration soundness_retention = absl::Minutes(30);
         /// Limits the memory for sound parts.
         std::size_t max_sound_parts = 8192;
+        /// Limits the memory for suspect parts, which come from callers.
+        std::size_t max_suspect_parts = 4096;
         /// Limits the suspicions in a beacon.
         std::size_t max_reported_parts = 16;
         /// Limits the crashes that a beacon names for a part, the latest first.
@@ -102,6 +104,8 @@
         absl::Time next_trial_at = absl::InfinitePast();
     };
 
+    // Returns null if the part isn't known and there are too many.
+    suspect* find_or_add(const std::string& part);
     void postpone_trial(const std::string& id, suspect& part, absl::Time until) const;
     bool is_blocked(const suspect& part, absl::Time now) const;
     bool is_sound(const std::string& part, absl::Time now) const;
--- a/src/forward/prompt_quarantine.cpp
+++ b/src/forward/prompt_quarantine.cpp
@@ -66,7 +66,10 @@
         if (is_sound(prefix[depth].id, now) || prefix[depth].id.size() > max_part_name_bytes)
             continue;
         const std::string& id = prefix[depth].id;
-        suspect& part = m_suspects[id];
+        suspect* known = find_or_add(id);
+        if (known == nullptr)
+            continue;
+        suspect& part = *known;
         part.depth = static_cast<int>(depth);
         if (!part.crashes.try_emplace(incarnation, now).second)
             continue;
@@ -76,6 +79,13 @@
     update_blocks(now);
 }
 
+prompt_quarantine::suspect* prompt_quarantine::find_or_add(const std::string& part)
+{
+    if (m_suspects.size() >= m_options.max_suspect_parts && !m_suspects.contains(part))
+        return nullptr;
+    return &m_suspects[part];
+}
+
 // The jitter depends on the node and on the number of crashes, so that another node is first each
 // time.
 void prompt_quarantine::postpone_trial(const std::string& id, suspect& part, absl::Time until) const
@@ -104,7 +114,10 @@
                                            absl::Time now)
 {
     for (const part_suspicion& reported : suspicions) {
-        suspect& part = m_suspects[reported.part];
+        suspect* found = find_or_add(reported.part);
+        if (found == nullptr)
+            continue;
+        suspect& part = *found;
         part.depth = reported.depth;
         const auto known = m_sound_at.find(reported.part);
         const absl::Time known_sound_at =
--- a/test/forward_prompt_quarantine_test.cpp
+++ b/test/forward_prompt_quarantine_test.cpp
@@ -45,6 +45,20 @@
     EXPECT_EQ(changes.front().part, "deadly");
 }
 
+// Guards against suspect parts that fill the memory, as callers choose their names.
+TEST(prompt_quarantine, limits_the_number_of_suspect_parts)
+{
+    prompt_quarantine quarantine({.max_suspect_parts = 10});
+    std::vector<prompt_part> prefix;
+    for (int i = 0; i < 100; ++i)
+        prefix.push_back({.id = absl::StrCat("p", i), .tokens = 1});
+    quarantine.on_crash("e1", prefix, start);
+    const std::vector<prompt_part> known{{"p0", 1}, {"own", 1}};
+    const std::vector<prompt_part> unknown{{"p50", 1}, {"own", 1}};
+    EXPECT_TRUE(quarantine.is_suspect(known));
+    EXPECT_FALSE(quarantine.is_suspect(unknown));
+}
+
 // Guards against blocking a part that all prompts share because endpoints crash for another reason.
 TEST(prompt_quarantine, never_blocks_a_part_that_an_endpoint_answered)
 {
