Let callers pause for the idle timeout inside a response

Cause: TCP_USER_TIMEOUT was 3 s on callers' connections, too. Linux applies it also while the peer's window is closed, although the peer acknowledges each probe. Change: callers' connections have the idle timeout of the configuration, after which caller_side closes a connection that stalls; endpoints' keep 3 s.

--- a/include/chivedeal/forward/sockets.hpp
+++ b/include/chivedeal/forward/sockets.hpp
@@ -4,6 +4,8 @@
 #include "chivedeal/core/address.hpp"
 #include "chivedeal/core/result.hpp"
 
+#include "absl/time/time.h"
+
 #include <cstddef>
 
 namespace chivedeal::forward {
@@ -11,8 +13,9 @@
 /// Opens a non-blocking TCP listener. Errors: `io_error`.
 result<int> listen_tcp(const address& local);
 
-/// Accepts a connection and makes it non-blocking. Returns -1 if none is pending.
-int accept_tcp(int listener);
+/// Accepts a connection and makes it non-blocking. It fails when sent data stays unacknowledged, or
+/// the peer reads nothing, for `user_timeout`. Returns -1 if none is pending.
+int accept_tcp(int listener, absl::Duration user_timeout);
 
 /// Starts a non-blocking connection attempt. Errors: `io_error`.
 result<int> begin_connect(const address& remote);
--- a/src/forward/caller_side.cpp
+++ b/src/forward/caller_side.cpp
@@ -85,7 +85,7 @@
 {
     // Unaccepted connections are reported again.
     for (int accepts = 0; accepts < max_accepts_per_event; ++accepts) {
-        const int descriptor = accept_tcp(listener_socket);
+        const int descriptor = accept_tcp(listener_socket, m_limits.idle_timeout);
         if (descriptor < 0)
             return;
         if (!make_room(now)) {
--- a/src/forward/sockets.cpp
+++ b/src/forward/sockets.cpp
@@ -18,9 +18,9 @@
 namespace {
 
 constexpr int listen_backlog = 1024;
-// A connection fails when sent data stays unacknowledged for this long. With the kernel's default,
-// a connection across a network partition hangs for minutes.
-constexpr unsigned int tcp_user_timeout_ms = 3000;
+// A connection to an endpoint fails when sent data stays unacknowledged for this long. With the
+// kernel's default, a connection across a network partition hangs for minutes.
+constexpr absl::Duration endpoint_user_timeout = absl::Seconds(3);
 // Keep-alive probes detect an unreachable peer while no data is being sent.
 constexpr int keepalive_idle_s = 3;
 constexpr int keepalive_interval_s = 1;
@@ -40,10 +40,11 @@
     setsockopt(descriptor, level, name, &value, sizeof value);
 }
 
-void set_tcp_options(int descriptor)
+void set_tcp_options(int descriptor, absl::Duration user_timeout)
 {
     set_option(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
-    set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(tcp_user_timeout_ms));
+    set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+               static_cast<int>(absl::ToInt64Milliseconds(user_timeout)));
     set_option(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
     set_option(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
     set_option(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
@@ -75,11 +76,11 @@
     return descriptor;
 }
 
-int accept_tcp(int listener)
+int accept_tcp(int listener, absl::Duration user_timeout)
 {
     const int descriptor = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (descriptor >= 0)
-        set_tcp_options(descriptor);
+        set_tcp_options(descriptor, user_timeout);
     return descriptor;
 }
 
@@ -88,7 +89,7 @@
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (descriptor < 0)
         return make_io_error("cannot open a socket for", remote);
-    set_tcp_options(descriptor);
+    set_tcp_options(descriptor, endpoint_user_timeout);
     const sockaddr_in socket_address = to_sockaddr(remote);
     if (connect(descriptor, reinterpret_cast<const sockaddr*>(&socket_address),
                 sizeof socket_address) != 0 &&
--- a/test/platform_soak/soak_proxy.cpp
+++ b/test/platform_soak/soak_proxy.cpp
@@ -77,8 +77,8 @@
 
 void soak_proxy::accept_all()
 {
-    for (int accepted = forward::accept_tcp(m_listener); accepted >= 0;
-         accepted = forward::accept_tcp(m_listener)) {
+    for (int accepted = forward::accept_tcp(m_listener, absl::Seconds(3)); accepted >= 0;
+         accepted = forward::accept_tcp(m_listener, absl::Seconds(3))) {
         const auto connecting = forward::begin_connect(m_target);
         if (is_ok(connecting))
             m_links.push_back({.descriptors = {accepted, get_value(connecting)}});
