Answer pipelined requests before a stopping node closes

Cause: while a node stops, each response closed its connection, without regard to requests that had been received behind it. Change: a response closes its connection only if no further input has arrived; the node ends when the requests that wait for their turn are processed, or at the end of its grace time.

--- a/include/chivedeal/forward/caller_side.hpp
+++ b/include/chivedeal/forward/caller_side.hpp
@@ -80,7 +80,7 @@
     /// processed inside the response to the one before it.
     void resume(absl::Time now);
 
-    /// Makes every later response close its connection.
+    /// Makes every later response close its connection, unless a further request has been sent.
     void close_after_responses() { m_draining = true; }
     void close_idle(absl::Time now);
 
@@ -97,6 +97,7 @@
     void process_input(caller_connection& connection, absl::Time now);
     void process_requests(caller_connection& connection, absl::Time now);
     void process_later(caller_connection& connection);
+    bool closes_after_response(const caller_connection& connection) const;
     bool is_held_up(const caller_connection& connection) const;
     void reject(caller_connection& connection, int status, absl::Time now,
                 std::vector<http_field> fields = {});
--- a/src/forward/caller_side.cpp
+++ b/src/forward/caller_side.cpp
@@ -243,12 +243,18 @@
     caller_connection* connection = find(id);
     if (connection == nullptr || !connection->awaiting_response)
         return;
-    connection->keep_alive = connection->keep_alive && !m_draining;
+    connection->keep_alive = connection->keep_alive && !closes_after_response(*connection);
     connection->output +=
         format_response(head, body, connection->keep_alive, connection->is_head_request);
     finish_response(*connection, now);
 }
 
+// Requests that were sent before the response are still processed.
+bool caller_side::closes_after_response(const caller_connection& connection) const
+{
+    return m_draining && connection.input.empty() && unread_bytes(connection.descriptor) == 0;
+}
+
 void caller_side::begin_stream(std::uint64_t id, const http_response_head& head, absl::Time now)
 {
     caller_connection* connection = find(id);
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -386,7 +386,8 @@
     }
     // The exit discards output that is still buffered, and resets connections whose callers go on
     // sending, with what the kernel has not delivered.
-    if (elapsed < m_settings.shutdown_grace - exit_margin && m_callers.unsent().connections > 0)
+    const bool has_unfinished = m_callers.unsent().connections > 0 || m_callers.has_resumable();
+    if (elapsed < m_settings.shutdown_grace - exit_margin && has_unfinished)
         return;
     m_drained = true;
     log_drain_end(now);
