Limit the results that a node keeps by idempotency key

What callers could do: send requests to `serve`, each with an idempotency key of its own and an answer of up to 64 KiB. Each node kept the answers of 20,000 keys, up to 1.3 GB. Cause: claim_tracker limited the number of keys, but not the size of their results; claim_table, which decides in the log, limits both. Change: the oldest results are dropped beyond 4 MB, the limit of claim_table, and their keys answered with `unknown`, as claim_table does. Conclusion: keys are still known; only the texts of old answers are forgotten.

--- a/include/chivedeal/requests/claim_tracker.hpp
+++ b/include/chivedeal/requests/claim_tracker.hpp
@@ -21,7 +21,7 @@
 /// Tracks this node's pending claims of idempotency keys and the state of all keys in the log.
 ///
 /// The log decides which node wins a key. The tracker only answers repeated requests and may evict
-/// a key, since a new claim of an evicted key conflicts in the log. A claim that is not read back
+/// a key or its result, since a new claim of an evicted key conflicts in the log. A claim that is not read back
 /// by its deadline is abandoned: its request never runs, and if the claim takes effect later, the
 /// key is released.
 class claim_tracker
@@ -37,6 +37,9 @@
         std::size_t max_keys = 20'000;
         /// Maximum number of pending claims, abandoned ones included; further claims are refused.
         std::size_t max_pending = 2'000;
+        /// Limits the results kept, all keys together. The oldest are dropped first and then answered
+        /// as `unknown`, as they are in the log.
+        std::size_t max_body_bytes = 4 * 1024 * 1024;
     };
 
     /// Effect of an applied record on the claims of this process.
@@ -96,12 +99,18 @@
                          absl::Time now);
     change_id next_change_id(const char* kind);
     void remember(state::claim_entry entry);
+    void store_result(state::claim_entry& entry, const state::claim_result& result);
+    void erase(const std::string& key);
+    void drop_oldest_results();
 
     options m_options;
     std::uint64_t m_last_change_number = 0;
     absl::flat_hash_map<std::string, pending> m_pending;
     absl::flat_hash_map<std::string, state::claim_entry> m_entries;
     std::deque<std::string> m_insertion_order;
+    // Keys with a result, the oldest result first; may contain keys that were erased since.
+    std::deque<std::string> m_result_order;
+    std::size_t m_body_bytes = 0;
 };
 
 } // namespace chivedeal::requests
--- a/src/requests/claim_tracker.cpp
+++ b/src/requests/claim_tracker.cpp
@@ -57,14 +57,11 @@
         return apply_claim(applied, *claimed, now);
     if (const auto* released = std::get_if<state::claim_release>(&applied.entry.body)) {
         if (took_effect)
-            m_entries.erase(released->key);
+            erase(released->key);
     }
     else if (const auto* finished = std::get_if<state::claim_result>(&applied.entry.body)) {
-        if (const auto it = m_entries.find(finished->key); took_effect && it != m_entries.end()) {
-            it->second.finished = true;
-            it->second.outcome = finished->outcome;
-            it->second.body = finished->body;
-        }
+        if (const auto it = m_entries.find(finished->key); took_effect && it != m_entries.end())
+            store_result(it->second, *finished);
     }
     return {};
 }
@@ -144,12 +141,51 @@
         return;
     // After releases, a key may occur several times in the insertion order. It is evicted at its
     // first occurrence; the only effect is that a later claim of it conflicts in the log.
+    const bool has_result = entry.finished;
+    m_body_bytes += entry.body.size();
     m_entries[key] = std::move(entry);
     m_insertion_order.push_back(key);
+    if (has_result)
+        m_result_order.push_back(key);
     while (m_insertion_order.size() > m_options.max_keys) {
-        m_entries.erase(m_insertion_order.front());
+        erase(m_insertion_order.front());
         m_insertion_order.pop_front();
     }
+    drop_oldest_results();
+}
+
+void claim_tracker::store_result(state::claim_entry& entry, const state::claim_result& result)
+{
+    m_body_bytes += result.body.size();
+    m_body_bytes -= entry.body.size();
+    entry.finished = true;
+    entry.outcome = result.outcome;
+    entry.body = result.body;
+    m_result_order.push_back(entry.key);
+    drop_oldest_results();
+}
+
+void claim_tracker::erase(const std::string& key)
+{
+    const auto found = m_entries.find(key);
+    if (found == m_entries.end())
+        return;
+    m_body_bytes -= found->second.body.size();
+    m_entries.erase(found);
+}
+
+void claim_tracker::drop_oldest_results()
+{
+    while (!m_result_order.empty() && (m_body_bytes > m_options.max_body_bytes ||
+                                       m_result_order.size() > m_options.max_keys)) {
+        const auto found = m_entries.find(m_result_order.front());
+        m_result_order.pop_front();
+        if (found == m_entries.end() || m_body_bytes <= m_options.max_body_bytes)
+            continue;
+        m_body_bytes -= found->second.body.size();
+        std::string().swap(found->second.body);
+        found->second.outcome = "unknown";
+    }
 }
 
 } // namespace chivedeal::requests
