--- a/include/chivedeal/core/settings.hpp
+++ b/include/chivedeal/core/settings.hpp
@@ -50,6 +50,9 @@
     std::size_t max_streams = 400;
     std::size_t endpoint_workers = 256;
     std::size_t max_request_bytes = 4 * 1024 * 1024;
+    /// Memory of the instance in MB, and the descriptors of the process; 0 for those of the machine.
+    std::size_t memory_mb = 0;
+    std::size_t max_descriptors = 0;
     /// Retries allowed for each first attempt, over the recent past.
     double retry_ratio = 0.2;
 };
--- a/src/operators/serve_command.cpp
+++ b/src/operators/serve_command.cpp
@@ -5,6 +5,7 @@
 #include "chivedeal/core/process_signals.hpp"
 #include "chivedeal/core/settings_parser.hpp"
 #include "chivedeal/core/signal_listener.hpp"
+#include "chivedeal/guard/machine_limits.hpp"
 #include "chivedeal/node/node.hpp"
 #include "chivedeal/operators/exit_code.hpp"
 
@@ -61,6 +62,7 @@
 int serve_command::run(const std::vector<std::string>& arguments)
 {
     process_signals::block();
+    guard::return_freed_memory();
     signal(SIGPIPE, SIG_IGN);
     const settings_parser parser;
     if (std::find(arguments.begin(), arguments.end(), "--help") != arguments.end()) {
