Limit the connections and unanswered calls of peers

What anyone who reaches the RPC port of `serve` could do: open connections without end, and send calls of up to 64 MB without their end. Cause: capnp::TwoPartyServer accepts all connections, and each reads one message of up to 64 MB.

--- a/include/chivedeal/membership/peer_server.hpp
+++ b/include/chivedeal/membership/peer_server.hpp
@@ -5,6 +5,7 @@
 #include "chivedeal/core/bounded_ring.hpp"
 #include "chivedeal/core/duty.hpp"
 #include "chivedeal/membership/gossip_event.hpp"
+#include "chivedeal/membership/incoming_connections.hpp"
 
 #include "absl/time/time.h"
 
@@ -36,6 +37,8 @@
         absl::Duration timeout = absl::Milliseconds(500);
         /// Idle connections beyond this are closed, oldest use first; each takes a few kilobytes.
         std::size_t max_connections = 64;
+        /// Limits of the connections that peers open.
+        incoming_connections::options incoming = {};
         /// Counts the bytes of all connections; may be null.
         control_traffic* traffic = nullptr;
     };
--- a/src/membership/peer_server.cpp
+++ b/src/membership/peer_server.cpp
@@ -5,7 +5,7 @@
 #include "chivedeal/membership/peer_handler.hpp"
 #include "chivedeal/membership/stream_state.hpp"
 #include "chivedeal/state/log_entry.hpp"
-#include "counting_receiver.hpp"
+#include "limited_receiver.hpp"
 #include "peer_link_impl.hpp"
 #include "peer_loop.hpp"
 
@@ -143,7 +143,7 @@
                       .message = "cannot listen on " + to_string(m_options.listen) +
                                  "; stop the process that uses the address or change --rpc (" +
                                  fault->getDescription().cStr() + ")"}));
-        counting_receiver counted(*listener, m_options.traffic);
+        limited_receiver limited(*listener, m_options.incoming, m_options.traffic);
         capnp::TwoPartyServer server(kj::heap<peer_service>(loop, m_options.handler));
         queue = link.attach();
         if (!queue)
@@ -151,7 +151,7 @@
         auto wake = io.lowLevelProvider->wrapInputFd(
             queue->wake_descriptor(), kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK |
                                           kj::LowLevelAsyncIoProvider::ALREADY_CLOEXEC);
-        server.listen(counted).exclusiveJoin(loop.serve(*wake, *queue)).wait(io.waitScope);
+        server.listen(limited).exclusiveJoin(loop.serve(*wake, *queue)).wait(io.waitScope);
     }
     catch (const kj::Exception& fault) {
         throw std::runtime_error(fault.getDescription().cStr());
--- a/src/node/membership_subtree.cpp
+++ b/src/node/membership_subtree.cpp
@@ -2,6 +2,8 @@
 
 #include "chivedeal/core/settings.hpp"
 #include "chivedeal/core/supervisor.hpp"
+#include "chivedeal/guard/connection_limits.hpp"
+#include "chivedeal/guard/machine_limits.hpp"
 #include "chivedeal/membership/gossip.hpp"
 #include "chivedeal/membership/instance_watcher.hpp"
 #include "chivedeal/membership/peer_server.hpp"
@@ -14,6 +16,17 @@
 
 namespace {
 
+// The largest calls hand over the request of a caller.
+constexpr std::size_t max_unanswered_requests = 4;
+
+membership::incoming_connections::options incoming_limits(const settings& config)
+{
+    const guard::connection_limits limits =
+        guard::divide_instance(guard::within_machine({.max_descriptors = config.max_descriptors}));
+    return {.max_connections = limits.max_endpoint_connections,
+            .max_unanswered_bytes = max_unanswered_requests * config.max_request_bytes};
+}
+
 membership::gossip_options decisions_of(const settings& config)
 {
     membership::gossip_options options;
@@ -59,6 +72,7 @@
                                                           .link = m_link,
                                                           .handler = links.handler,
                                                           .inbox = m_inbox.ring(),
+                                                          .incoming = incoming_limits(m_config),
                                                           .traffic = &m_traffic});
                  }},
             {.name = "gossip",
