Limit the peers and datagrams that a node processes

What anyone who reaches the control port of `forward` could do: make up node names in beacons, each of which the node kept, and send datagrams so quickly that it never sent its own beacons. Cause: peer_table had no limit, and peer_exchange received until the socket was empty. Evidence: peer_table.limits_the_number_of_peers. Change: at most 4,096 peers and as many candidates are kept, ten times the nodes of the largest deployment; at most 1,024 datagrams are processed before beacons are due. Conclusion: memory and the sending of beacons no longer depend on who sends what. Beacons are still not authenticated: made-up peers lower a node's quota shares.

--- a/include/chivedeal/forward/peer_table.hpp
+++ b/include/chivedeal/forward/peer_table.hpp
@@ -7,6 +7,7 @@
 
 #include "absl/time/time.h"
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <optional>
@@ -29,6 +30,9 @@
         /// The same for a node whose beacons are relayed: two in a row may be lost when the nodes
         /// that should relay them fail.
         absl::Duration max_relayed_silence = absl::Milliseconds(4400);
+        /// Limits the memory for peers and for candidates, whose names anyone may make up. Ten times
+        /// the nodes of the largest deployment.
+        std::size_t max_peers = 4096;
     };
 
     explicit peer_table(options settings) : m_options(std::move(settings)) {}
@@ -42,8 +46,8 @@
         std::shared_ptr<const node_beacon> previous;
         bool is_new = false;
     };
-    /// Stores the beacon. Ignores it and returns nothing if it is this node's own or not newer than
-    /// the one stored.
+    /// Stores the beacon. Ignores it and returns nothing if it is this node's own, not newer than the
+    /// one stored, or from one peer too many.
     std::optional<accepted> on_beacon(const node_beacon& beacon, absl::Time now,
                                       bool direct = true);
 
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -34,6 +34,8 @@
 // workspaces, usage makes up half of a beacon.
 constexpr std::size_t max_cross_region_usage_windows = 2;
 constexpr std::size_t max_datagram_bytes = 64 * 1024;
+// Limits the datagrams that are processed before beacons are due again.
+constexpr int max_datagrams_per_turn = 1024;
 // With more peers than this, notices of long prompts are sent only within the region: their number
 // grows with the number of nodes, and each is sent to all.
 constexpr std::size_t max_peers_for_global_notices = 128;
@@ -286,7 +288,7 @@
 void peer_exchange::receive_all(int socket, absl::Time now)
 {
     std::string buffer(max_datagram_bytes, '\0');
-    while (true) {
+    for (int received = 0; received < max_datagrams_per_turn; ++received) {
         const ssize_t size = recv(socket, buffer.data(), buffer.size(), 0);
         if (size < 0)
             return;
--- a/src/forward/peer_table.cpp
+++ b/src/forward/peer_table.cpp
@@ -8,7 +8,8 @@
 
 void peer_table::add_candidate(const address& candidate)
 {
-    if (candidate != m_options.self_address && candidate.port != 0)
+    if (candidate != m_options.self_address && candidate.port != 0 &&
+        m_candidates.size() < m_options.max_peers)
         m_candidates.insert(candidate);
 }
 
@@ -20,6 +21,8 @@
     accepted outcome;
     const auto known = m_beacons.find(beacon.node);
     if (known == m_beacons.end()) {
+        if (m_beacons.size() >= m_options.max_peers)
+            return std::nullopt;
         outcome.is_new = true;
     }
     else {
--- a/test/forward_peers_test.cpp
+++ b/test/forward_peers_test.cpp
@@ -112,6 +112,24 @@
     EXPECT_EQ(peer_exchange::trim_for_other_regions(beacon, false).usage.size(), 1U);
 }
 
+// Guards against names that are made up in datagrams and fill the memory.
+TEST(peer_table, limits_the_number_of_peers)
+{
+    peer_table table({.self = node_id("n1"), .max_peers = 10});
+    for (std::uint16_t i = 1; i <= 100; ++i) {
+        table.add_candidate({.host = "127.0.0.2", .port = i});
+        (void)table.on_beacon(
+            {.node = node_id(std::to_string(i)), .peer_address = {.host = "127.0.0.1", .port = i}},
+            absl::UnixEpoch());
+    }
+    EXPECT_EQ(table.beacons().size(), 10U);
+    EXPECT_EQ(table.candidates().size(), 10U);
+    // A known peer is still heard.
+    EXPECT_TRUE(table.on_beacon(
+        {.node = node_id("1"), .sequence = 1, .peer_address = {.host = "127.0.0.1", .port = 1}},
+        absl::UnixEpoch()));
+}
+
 TEST(peer_table, learns_of_nodes_from_beacons)
 {
     peer_table table = make_table();
