Read and pass on bodies without building their values

What callers saw: 8 callers of `serve`, each with one request of 4 MB inside the limits, took 2,183 MB, and the process was killed on any machine that is smaller. Cause: the body was parsed into a tree of values, in the caller's thread and again in that of the endpoint's worker. An empty object takes 80 bytes for 3 in the text. Besides, a body with more than 64 levels was executed as an empty object, as the second parser refuses it. Change: the library's event interface reads the members that routing needs, and writes the body for an engine with the node's members in place of the caller's. A plain service gets the text as it was sent. More than 64 levels get 400. Conclusion: a body takes its bytes, whatever its values are.

--- a/src/requests/caller_server.cpp
+++ b/src/requests/caller_server.cpp
@@ -3,7 +3,7 @@
 #include "chivedeal/core/clock.hpp"
 #include "chivedeal/core/json_object.hpp"
 #include "chivedeal/core/random_id.hpp"
-#include "chivedeal/requests/prompt_prefix.hpp"
+#include "chivedeal/requests/request_members.hpp"
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
@@ -130,9 +130,9 @@
 
 result<caller_request> parse_request(const httplib::Request& http, absl::Time now)
 {
-    const json body = json::parse(http.body, nullptr, false);
-    if (!body.is_object())
-        return invalid_request("the body is not a JSON object");
+    const auto members = read_request_members(http.body);
+    if (!members)
+        return invalid_request("the body is not a JSON object of at most 64 levels");
     const int deadline_ms = header_number(http, "Chivedeal-Deadline-Ms", default_deadline_ms);
     const int priority = header_number(http, "Chivedeal-Priority", 5);
     if (deadline_ms <= 0 || priority < 0 || priority > 9)
@@ -147,20 +147,13 @@
     return caller_request{.id = request_id(id.empty() ? "r" + random_id() : std::move(id)),
                           .workspace = workspace_id(http.get_header_value("Chivedeal-Workspace")),
                           .service = service_id(http.matches[1].str()),
-                          .route = body.contains("route") && body["route"].is_string()
-                                       ? body["route"].get<std::string>()
-                                       : std::string(),
+                          .route = members->route,
                           .priority = priority,
                           .deadline = now + absl::Milliseconds(deadline_ms),
                           .idempotency_key = http.get_header_value("Idempotency-Key"),
                           .body = http.body,
-                          .max_tokens =
-                              body.contains("max_tokens") && body["max_tokens"].is_number_unsigned()
-                                  ? body["max_tokens"].get<std::uint64_t>()
-                                  : 0,
-                          .prefix = body.contains("prompt") && body["prompt"].is_string()
-                                        ? prompt_prefix(body["prompt"].get<std::string>())
-                                        : std::string()};
+                          .max_tokens = members->max_tokens,
+                          .prefix = members->prefix};
 }
 
 // Writes the events of a reply ring to the caller's connection.
--- a/src/requests/http_endpoint_client.cpp
+++ b/src/requests/http_endpoint_client.cpp
@@ -8,6 +8,7 @@
 #include "chivedeal/requests/attempt_event.hpp"
 #include "chivedeal/requests/attempt_start.hpp"
 #include "chivedeal/requests/flow_command.hpp"
+#include "chivedeal/requests/json_merge.hpp"
 #include "chivedeal/requests/sse_parser.hpp"
 
 #include "absl/strings/numbers.h"
@@ -56,7 +57,7 @@
     bool is_complete() const { return m_complete; }
 
 private:
-    httplib::Request make_request(const std::string& path, const json& body) const;
+    httplib::Request make_request(const std::string& path, std::string body) const;
     bool handle_event(const sse_parser::event& event);
     bool handle_token(const sse_parser::event& event);
     bool handle_start(const std::string& data);
@@ -74,12 +75,12 @@
     std::string m_error_body;
 };
 
-httplib::Request exchange::make_request(const std::string& path, const json& body) const
+httplib::Request exchange::make_request(const std::string& path, std::string body) const
 {
     httplib::Request request;
     request.method = "POST";
     request.path = path;
-    request.body = encode_json(body);
+    request.body = std::move(body);
     request.set_header("Content-Type", "application/json");
     request.set_header("Request-Id", m_start.request.str());
     request.set_header("Attempt", absl::StrCat(m_start.attempt));
@@ -90,15 +91,14 @@
 
 void exchange::run_engine_attempt()
 {
-    json body = parse_json_object(m_start.body);
-    body["request_id"] = m_start.request.str();
-    body["attempt"] = m_start.attempt;
-    body["version"] = m_start.version.str();
-    body["priority"] = m_start.priority;
-    body["tokens_so_far"] = m_start.tokens_so_far;
+    json members{{"request_id", m_start.request.str()},
+                 {"attempt", m_start.attempt},
+                 {"version", m_start.version.str()},
+                 {"priority", m_start.priority},
+                 {"tokens_so_far", m_start.tokens_so_far}};
     if (!m_start.kv_handle.empty())
-        body["kv_handle"] = m_start.kv_handle;
-    httplib::Request request = make_request("/v1/generate", body);
+        members["kv_handle"] = m_start.kv_handle;
+    httplib::Request request = make_request("/v1/generate", with_members(m_start.body, members));
     request.response_handler = [this](const httplib::Response& response) {
         m_status = response.status;
         return true;
@@ -116,7 +116,7 @@
 
 void exchange::run_plain_attempt()
 {
-    const httplib::Request request = make_request("/v1/call", parse_json_object(m_start.body));
+    const httplib::Request request = make_request("/v1/call", m_start.body);
     const httplib::Result response = m_client.send(request);
     if (response && response->status == 200) {
         m_finished = true;
--- a/test/requests_path_test.cpp
+++ b/test/requests_path_test.cpp
@@ -160,6 +160,8 @@
         EXPECT_NE(answer->body.find(text), std::string::npos) << answer->body;
     };
     expect_refused({}, "[1]", 400, "501 invalid_request");
+    expect_refused({}, R"({"a":)" + std::string(1000, '[') + std::string(1000, ']') + "}", 400,
+                   "501 invalid_request");
     expect_refused({}, "{\"prompt\": \"cut", 400, "501 invalid_request");
     expect_refused({{"Chivedeal-Deadline-Ms", "soon"}}, "{}", 400, "501 invalid_request");
     expect_refused({{"Chivedeal-Priority", "10"}}, "{}", 400, "501 invalid_request");
