Serve callers of serve from one thread with the bounds of forward

What callers saw: 500 connections that send their heads a byte at a time keep out ordinary callers (0 of 2 answered), and 350 with bodies of 4 MB take 1,647 MB. Evidence: guard_process_serve_test at 120 MB and 500 descriptors, on: answers_others_beside_slow_heads not answered within 60 s; survives_large_bodies 323,588 KB of 122,880; survives_many_connections 915 descriptors of 500. survives_pipelined_requests passed. Change: caller_server owns the sockets with forward's poller and caller_side, so the header timeout (3 s), the idle timeout (15 s), the memory budget and the number of connections hold here, too. The router passes answers through answer_sink, which replaces a ring of 1,024 preallocated events for each request. Operators' routes and the address list, which may block, run in eight route workers behind a ring of 64. Refusals of what can't be read have a result code, as before. Conclusion: a caller costs its bytes and no thread.

--- a/bench/path_benchmark.cpp
+++ b/bench/path_benchmark.cpp
@@ -159,7 +159,7 @@
                                  caller_server::options{.listen = m_listen,
                                                         .time = m_clock,
                                                         .router_inbox = m_inbox,
-                                                        .max_connections = 2 * worker_count});
+                                                        .route_jobs = m_jobs});
                          }});
         return specs;
     }
@@ -168,6 +168,7 @@
     system_clock m_clock;
     http_endpoint_client m_client{m_clock};
     bounded_ring<router_message> m_inbox{4096};
+    bounded_ring<route_job> m_jobs{64};
     bounded_ring<attempt_start> m_attempts{512};
     bounded_ring<endpoint_command> m_orders{512};
     supervisor m_root;
--- a/fakes/caller_crowd.hpp
+++ b/fakes/caller_crowd.hpp
@@ -81,6 +81,13 @@
         }
     }
 
+    /// Sends once on each connection.
+    void send_turn()
+    {
+        for (member& one : m_members)
+            send_some(one);
+    }
+
     /// Closes every `step`th connection.
     void leave(std::size_t step)
     {
--- a/include/chivedeal/forward/caller_listener.hpp
+++ b/include/chivedeal/forward/caller_listener.hpp
@@ -9,6 +9,8 @@
 
 namespace chivedeal::forward {
 
+struct rejection;
+
 /// Receives the events of caller connections. The handler responds to each request through
 /// `caller_side`.
 class caller_listener
@@ -30,6 +32,9 @@
     /// Memory is short: ends the request in progress. The connection is closed if that leaves it
     /// without a complete response.
     virtual void on_shed(std::uint64_t connection_id, absl::Time now) = 0;
+    /// Returns the response to a request that was not read to its end: with status 503 for lack of
+    /// memory, 400, 408, 413 or 431.
+    virtual rejection make_rejection(int status) const = 0;
 };
 
 } // namespace chivedeal::forward
--- a/include/chivedeal/forward/caller_side.hpp
+++ b/include/chivedeal/forward/caller_side.hpp
@@ -99,8 +99,7 @@
     void process_later(caller_connection& connection);
     bool closes_after_response(const caller_connection& connection) const;
     bool is_held_up(const caller_connection& connection) const;
-    void reject(caller_connection& connection, int status, absl::Time now,
-                std::vector<http_field> fields = {});
+    void reject(caller_connection& connection, int status, absl::Time now);
     void finish_response(caller_connection& connection, absl::Time now);
     void flush(caller_connection& connection, absl::Time now);
     void after_flush(caller_connection& connection, absl::Time now);
--- a/include/chivedeal/forward/forwarder.hpp
+++ b/include/chivedeal/forward/forwarder.hpp
@@ -79,6 +79,7 @@
     void on_caller_writable(std::uint64_t connection) override;
     void on_release_requested(std::uint64_t connection, absl::Time now) override;
     void on_shed(std::uint64_t connection, absl::Time now) override;
+    rejection make_rejection(int status) const override;
 
     void open_listener(const address& at, listener kind);
     void dispatch(const poller::ready& event, absl::Time now);
--- a/include/chivedeal/node/requests_subtree.hpp
+++ b/include/chivedeal/node/requests_subtree.hpp
@@ -9,16 +9,13 @@
 #include "chivedeal/requests/flow_command.hpp"
 #include "chivedeal/requests/http_endpoint_client.hpp"
 #include "chivedeal/requests/load_watcher.hpp"
+#include "chivedeal/requests/route_job.hpp"
 #include "chivedeal/requests/router_message.hpp"
 #include "chivedeal/requests/router_port.hpp"
 
 #include <functional>
 #include <vector>
 
-namespace httplib {
-class Server;
-}
-
 namespace chivedeal::control {
 class load_sink;
 class sample_sink;
@@ -29,6 +26,10 @@
 class peer_client;
 } // namespace chivedeal::membership
 
+namespace chivedeal::requests {
+class route_handler;
+}
+
 namespace chivedeal::state {
 class record_sink;
 }
@@ -50,8 +51,8 @@
         control::load_sink& loads;
         membership::gossip_port& gossip;
         membership::peer_client& peers;
-        /// Adds routes to the callers' listener.
-        std::function<void(httplib::Server&)> install;
+        /// Further routes on the callers' listener.
+        std::vector<const requests::route_handler*> handlers;
         std::function<void()> on_drained;
     };
 
@@ -81,8 +82,9 @@
 
     std::vector<child_spec> make_children(const wires& links);
     child_spec router_spec(const wires& links);
-    child_spec server_spec(const wires& links);
+    child_spec server_spec();
     child_spec worker_spec();
+    child_spec route_worker_spec(const wires& links);
 
     const settings& m_config;
     const clock& m_clock;
@@ -93,6 +95,7 @@
     bounded_ring<requests::attempt_start> m_attempts;
     bounded_ring<requests::endpoint_command> m_orders;
     bounded_ring<requests::hand_off_stream> m_hand_offs;
+    bounded_ring<requests::route_job> m_route_jobs;
     requests::router_port m_port;
     view_forwarder m_load_views;
 };
--- a/include/chivedeal/operators/operator_routes.hpp
+++ b/include/chivedeal/operators/operator_routes.hpp
@@ -1,18 +1,15 @@
 #ifndef CHIVEDEAL_OPERATORS_OPERATOR_ROUTES_HPP
 #define CHIVEDEAL_OPERATORS_OPERATOR_ROUTES_HPP
 
+#include "chivedeal/core/id.hpp"
 #include "chivedeal/core/result.hpp"
 #include "chivedeal/core/shared_cell.hpp"
+#include "chivedeal/requests/route_handler.hpp"
 
 #include <functional>
+#include <optional>
 #include <string>
 
-namespace httplib {
-class Server;
-struct Request;
-struct Response;
-} // namespace httplib
-
 namespace chivedeal {
 class metrics;
 struct settings;
@@ -33,7 +30,7 @@
 namespace chivedeal::operators {
 
 /// The operators' HTTP API and the metrics, on the listener that callers use.
-class operator_routes
+class operator_routes : public requests::route_handler
 {
 public:
     struct options
@@ -49,15 +46,15 @@
 
     explicit operator_routes(options wiring);
 
-    /// The routes must outlive the server.
-    void install(httplib::Server& server) const;
+    std::optional<requests::route_reply> handle(const requests::route_call& call) const override;
 
 private:
-    void put_declaration(const httplib::Request& http, httplib::Response& response) const;
-    void get_declarations(const httplib::Request& http, httplib::Response& response) const;
-    void get_change(const httplib::Request& http, httplib::Response& response) const;
-    void get_status(httplib::Response& response) const;
-    void get_moves(httplib::Response& response) const;
+    requests::route_reply put_declaration(const std::string& body) const;
+    requests::route_reply get_declarations(const std::string& prefix) const;
+    requests::route_reply get_change(const change_id& change) const;
+    requests::route_reply get_status() const;
+    requests::route_reply get_moves() const;
+    requests::route_reply drain() const;
     status check(const state::declaration_change& change, const state::record& entry) const;
     std::string answer_for(const state::record& entry, const error& effect) const;
 
--- a/include/chivedeal/requests/address_route.hpp
+++ b/include/chivedeal/requests/address_route.hpp
@@ -3,13 +3,10 @@
 
 #include "chivedeal/core/id.hpp"
 #include "chivedeal/core/shared_cell.hpp"
+#include "chivedeal/requests/route_handler.hpp"
 
 #include "absl/time/time.h"
 
-namespace httplib {
-class Server;
-}
-
 namespace chivedeal::membership {
 struct membership_view;
 }
@@ -17,7 +14,7 @@
 namespace chivedeal::requests {
 
 /// Serves `GET /v1/addresses[?region=R]` on the caller listener. The region defaults to the node's.
-class address_route
+class address_route : public route_handler
 {
 public:
     struct options
@@ -30,8 +27,7 @@
 
     explicit address_route(options wiring);
 
-    /// Registers the route; this object must outlive the server.
-    void install(httplib::Server& server);
+    std::optional<route_reply> handle(const route_call& call) const override;
 
 private:
     options m_options;
--- a/include/chivedeal/requests/router.hpp
+++ b/include/chivedeal/requests/router.hpp
@@ -3,7 +3,6 @@
 
 #include "chivedeal/core/bounded_ring.hpp"
 #include "chivedeal/core/duty.hpp"
-#include "chivedeal/requests/answer_event.hpp"
 #include "chivedeal/requests/attempt_start.hpp"
 #include "chivedeal/requests/endpoint_command.hpp"
 #include "chivedeal/requests/request_flow.hpp"
@@ -85,7 +84,7 @@
 
     options m_options;
     request_flow m_flow;
-    absl::flat_hash_map<connection_number, std::shared_ptr<bounded_ring<answer_event>>> m_replies;
+    absl::flat_hash_map<connection_number, std::shared_ptr<answer_sink>> m_replies;
     /// Events still to be handled, such as those caused by a command that could not be executed.
     std::deque<flow_event> m_pending_events;
     std::deque<append_record> m_unsent_records;
--- a/src/forward/caller_side.cpp
+++ b/src/forward/caller_side.cpp
@@ -3,6 +3,7 @@
 #include "chivedeal/forward/caller_listener.hpp"
 #include "chivedeal/forward/http_fields.hpp"
 #include "chivedeal/forward/poller.hpp"
+#include "chivedeal/forward/rejection.hpp"
 #include "chivedeal/forward/sockets.hpp"
 #include "chivedeal/guard/connection_activity.hpp"
 
@@ -34,8 +35,6 @@
 constexpr std::size_t reader_bytes = 2 * 1024;
 // The kernel's structures take about as much memory as the input they hold.
 constexpr std::size_t kernel_overhead_factor = 2;
-// The heaviest connections have been rejected by then, if callers within the limits are the rest.
-constexpr const char* shed_retry_after = "0.500";
 constexpr double min_reading_share = 0.25;
 // Limits a chunk size, its extension and a trailer, for which the parser has no limit. They have to
 // be complete before it consumes them.
@@ -227,14 +226,14 @@
         m_resumable_ids.push_back(connection.id);
 }
 
-void caller_side::reject(caller_connection& connection, int status, absl::Time now,
-                         std::vector<http_field> fields)
+void caller_side::reject(caller_connection& connection, int status, absl::Time now)
 {
     connection.reader.reset();
     connection.input.clear();
     connection.keep_alive = false;
     connection.awaiting_response = true;
-    respond(connection.id, {.status = status, .fields = std::move(fields)}, "", now);
+    const rejection response = m_handler.make_rejection(status);
+    respond(connection.id, {.status = status, .fields = response.fields}, response.body, now);
 }
 
 void caller_side::respond(std::uint64_t id, const http_response_head& head, std::string_view body,
@@ -535,7 +534,7 @@
     const std::size_t held_before = m_memory.held(connection.id);
     if (connection.reader && !connection.awaiting_response && !connection.closing) {
         release_buffer(connection.input);
-        reject(connection, 503, now, {{.name = "Retry-After", .value = shed_retry_after}});
+        reject(connection, 503, now);
     }
     else if (connection.awaiting_response) {
         m_handler.on_shed(connection.id, now);
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -5,6 +5,8 @@
 #include "chivedeal/core/metrics.hpp"
 #include "chivedeal/forward/http_fields.hpp"
 #include "chivedeal/forward/peer_exchange.hpp"
+#include "chivedeal/forward/rejection.hpp"
+#include "chivedeal/forward/request_format.hpp"
 #include "chivedeal/forward/route_index.hpp"
 #include "chivedeal/forward/sockets.hpp"
 #include "chivedeal/forward/wire_format.hpp"
@@ -40,6 +42,8 @@
 constexpr absl::Duration final_response_margin = absl::Milliseconds(100);
 // The stop signal is handled at most this long after it was sent, from which callers count.
 constexpr absl::Duration max_signal_delay = absl::Milliseconds(200);
+// The heaviest connections have been rejected by then, if callers within the limits are the rest.
+constexpr absl::Duration shed_retry_after = absl::Milliseconds(500);
 // What a peer admitted before this node heard of it is counted only while this node is young: later
 // on, the limits of that time have passed.
 constexpr absl::Duration max_catch_up_time = absl::Seconds(4);
@@ -498,6 +502,13 @@
     m_runner.on_release_requested(connection);
 }
 
+rejection forwarder::make_rejection(int status) const
+{
+    if (status != 503)
+        return {};
+    return {.fields = {{"Retry-After", format_retry_after(shed_retry_after)}}, .body = {}};
+}
+
 void forwarder::on_shed(std::uint64_t connection, absl::Time now)
 {
     m_runner.on_shed(connection, now);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -83,11 +83,7 @@
                               .loads = m_control.loads(),
                               .gossip = m_membership.gossip(),
                               .peers = m_membership.peers(),
-                              .install =
-                                  [this](httplib::Server& server) {
-                                      m_addresses.install(server);
-                                      m_operators.install(server);
-                                  },
+                              .handlers = {&m_addresses, &m_operators},
                               .on_drained = [this] { request_stop(); }})};
 }
 
--- a/src/node/requests_subtree.cpp
+++ b/src/node/requests_subtree.cpp
@@ -2,11 +2,14 @@
 
 #include "chivedeal/core/settings.hpp"
 #include "chivedeal/core/supervisor.hpp"
+#include "chivedeal/guard/connection_limits.hpp"
+#include "chivedeal/guard/machine_limits.hpp"
 #include "chivedeal/requests/affinity_policy.hpp"
 #include "chivedeal/requests/caller_server.hpp"
 #include "chivedeal/requests/endpoint_call_worker.hpp"
 #include "chivedeal/requests/endpoint_worker.hpp"
 #include "chivedeal/requests/hand_off_worker.hpp"
+#include "chivedeal/requests/route_worker.hpp"
 #include "chivedeal/requests/router.hpp"
 
 #include <memory>
@@ -20,6 +23,16 @@
 constexpr std::size_t router_capacity = 8192;
 constexpr std::size_t order_capacity = 1024;
 constexpr std::size_t hand_off_capacity = 1024;
+constexpr std::size_t route_job_capacity = 64;
+// A worker waits while an operator's change is read back.
+constexpr std::size_t route_workers = 8;
+guard::connection_limits caller_limits(const settings& config)
+{
+    constexpr std::size_t bytes_per_mb = 1024 * 1024;
+    return guard::divide_instance(
+        guard::within_machine({.memory_bytes = config.memory_mb * bytes_per_mb,
+                               .max_descriptors = config.max_descriptors}));
+}
 
 } // namespace
 
@@ -34,6 +47,7 @@
       m_attempts(config.max_streams),
       m_orders(order_capacity),
       m_hand_offs(hand_off_capacity),
+      m_route_jobs(route_job_capacity),
       m_port(m_inbox)
 {}
 
@@ -73,7 +87,9 @@
          }});
     for (std::size_t i = 0; i < m_config.endpoint_workers; ++i)
         children.push_back(worker_spec());
-    children.push_back(server_spec(links));
+    for (std::size_t i = 0; i < route_workers; ++i)
+        children.push_back(route_worker_spec(links));
+    children.push_back(server_spec());
     children.push_back(router_spec(links));
     return children;
 }
@@ -87,16 +103,25 @@
             }};
 }
 
-child_spec requests_subtree::server_spec(const wires& links)
+child_spec requests_subtree::route_worker_spec(const wires& links)
+{
+    return {.name = "route_worker", .make = [this, links] {
+                return std::make_unique<requests::route_worker>(requests::route_worker::options{
+                    .jobs = m_route_jobs, .handlers = links.handlers});
+            }};
+}
+
+child_spec requests_subtree::server_spec()
 {
-    return {.name = "caller_server", .make = [this, links] {
+    return {.name = "caller_server", .make = [this] {
                 return std::make_unique<requests::caller_server>(requests::caller_server::options{
                     .listen = m_config.http,
                     .time = m_clock,
                     .router_inbox = m_inbox,
-                    .max_connections = m_config.max_streams,
+                    .route_jobs = m_route_jobs,
                     .max_request_bytes = m_config.max_request_bytes,
-                    .add_routes = links.install});
+                    .limits = caller_limits(m_config),
+                    .counters = &m_metrics});
             }};
 }
 
--- a/src/operators/operator_routes.cpp
+++ b/src/operators/operator_routes.cpp
@@ -20,7 +20,6 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -30,8 +29,10 @@
 namespace {
 
 using nlohmann::json;
+using requests::route_call;
+using requests::route_reply;
 
-constexpr const char* json_type = "application/json";
+constexpr const char* change_path = "/v1/changes/";
 
 int http_status_of(result_code code)
 {
@@ -56,12 +57,11 @@
     }
 }
 
-void refuse(httplib::Response& response, const error& reason)
+route_reply refuse(const error& reason)
 {
     log_event(event_id::operator_request_rejected,
               {{"code", absl::StrCat(static_cast<int>(reason.code))}, {"reason", reason.message}});
-    response.status = http_status_of(reason.code);
-    response.set_content(encode_error(reason), json_type);
+    return {.status = http_status_of(reason.code), .body = encode_error(reason)};
 }
 
 const char* name_of(membership::node_status value)
@@ -147,33 +147,32 @@
 
 operator_routes::operator_routes(options wiring) : m_options(std::move(wiring)) {}
 
-void operator_routes::install(httplib::Server& server) const
+std::optional<route_reply> operator_routes::handle(const route_call& call) const
 {
-    server.Put("/v1/declarations",
-               [this](const httplib::Request& http, httplib::Response& response) {
-                   put_declaration(http, response);
-               });
-    server.Get("/v1/declarations",
-               [this](const httplib::Request& http, httplib::Response& response) {
-                   get_declarations(http, response);
-               });
-    server.Get(R"(/v1/changes/([^/]+))",
-               [this](const httplib::Request& http, httplib::Response& response) {
-                   get_change(http, response);
-               });
-    server.Get("/v1/status", [this](const httplib::Request&, httplib::Response& response) {
-        get_status(response);
-    });
-    server.Get("/v1/moves", [this](const httplib::Request&, httplib::Response& response) {
-        get_moves(response);
-    });
-    server.Post("/v1/drain", [this](const httplib::Request&, httplib::Response& response) {
-        m_options.request_drain();
-        response.set_content(R"({"draining": true})", json_type);
-    });
-    server.Get("/metrics", [this](const httplib::Request&, httplib::Response& response) {
-        response.set_content(m_options.counters.expose(), "text/plain; version=0.0.4");
-    });
+    const auto is = [&call](const char* method, const char* path) {
+        return call.method == method && call.path == path;
+    };
+    if (is("PUT", "/v1/declarations"))
+        return put_declaration(call.body);
+    if (is("GET", "/v1/declarations")) {
+        const auto prefix = call.parameters.find("prefix");
+        return get_declarations(prefix == call.parameters.end() ? "/" : prefix->second);
+    }
+    if (call.method == "GET" && absl::StartsWith(call.path, change_path)) {
+        const std::string change = call.path.substr(std::string(change_path).size());
+        if (!change.empty() && !absl::StrContains(change, '/'))
+            return get_change(change_id(change));
+    }
+    if (is("GET", "/v1/status"))
+        return get_status();
+    if (is("GET", "/v1/moves"))
+        return get_moves();
+    if (is("POST", "/v1/drain"))
+        return drain();
+    if (is("GET", "/metrics"))
+        return route_reply{.content_type = "text/plain; version=0.0.4",
+                           .body = m_options.counters.expose()};
+    return std::nullopt;
 }
 
 // Refuses what the replay would refuse, so that the operator need not wait for the log. The
@@ -216,85 +215,67 @@
     return encode_change_answer({.change = entry.change, .effect = effect, .version = version});
 }
 
-void operator_routes::put_declaration(const httplib::Request& http,
-                                      httplib::Response& response) const
+route_reply operator_routes::put_declaration(const std::string& body) const
 {
-    const auto decoded = decode_change(http.body);
-    if (!is_ok(decoded)) {
-        refuse(response, get_error(decoded));
-        return;
-    }
+    const auto decoded = decode_change(body);
+    if (!is_ok(decoded))
+        return refuse(get_error(decoded));
     const state::record& entry = get_value(decoded);
     const auto& change = std::get<state::declaration_change>(entry.body);
-    if (const status checked = check(change, entry); !is_ok(checked)) {
-        refuse(response, get_error(checked));
-        return;
-    }
-    if (const status taken = m_options.records.append(entry); !is_ok(taken)) {
-        refuse(response, get_error(taken));
-        return;
-    }
+    if (const status checked = check(change, entry); !is_ok(checked))
+        return refuse(get_error(checked));
+    if (const status taken = m_options.records.append(entry); !is_ok(taken))
+        return refuse(get_error(taken));
     const error effect = m_options.changes.wait(entry.change, m_options.config.proposal_timeout);
-    if (effect.code != result_code::ok) {
-        refuse(response, effect);
-        return;
-    }
-    response.set_content(answer_for(entry, effect), json_type);
+    if (effect.code != result_code::ok)
+        return refuse(effect);
+    return {.body = answer_for(entry, effect)};
 }
 
-void operator_routes::get_declarations(const httplib::Request& http,
-                                       httplib::Response& response) const
+route_reply operator_routes::get_declarations(const std::string& prefix) const
 {
-    if (!m_options.published.ready()) {
-        refuse(response, {.code = result_code::not_ready, .message = "the node has no state yet"});
-        return;
-    }
-    const std::string prefix = http.has_param("prefix") ? http.get_param_value("prefix") : "/";
+    if (!m_options.published.ready())
+        return refuse({.code = result_code::not_ready, .message = "the node has no state yet"});
     const auto state = m_options.published.state();
     std::vector<state::declaration> found;
     for (auto next = state->declarations.lower_bound(prefix);
          next != state->declarations.end() && absl::StartsWith(next->first, prefix); ++next)
         found.push_back(*next->second);
-    response.set_content(encode_declarations(found), json_type);
+    return {.body = encode_declarations(found)};
 }
 
-void operator_routes::get_change(const httplib::Request& http, httplib::Response& response) const
+route_reply operator_routes::get_change(const change_id& change) const
 {
-    const change_id change(http.matches[1].str());
     const auto effect = m_options.changes.find(change);
-    if (!effect) {
-        refuse(response, {.code = result_code::not_found,
-                          .message = "this node has not applied change " + change.str() +
-                                     "; it may still come, so ask again"});
-        return;
-    }
+    if (!effect)
+        return refuse({.code = result_code::not_found,
+                       .message = "this node has not applied change " + change.str() +
+                                  "; it may still come, so ask again"});
     const auto state = m_options.published.state();
     std::uint64_t version = 0;
     for (const auto& [path, one] : state->declarations)
         if (one->change == change)
             version = one->version;
-    response.set_content(
-        encode_change_answer({.change = change, .effect = *effect, .version = version}), json_type);
+    return {.body =
+                encode_change_answer({.change = change, .effect = *effect, .version = version})};
 }
 
-void operator_routes::get_status(httplib::Response& response) const
+route_reply operator_routes::get_status() const
 {
     const auto state = m_options.published.state();
     const auto view = m_options.view.load();
-    response.set_content(
-        json{{"node", m_options.config.node.str()},
-             {"ready", m_options.published.ready()},
-             {"applied_offset", state->applied_offset},
-             {"open_requests", m_options.counters.value("chivedeal_open_requests")},
-             {"nodes", nodes_of(*view)},
-             {"endpoints", endpoints_of(*view)},
-             {"versions", versions_of(*state, *view)},
-             {"leases", leases_of(*state)}}
-            .dump(),
-        json_type);
+    return {.body = json{{"node", m_options.config.node.str()},
+                         {"ready", m_options.published.ready()},
+                         {"applied_offset", state->applied_offset},
+                         {"open_requests", m_options.counters.value("chivedeal_open_requests")},
+                         {"nodes", nodes_of(*view)},
+                         {"endpoints", endpoints_of(*view)},
+                         {"versions", versions_of(*state, *view)},
+                         {"leases", leases_of(*state)}}
+                        .dump()};
 }
 
-void operator_routes::get_moves(httplib::Response& response) const
+route_reply operator_routes::get_moves() const
 {
     const auto state = m_options.published.state();
     json moves = json::array();
@@ -307,7 +288,13 @@
                          {"reason", move->reason},
                          {"deadline", absl::FormatTime(absl::RFC3339_sec, move->deadline,
                                                        absl::UTCTimeZone())}});
-    response.set_content(json{{"moves", moves}}.dump(), json_type);
+    return {.body = json{{"moves", moves}}.dump()};
+}
+
+route_reply operator_routes::drain() const
+{
+    m_options.request_drain();
+    return {.body = R"({"draining": true})"};
 }
 
 } // namespace chivedeal::operators
--- a/src/requests/address_route.cpp
+++ b/src/requests/address_route.cpp
@@ -3,7 +3,6 @@
 #include "chivedeal/membership/membership_view.hpp"
 #include "chivedeal/requests/address_list.hpp"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -14,23 +13,21 @@
 
 address_route::address_route(options wiring) : m_options(std::move(wiring)) {}
 
-void address_route::install(httplib::Server& server)
+std::optional<route_reply> address_route::handle(const route_call& call) const
 {
-    server.Get("/v1/addresses",
-               [this](const httplib::Request& request, httplib::Response& response) {
-                   const region_id region = request.has_param("region")
-                                                ? region_id(request.get_param_value("region"))
-                                                : m_options.region;
-                   json addresses = json::array();
-                   for (const address_entry& entry : list_addresses(*m_options.view.load(), region))
-                       addresses.push_back({{"address", to_string(entry.listen)},
-                                            {"weight", entry.weight},
-                                            {"region", entry.region.str()}});
-                   response.set_content(json{{"addresses", addresses},
-                                             {"ttl_ms", absl::ToInt64Milliseconds(m_options.ttl)}}
-                                            .dump(),
-                                        "application/json");
-               });
+    if (call.method != "GET" || call.path != "/v1/addresses")
+        return std::nullopt;
+    const auto asked = call.parameters.find("region");
+    const region_id region =
+        asked == call.parameters.end() ? m_options.region : region_id(asked->second);
+    json addresses = json::array();
+    for (const address_entry& entry : list_addresses(*m_options.view.load(), region))
+        addresses.push_back({{"address", to_string(entry.listen)},
+                             {"weight", entry.weight},
+                             {"region", entry.region.str()}});
+    return route_reply{
+        .body = json{{"addresses", addresses}, {"ttl_ms", absl::ToInt64Milliseconds(m_options.ttl)}}
+                    .dump()};
 }
 
 } // namespace chivedeal::requests
--- a/src/requests/router.cpp
+++ b/src/requests/router.cpp
@@ -5,6 +5,7 @@
 #include "chivedeal/core/metrics.hpp"
 #include "chivedeal/core/random_id.hpp"
 #include "chivedeal/membership/gossip_port.hpp"
+#include "chivedeal/requests/answer_sink.hpp"
 #include "chivedeal/requests/route_policy.hpp"
 #include "chivedeal/state/record_sink.hpp"
 
@@ -50,7 +51,7 @@
 
 router::~router()
 {
-    // Closing the rings tells callers that their requests can no longer be finished.
+    // Closing the sinks tells callers that their requests can no longer be finished.
     for (auto& [connection, reply] : m_replies)
         reply->close();
 }
--- a/test/guard_caller_side_test.cpp
+++ b/test/guard_caller_side_test.cpp
@@ -2,6 +2,7 @@
 #include "chivedeal/forward/caller_listener.hpp"
 #include "chivedeal/forward/caller_side.hpp"
 #include "chivedeal/forward/poller.hpp"
+#include "chivedeal/forward/rejection.hpp"
 #include "chivedeal/forward/sockets.hpp"
 #include "fakes/eventually.hpp"
 #include "fakes/free_address.hpp"
@@ -57,6 +58,7 @@
         m_released_ids.push_back(connection_id);
         m_side->charge_request(connection_id, 0, 0);
     }
+    rejection make_rejection(int) const override { return {}; }
     void on_shed(std::uint64_t connection_id, absl::Time now) override
     {
         if (m_answers_shed_requests)
--- a/test/guard_serve_process_test.cpp
+++ b/test/guard_serve_process_test.cpp
@@ -139,6 +139,39 @@
     test::process_usage m_usage;
 };
 
+// Guards against callers that send their heads a byte at a time and keep out the others.
+TEST_F(guard_process_serve_test, answers_others_beside_slow_heads)
+{
+    constexpr int callers = 200;
+    fakes::caller_crowd crowd(m_http);
+    for (int i = 0; i < callers; ++i)
+        crowd.add("GET /v1/status HTTP/1.1\r\nHost: h\r\nField: ", "x", 10'000);
+    std::atomic<bool> stopping = false;
+    posix_thread sender("crowd", [&] {
+        while (!stopping) {
+            crowd.send_turn();
+            absl::SleepFor(absl::Milliseconds(500));
+        }
+    });
+    absl::SleepFor(absl::Seconds(1));
+    check();
+    stopping = true;
+}
+
+// Guards against a process that is ended for its memory because many callers hold bodies of just
+// under the limit.
+TEST_F(guard_process_serve_test, survives_large_bodies)
+{
+    constexpr int callers = 72;
+    const std::string filler(64 * 1024 - 8, 'x');
+    fakes::caller_crowd crowd(m_http);
+    for (int i = 0; i < callers; ++i)
+        crowd.add(head(absl::StrCat("Content-Length: ", max_body_bytes, "\r\n")), filler,
+                  max_body_bytes);
+    run_crowd(crowd);
+    check();
+}
+
 // Guards against a process that is ended for its memory because the values in a body take many times
 // its bytes.
 TEST_F(guard_process_serve_test, survives_bodies_of_many_values)
@@ -159,5 +192,34 @@
     check();
 }
 
+// Guards against a process that runs out of descriptors because very many callers connect, part of
+// which leave early.
+TEST_F(guard_process_serve_test, survives_many_connections)
+{
+    constexpr int callers = 900;
+    fakes::caller_crowd crowd(m_http);
+    for (int i = 0; i < callers; ++i)
+        crowd.add(i % 2 == 0 ? "GET /v1/status HTTP/1.1\r\nHost: h\r\nField: x"
+                             : "GET /v1/status HTTP/1.1\r\nHost: h\r\n\r\n");
+    run_crowd(crowd);
+    crowd.leave(3);
+    check();
+}
+
+// Guards against responses that pile up because callers pipeline requests and don't read.
+TEST_F(guard_process_serve_test, survives_pipelined_requests)
+{
+    constexpr int callers = 60;
+    constexpr int requests_per_caller = 2000;
+    std::string requests;
+    for (int i = 0; i < requests_per_caller; ++i)
+        requests += "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n";
+    fakes::caller_crowd crowd(m_http);
+    for (int i = 0; i < callers; ++i)
+        crowd.add(requests);
+    run_crowd(crowd);
+    check();
+}
+
 } // namespace
 } // namespace chivedeal
--- a/test/requests_caller_server_test.cpp
+++ b/test/requests_caller_server_test.cpp
@@ -23,9 +23,11 @@
 private:
     system_clock m_clock;
     bounded_ring<router_message> m_inbox{1};
+    bounded_ring<route_job> m_jobs{1};
 
 public:
-    caller_server server{{.listen = where, .time = m_clock, .router_inbox = m_inbox}};
+    caller_server server{
+        {.listen = where, .time = m_clock, .router_inbox = m_inbox, .route_jobs = m_jobs}};
 };
 
 } // namespace
@@ -56,8 +58,11 @@
     const fakes::loopback_socket occupied;
     const system_clock clock;
     bounded_ring<router_message> inbox(1);
-    caller_server server(
-        {.listen = occupied.listen_address(), .time = clock, .router_inbox = inbox});
+    bounded_ring<route_job> jobs(1);
+    caller_server server({.listen = occupied.listen_address(),
+                          .time = clock,
+                          .router_inbox = inbox,
+                          .route_jobs = jobs});
     try {
         server.run();
         FAIL() << "listens on a port in use";
--- a/test/requests_path_test.cpp
+++ b/test/requests_path_test.cpp
@@ -75,6 +75,7 @@
                             caller_server::options{.listen = m_listen,
                                                    .time = m_clock,
                                                    .router_inbox = m_inbox,
+                                                   .route_jobs = m_jobs,
                                                    .max_request_bytes = max_body_bytes});
                     }}}),
           m_thread("requests", [this] { m_root.run(); })
@@ -104,6 +105,7 @@
     system_clock m_clock;
     fakes::fake_endpoint_client m_client;
     bounded_ring<router_message> m_inbox{64};
+    bounded_ring<route_job> m_jobs{64};
     bounded_ring<attempt_start> m_attempts{64};
     bounded_ring<endpoint_command> m_orders{64};
     supervisor m_root;
