Limit the bodies of open requests in serve

Cause: admission counts open requests, not their size. Evidence: by calculation: 400 requests of 4 MB in four copies are 6.4 GB. body_budget.keeps_part_of_the_limit_for_small_bodies. Change: open requests may hold half of the buffers' memory, in four copies; a quarter of that is kept for bodies up to 64 KB. What doesn't fit gets 503, not run. Conclusion: large requests are refused before they cost others their memory.

--- a/include/chivedeal/requests/request_flow.hpp
+++ b/include/chivedeal/requests/request_flow.hpp
@@ -4,6 +4,7 @@
 #include "chivedeal/core/id.hpp"
 #include "chivedeal/requests/admission.hpp"
 #include "chivedeal/requests/answer_store.hpp"
+#include "chivedeal/requests/body_budget.hpp"
 #include "chivedeal/requests/drain_controller.hpp"
 #include "chivedeal/requests/flow_command.hpp"
 #include "chivedeal/requests/flow_event.hpp"
@@ -61,6 +62,7 @@
         retry_budget::options retries = {};
         retry_backoff::options backoff = {};
         admission::options shedding = {};
+        body_budget::options bodies = {};
         workspace_limiter::options limits = {};
         reclaim_planner::options reclaims = {};
         drain_controller::options drain = {};
--- a/src/node/requests_subtree.cpp
+++ b/src/node/requests_subtree.cpp
@@ -26,12 +26,19 @@
 constexpr std::size_t route_job_capacity = 64;
 // A worker waits while an operator's change is read back.
 constexpr std::size_t route_workers = 8;
+// The body of an open request is in the request, its attempt, the request to the endpoint, and for
+// a moment once more as that is written.
+constexpr std::size_t copies_of_body = 4;
+
+// Half of the memory for buffers goes to open requests.
 guard::connection_limits caller_limits(const settings& config)
 {
     constexpr std::size_t bytes_per_mb = 1024 * 1024;
-    return guard::divide_instance(
+    guard::connection_limits limits = guard::divide_instance(
         guard::within_machine({.memory_bytes = config.memory_mb * bytes_per_mb,
                                .max_descriptors = config.max_descriptors}));
+    limits.buffer_bytes /= 2;
+    return limits;
 }
 
 } // namespace
@@ -140,6 +147,7 @@
                 flow.drain = {.address_ttl = m_config.address_ttl,
                               .drain_grace = m_config.drain_grace};
                 flow.shedding.max_open = static_cast<int>(m_config.max_streams);
+                flow.bodies.max_bytes = caller_limits(m_config).buffer_bytes / copies_of_body;
                 return std::make_unique<requests::router>(
                     requests::router::options{.time = m_clock,
                                               .policy = std::move(policy),
--- a/src/requests/flow_core.cpp
+++ b/src/requests/flow_core.cpp
@@ -33,6 +33,7 @@
       m_budget(m_options.retries),
       m_backoff(m_options.backoff),
       m_admission(m_options.shedding),
+      m_bodies(m_options.bodies),
       m_limiter(m_options.limits),
       m_planner(m_options.reclaims),
       m_drain(m_options.drain)
@@ -93,6 +94,18 @@
 }
 
 status flow_core::admit(const caller_request& request)
+{
+    if (!m_bodies.try_take(request.body.size()))
+        return error{.code = result_code::shed,
+                     .message = absl::StrCat("the open requests hold ", m_bodies.taken_bytes(),
+                                             " bytes; retry later or on another node")};
+    const status admitted = admit_by_workspace(request);
+    if (!is_ok(admitted))
+        m_bodies.give_back(request.body.size());
+    return admitted;
+}
+
+status flow_core::admit_by_workspace(const caller_request& request)
 {
     if (is_enabled(mechanism::workspace_limits))
         if (const status limited = m_limiter.admit(request.workspace, m_now); !is_ok(limited))
@@ -109,6 +122,7 @@
 {
     if (!entry.admitted)
         return;
+    m_bodies.give_back(entry.request().body.size());
     if (is_enabled(mechanism::workspace_limits))
         m_limiter.release(entry.request().workspace);
     if (is_enabled(mechanism::priority_shedding))
--- a/src/requests/flow_core.hpp
+++ b/src/requests/flow_core.hpp
@@ -51,6 +51,7 @@
     void begin(request_entry& entry);
     void on_repeated_request(request_entry& entry, const request_arrived& event);
     status admit(const caller_request& request);
+    status admit_by_workspace(const caller_request& request);
     void release_limits(const request_entry& entry);
     void refuse(const request_arrived& event, outcome result, const error& reason);
     void replay(const finished_answer& answer, std::uint64_t connection, std::uint64_t position);
@@ -121,6 +122,7 @@
     retry_budget m_budget;
     retry_backoff m_backoff;
     admission m_admission;
+    body_budget m_bodies;
     workspace_limiter m_limiter;
     std::shared_ptr<const state::cluster_state> m_state;
     std::shared_ptr<const membership::membership_view> m_view;
