Admit a body of the largest size on small instances

What callers would have seen: on an instance of 120 MB, `serve` refuses each body above 3.4 MB, although the limit is 4 MB. Evidence: by calculation: half of 36 MB in four copies is 4.5 MB, three quarters of it 3.4 MB. guard_process_serve_test.serves_a_request_of_the_largest_size. Figures: four copies of 8 MB are 32 MB of 120 MB. Conclusion: one request of the largest size is served on any instance.

--- a/src/node/requests_subtree.cpp
+++ b/src/node/requests_subtree.cpp
@@ -12,6 +12,7 @@
 #include "chivedeal/requests/route_worker.hpp"
 #include "chivedeal/requests/router.hpp"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -30,6 +31,9 @@
 // a moment once more as that is written.
 constexpr std::size_t copies_of_body = 4;
 
+// A body of the largest size is admitted on the smallest instance.
+constexpr std::size_t min_largest_bodies = 2;
+
 // Half of the memory for buffers goes to open requests.
 guard::connection_limits caller_limits(const settings& config)
 {
@@ -134,33 +138,34 @@
 
 child_spec requests_subtree::router_spec(const wires& links)
 {
-    return {.name = "router", .make = [this, links] {
-                auto policy =
-                    std::make_shared<requests::affinity_policy>(requests::affinity_policy::options{
-                        .own_region = m_config.region, .own_zone = m_config.zone});
-                requests::request_flow::options flow{
-                    .policy = *policy, .node = m_config.node, .incarnation = {}};
-                flow.counters = &m_metrics;
-                flow.claim_timeout = m_config.claim_timeout;
-                flow.retries.ratio = m_config.retry_ratio;
-                flow.limits.gossip_round = m_config.gossip_interval;
-                flow.drain = {.address_ttl = m_config.address_ttl,
-                              .drain_grace = m_config.drain_grace};
-                flow.shedding.max_open = static_cast<int>(m_config.max_streams);
-                flow.bodies.max_bytes = caller_limits(m_config).buffer_bytes / copies_of_body;
-                return std::make_unique<requests::router>(
-                    requests::router::options{.time = m_clock,
-                                              .policy = std::move(policy),
-                                              .flow = std::move(flow),
-                                              .inbox = m_inbox,
-                                              .attempts = m_attempts,
-                                              .endpoint_commands = m_orders,
-                                              .stream_hand_offs = &m_hand_offs,
-                                              .records = &links.records,
-                                              .samples = &links.samples,
-                                              .gossip = &links.gossip,
-                                              .on_drained = links.on_drained});
-            }};
+    return {
+        .name = "router", .make = [this, links] {
+            auto policy =
+                std::make_shared<requests::affinity_policy>(requests::affinity_policy::options{
+                    .own_region = m_config.region, .own_zone = m_config.zone});
+            requests::request_flow::options flow{
+                .policy = *policy, .node = m_config.node, .incarnation = {}};
+            flow.counters = &m_metrics;
+            flow.claim_timeout = m_config.claim_timeout;
+            flow.retries.ratio = m_config.retry_ratio;
+            flow.limits.gossip_round = m_config.gossip_interval;
+            flow.drain = {.address_ttl = m_config.address_ttl, .drain_grace = m_config.drain_grace};
+            flow.shedding.max_open = static_cast<int>(m_config.max_streams);
+            flow.bodies.max_bytes = std::max(caller_limits(m_config).buffer_bytes / copies_of_body,
+                                             min_largest_bodies * m_config.max_request_bytes);
+            return std::make_unique<requests::router>(
+                requests::router::options{.time = m_clock,
+                                          .policy = std::move(policy),
+                                          .flow = std::move(flow),
+                                          .inbox = m_inbox,
+                                          .attempts = m_attempts,
+                                          .endpoint_commands = m_orders,
+                                          .stream_hand_offs = &m_hand_offs,
+                                          .records = &links.records,
+                                          .samples = &links.samples,
+                                          .gossip = &links.gossip,
+                                          .on_drained = links.on_drained});
+        }};
 }
 
 } // namespace chivedeal
--- a/test/guard_serve_process_test.cpp
+++ b/test/guard_serve_process_test.cpp
@@ -192,6 +192,20 @@
     check();
 }
 
+// Guards against a budget that a single request inside the limits exceeds on a small instance.
+TEST_F(guard_process_serve_test, serves_a_request_of_the_largest_size)
+{
+    const std::string begin = R"({"prompt":"oak","max_tokens":1,"notes":")";
+    const std::string end = R"("})";
+    fakes::raw_caller caller(m_http, max_wait);
+    ASSERT_TRUE(caller.send(
+        request(begin + std::string(max_body_bytes - begin.size() - end.size(), 'x') + end)));
+    const std::string response = caller.receive_all();
+    EXPECT_TRUE(absl::StrContains(response, R"({"outcome":"answered"})"))
+        << response.substr(0, 1000);
+    check();
+}
+
 // Guards against a process that runs out of descriptors because very many callers connect, part of
 // which leave early.
 TEST_F(guard_process_serve_test, survives_many_connections)
