Look at unread output in the kernel only with many connections

Cause: since unread responses in the kernel are accounted, each stream in progress costs a system call every 100 ms, also where callers read all. Ruled out: a longer interval; a crowd fills the buffers within a second. Change: output is looked at only if all connections together could fill half of the budget with it: from 213 connections on at 260 MB. Conclusion: ordinary traffic costs what it did before.

--- a/src/forward/caller_side.cpp
+++ b/src/forward/caller_side.cpp
@@ -53,12 +53,12 @@
     return connection.output.size() - connection.output_sent_bytes + in_kernel - end;
 }
 
-std::size_t bytes_in_kernel(const caller_connection& connection)
+std::size_t bytes_in_kernel(const caller_connection& connection, bool with_output)
 {
     std::size_t bytes = 0;
     if (!connection.wants_read)
         bytes += unread_bytes(connection.descriptor) * kernel_overhead_factor;
-    if (connection.delivery_pending)
+    if (with_output && connection.delivery_pending)
         bytes += unacknowledged_bytes(connection.descriptor);
     return bytes;
 }
@@ -407,10 +407,15 @@
 
 void caller_side::tick(absl::Time now)
 {
+    // Looking at the output costs a system call for each stream. With few connections, the kernel
+    // can't hold much of it: at most twice the size of the buffer that was asked for.
+    const std::size_t max_output_bytes =
+        m_connections.size() * 2 * static_cast<std::size_t>(m_bounds.send_buffer_bytes);
+    const bool counts_output = max_output_bytes > m_bounds.buffer_bytes / 2;
     for (auto& [id, connection] : m_connections) {
         if (connection->closed)
             continue;
-        connection->kernel_bytes = bytes_in_kernel(*connection);
+        connection->kernel_bytes = bytes_in_kernel(*connection, counts_output);
         account(*connection);
         if (connection->awaiting_response)
             continue;
