Attack every listener of forward in a test

Cause: the crowds of the tests met the listener for requests only. Change: guard_process_crowds_test.survives_crowds_at_every_listener, with idle connections, slow heads and pipelined requests at the listeners for readiness, addresses, metrics and requests.

--- a/test/guard_process_crowds_test.cpp
+++ b/test/guard_process_crowds_test.cpp
@@ -8,7 +8,9 @@
 #include <gtest/gtest.h>
 
 #include <cstddef>
+#include <memory>
 #include <string>
+#include <vector>
 
 namespace chivedeal::platform {
 namespace {
@@ -41,6 +43,31 @@
     check();
 }
 
+// Guards against a listener beside that for requests which callers exhaust: connections that are
+// idle, send a head slowly, or pipeline requests and leave the responses unread.
+TEST_F(guard_process_crowds_test, survives_crowds_at_every_listener)
+{
+    constexpr int callers_per_kind = 100;
+    constexpr int requests_per_caller = 400;
+    const std::string request = "GET /v1/resolve?name=h&region=r1 HTTP/1.1\r\nHost: h\r\n\r\n";
+    std::string requests;
+    for (int i = 0; i < requests_per_caller; ++i)
+        requests += request;
+    std::vector<std::unique_ptr<fakes::caller_crowd>> crowds;
+    for (const address& listener :
+         {m_node.ready(), m_node.directory(), m_node.metrics(), m_node.front()}) {
+        crowds.push_back(std::make_unique<fakes::caller_crowd>(listener));
+        for (int i = 0; i < callers_per_kind; ++i) {
+            crowds.back()->add("");
+            crowds.back()->add("GET /v1/ready HTTP/1.1\r\nField: x");
+            crowds.back()->add(requests);
+        }
+        run_crowd(*crowds.back());
+    }
+    check();
+    EXPECT_TRUE(fakes::eventually(max_wait, [this] { return m_node.is_ready(); }));
+}
+
 class guard_process_many_slots_test : public guard_process_fixture
 {
 protected:
--- a/test/platform_soak/soak_node.hpp
+++ b/test/platform_soak/soak_node.hpp
@@ -33,6 +33,9 @@
     const std::string& name() const { return m_options.name; }
     const address& front() const { return m_front; }
     const address& control() const { return m_control; }
+    const address& ready() const { return m_ready; }
+    const address& directory() const { return m_directory; }
+    const address& metrics() const { return m_metrics; }
 
     /// Writes the settings file; `seeds` are control addresses of other nodes.
     void write_settings(const std::vector<address>& seeds) const;
