Refuse a host name as listening address

Cause: listen_tcp ignored that inet_pton failed, which leaves the address 0.0.0.0. Evidence: caller_server.rejects_a_name_instead_of_a_number. Change: listen_tcp fails; the message of `serve` has the reason.

--- a/src/forward/sockets.cpp
+++ b/src/forward/sockets.cpp
@@ -61,6 +61,12 @@
 
 result<int> listen_tcp(const address& local)
 {
+    // A name would otherwise become the address of all interfaces.
+    in_addr numeric{};
+    if (inet_pton(AF_INET, local.host.c_str(), &numeric) != 1)
+        return error{
+            .code = result_code::io_error,
+            .message = absl::StrCat("cannot listen on ", to_string(local), ": not an IPv4 number")};
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (descriptor < 0)
         return make_io_error("cannot open a socket for", local);
--- a/src/requests/caller_server.cpp
+++ b/src/requests/caller_server.cpp
@@ -117,7 +117,8 @@
         throw std::runtime_error(to_string(
             error{.code = result_code::invalid_setting,
                   .message = "cannot listen on " + to_string(m_options.listen) +
-                             "; stop the process that uses the address or change --http"}));
+                             "; stop the process that uses the address or change --http (" +
+                             get_error(opened).message + ")"}));
     m_listener = get_value(opened);
     forward::set_buffer_sizes(m_listener, m_options.limits.receive_buffer_bytes,
                               m_options.limits.send_buffer_bytes);
--- a/test/requests_caller_server_test.cpp
+++ b/test/requests_caller_server_test.cpp
@@ -51,6 +51,19 @@
     }
 }
 
+// Guards against a name in --http that makes the node listen on all interfaces.
+TEST(caller_server, rejects_a_name_instead_of_a_number)
+{
+    const system_clock clock;
+    bounded_ring<router_message> inbox(1);
+    bounded_ring<route_job> jobs(1);
+    caller_server server({.listen = {.host = "localhost", .port = fakes::free_address().port},
+                          .time = clock,
+                          .router_inbox = inbox,
+                          .route_jobs = jobs});
+    EXPECT_THROW(server.run(), std::runtime_error);
+}
+
 // Guards against two processes that share a port unnoticed, and against an error without a result
 // code.
 TEST(caller_server, rejects_a_port_in_use)
