--- a/src/forward/memory_size.cpp
+++ b/src/forward/memory_size.cpp
@@ -33,7 +33,7 @@
 
 std::size_t size_in_memory(const std::vector<prompt_part>& prefix)
 {
-    std::size_t bytes = sizeof prefix;
+    std::size_t bytes = 0;
     for (const prompt_part& part : prefix)
         bytes += sizeof part + heap_bytes(part.id);
     return bytes;
