--- a/src/requests/caller_server.cpp
+++ b/src/requests/caller_server.cpp
@@ -12,7 +12,6 @@
 #include "chivedeal/requests/request_target.hpp"
 #include "chivedeal/requests/route_replies.hpp"
 
-#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
 
