Move the accounting of requests' memory to a file of its own

Cause: request_runner.cpp grew by the changes of this series, and the memory of a request is one subject of it. Change: five functions move to request_memory.cpp, like those that record observations; measure_request is new and has two lines that were in on_request. Conclusion: the behaviour is the same.

--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -118,6 +118,7 @@
 private:
     bool admit(exchange& current, absl::Time now);
     void try_endpoint(exchange& current, absl::Time now);
+    static void measure_request(exchange& current);
     // Accounts the request to its caller's connection. It can be released once it is written.
     void charge_request(const exchange& current, std::size_t unwritten_bytes);
     void release_request(exchange& current);
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -6,7 +6,6 @@
 #include "chivedeal/forward/endpoint_side.hpp"
 #include "chivedeal/forward/head_parser.hpp"
 #include "chivedeal/forward/http_fields.hpp"
-#include "chivedeal/forward/memory_size.hpp"
 #include "chivedeal/forward/request_format.hpp"
 #include "chivedeal/forward/unit_interval_hash.hpp"
 
@@ -176,8 +175,7 @@
                      .prompt_tokens = current.head.prompt_tokens,
                      .prefix = current.head.prefix,
                      .homes = current.match.homes()};
-    current.request_bytes = size_in_memory(current.request);
-    current.parsed_bytes = size_in_memory(current.head) + size_in_memory(current.query.prefix);
+    measure_request(current);
     m_exchange_by_connection[connection] = current.id;
     m_exchanges.emplace(current.id, std::move(new_exchange));
     schedule(current);
@@ -275,21 +273,6 @@
     schedule(current);
 }
 
-void request_runner::charge_request(const exchange& current, std::size_t unwritten_bytes)
-{
-    m_callers.charge_request(current.connection,
-                             current.request_bytes + current.parsed_bytes + unwritten_bytes,
-                             unwritten_bytes == 0 ? current.request_bytes : 0);
-}
-
-void request_runner::release_request(exchange& current)
-{
-    current.rule.end_attempts();
-    current.request = {};
-    current.request_bytes = 0;
-    charge_request(current, 0);
-}
-
 void request_runner::on_request_sent(std::uint64_t exchange_id, absl::Time now)
 {
     exchange* current = find_exchange(exchange_id);
@@ -310,17 +293,6 @@
     }
 }
 
-void request_runner::on_request_written(std::uint64_t exchange_id, absl::Time /*now*/)
-{
-    exchange* current = find_exchange(exchange_id);
-    if (current == nullptr)
-        return;
-    if (current->rule.has_attempts_left())
-        charge_request(*current, 0);
-    else
-        release_request(*current);
-}
-
 void request_runner::on_response_head(std::uint64_t exchange_id, const http_response_head& head,
                                       absl::Time now)
 {
@@ -436,23 +408,6 @@
         m_endpoints.pause(current->id, false);
 }
 
-void request_runner::on_release_requested(std::uint64_t connection)
-{
-    if (exchange* current = find_exchange_of(connection))
-        release_request(*current);
-}
-
-void request_runner::on_shed(std::uint64_t connection, absl::Time now)
-{
-    exchange* current = find_exchange_of(connection);
-    // A response that has begun can only be broken off.
-    if (current == nullptr || current->relaying)
-        return;
-    m_endpoints.cancel(current->id);
-    release_attempt(*current);
-    finish_failed(*current, "requests use too much memory", now);
-}
-
 void request_runner::on_response_end(std::uint64_t exchange_id, absl::Time now)
 {
     exchange* current = find_exchange(exchange_id);
