Read the prompt of a handed-off stream without building its values

Cause: the reading of the diff showed a twin of what read_request_members does: prompt_prefix_of_body parsed the whole body into values, which take up to 30 times its memory, for each stream that a peer hands over. Change: it calls read_request_members. The node that accepted the request has refused bodies that this refuses. Conclusion: one piece of code reads bodies from callers.

--- a/src/requests/prompt_prefix.cpp
+++ b/src/requests/prompt_prefix.cpp
@@ -1,6 +1,6 @@
 #include "chivedeal/requests/prompt_prefix.hpp"
 
-#include <nlohmann/json.hpp>
+#include "chivedeal/requests/request_members.hpp"
 
 namespace chivedeal::requests {
 
@@ -25,10 +25,8 @@
 
 std::string prompt_prefix_of_body(const std::string& body)
 {
-    const auto parsed = nlohmann::json::parse(body, nullptr, false);
-    if (!parsed.is_object() || !parsed.contains("prompt") || !parsed["prompt"].is_string())
-        return {};
-    return prompt_prefix(parsed["prompt"].get<std::string>());
+    const auto members = read_request_members(body);
+    return members ? members->prefix : std::string();
 }
 
 } // namespace chivedeal::requests
