Move the control nodes of a test to fakes

Cause: the nodes that exchange beacons over a fake store were part of era_drill_test.cpp, and tests of a change of the lease holder need them, too. Change: checking_platform, control_node and control_system are in fakes/, a class a header. Conclusion: no product code is touched.

--- /dev/null
+++ b/fakes/control_node.hpp
@@ -0,0 +1,144 @@
+#ifndef CHIVEDEAL_FAKES_CONTROL_NODE_HPP
+#define CHIVEDEAL_FAKES_CONTROL_NODE_HPP
+
+#include "chivedeal/core/metrics.hpp"
+#include "chivedeal/era/epoch_register.hpp"
+#include "chivedeal/forward/control_duties.hpp"
+#include "chivedeal/forward/event_queue.hpp"
+#include "chivedeal/forward/local_state.hpp"
+#include "chivedeal/forward/node_beacon.hpp"
+#include "chivedeal/forward/node_event.hpp"
+#include "chivedeal/forward/node_settings.hpp"
+#include "chivedeal/forward/peer_exchange.hpp"
+#include "chivedeal/forward/rollout_order.hpp"
+#include "chivedeal/forward/version_outcomes.hpp"
+#include "fakes/fake_clock.hpp"
+#include "fakes/fake_node_event_listener.hpp"
+#include "fakes/fake_record_store.hpp"
+#include "platform/json_wire_format.hpp"
+
+#include "absl/time/time.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+namespace chivedeal::fakes {
+
+/// The control duties of one node, stepped by the test.
+class control_node
+{
+public:
+    control_node(const char* name, const std::shared_ptr<fake_topics>& topics,
+                 const fake_clock& clock, forward::duty_api& platform)
+        : m_settings{.node = node_id(name), .reports_usage = true},
+          m_clock(clock),
+          m_store(topics),
+          m_control({.settings = m_settings,
+                     .time = clock,
+                     .store = m_store,
+                     .platform = platform,
+                     .format = m_format,
+                     .queue = m_queue,
+                     .forwarder = m_forwarder,
+                     .peers = m_peers,
+                     .epochs = &m_epochs,
+                     .counters = &m_counters})
+    {}
+
+    /// Starts to count the responses of the order's versions, as the forwarder does.
+    void order(const forward::rollout_order& ordered)
+    {
+        m_outcomes = {
+            .service = ordered.service, .target = ordered.target, .order_offset = ordered.offset};
+        handle({forward::node_event::rollout_ordered{ordered}});
+    }
+
+    /// Counts the responses of one tick by the version that the node's share selects: one in seven
+    /// fails, with either version.
+    void count_responses(bool has_old_endpoints)
+    {
+        const double target_share = share().value_or(has_old_endpoints ? 0.5 : 1);
+        int to_target = target_share <= 0 ? 0 : target_share < 1 ? 1 : responses_per_tick;
+        if (!has_old_endpoints && to_target > 0)
+            to_target = responses_per_tick;
+        for (int i = 0; i < to_target; ++i)
+            ++(++m_responses % 7 == 0 ? m_outcomes.target_bad : m_outcomes.target_good);
+        if (!has_old_endpoints)
+            return;
+        for (int i = to_target; i < responses_per_tick; ++i)
+            ++(++m_responses % 7 == 0 ? m_outcomes.other_bad : m_outcomes.other_good);
+    }
+
+    /// The share of the target version that the forwarder applies; absent without a split.
+    std::optional<double> share() const
+    {
+        const auto changes = m_forwarder.all<forward::node_event::version_share_changed>();
+        return changes.empty() ? std::nullopt : changes.back().share;
+    }
+
+    void set_cut_off(bool value)
+    {
+        m_is_cut_off = value;
+        m_store.set_cut_off(value);
+    }
+    bool is_cut_off() const { return m_is_cut_off; }
+
+    void tick() { m_control.tick(m_clock.now()); }
+    void handle(const forward::node_event& event) { m_control.handle_event(event, m_clock.now()); }
+
+    /// Each call counts one more request for recent windows, so that a total that is computed again
+    /// differs.
+    void count_requests()
+    {
+        const std::int64_t current = absl::ToUnixSeconds(m_clock.now()) / 5;
+        forward::local_state state;
+        if (!m_outcomes.service.empty())
+            state.outcomes.push_back(m_outcomes);
+        for (std::int64_t window = current - 3; window <= current; ++window)
+            state.usage.push_back(
+                {.window = window, .counts = {{workspace_id("w"), ++m_requests}}});
+        handle({forward::node_event::local_counters_updated{
+            std::make_shared<const forward::local_state>(state)}});
+        m_peers.publish(state);
+    }
+
+    forward::node_beacon make_beacon() { return with_start(m_peers.make_beacon()); }
+    forward::node_beacon make_reply() { return with_start(m_peers.make_reply()); }
+
+    era::epoch_register& epochs() { return m_epochs; }
+    metrics& counters() { return m_counters; }
+
+private:
+    static forward::node_beacon with_start(forward::node_beacon beacon)
+    {
+        beacon.started_us = 1;
+        return beacon;
+    }
+
+    static constexpr int responses_per_tick = 12;
+
+    forward::node_settings m_settings;
+    const fake_clock& m_clock;
+    fake_record_store m_store;
+    forward::event_queue m_queue{64};
+    fake_node_event_listener m_forwarder;
+    fake_node_event_listener m_listener;
+    chivedeal::platform::json_wire_format m_format;
+    era::epoch_register m_epochs;
+    metrics m_counters;
+    forward::peer_exchange m_peers{{.settings = m_settings,
+                                    .time = m_clock,
+                                    .listeners = {},
+                                    .prompt_listener = m_listener,
+                                    .epochs = &m_epochs}};
+    forward::control_duties m_control;
+    std::int64_t m_requests = 0;
+    forward::version_outcomes m_outcomes;
+    int m_responses = 0;
+    bool m_is_cut_off = false;
+};
+
+} // namespace chivedeal::fakes
+
+#endif
--- a/fakes/fake_record_store.hpp
+++ b/fakes/fake_record_store.hpp
@@ -29,6 +29,29 @@
     std::optional<int> calls_until_drill;
     // Whether the drill follows the call instead of preceding it.
     bool drill_after_call = false;
+    // Appends to this topic get no response and are executed later.
+    std::optional<forward::topic> delayed_topic;
+
+    struct late_append
+    {
+        forward::topic to;
+        std::string key;
+        std::string value;
+        std::optional<std::uint64_t> expected_end;
+    };
+    std::vector<late_append> late_appends;
+
+    /// Executes the delayed appends whose condition still holds.
+    void execute_late_appends()
+    {
+        const std::lock_guard<mutex> lock(guard);
+        for (const late_append& late : late_appends) {
+            auto& all = records[late.to];
+            if (!late.expected_end || *late.expected_end == all.size())
+                all.push_back({.key = late.key, .value = late.value, .offset = all.size()});
+        }
+        late_appends.clear();
+    }
 
     /// Takes the copy from which `drill` restores the store.
     void take_copy()
@@ -101,7 +124,7 @@
     result<forward::record_batch> newest(forward::topic from) override
     {
         const std::lock_guard<mutex> lock(m_topics->guard);
-        if (m_topics->down)
+        if (m_topics->down || m_cut_off)
             return unavailable();
         m_topics->begin_call();
         m_epoch = m_topics->epoch;
@@ -122,7 +145,7 @@
         const std::lock_guard<mutex> lock(m_topics->guard);
         if (!m_topics->down && m_topics->records[from].size() <= offset && !m_stopped)
             m_topics->changed.wait_for(m_topics->guard, wait);
-        if (m_topics->down)
+        if (m_topics->down || m_cut_off)
             return unavailable();
         m_topics->begin_call();
         m_epoch = m_topics->epoch;
@@ -141,10 +164,15 @@
                                  std::optional<std::uint64_t> expected_end) override
     {
         const std::lock_guard<mutex> lock(m_topics->guard);
-        if (m_topics->down)
+        if (m_topics->down || m_cut_off)
             return unavailable();
         m_topics->begin_call();
         m_epoch = m_topics->epoch;
+        if (m_topics->delayed_topic == to) {
+            m_topics->late_appends.push_back(
+                {.to = to, .key = key, .value = value, .expected_end = expected_end});
+            return error{.code = result_code::outcome_unknown, .message = "no response"};
+        }
         auto& all = m_topics->records[to];
         if (expected_end && *expected_end != all.size())
             return error{.code = result_code::conflict, .message = "ends elsewhere"};
@@ -161,6 +189,13 @@
         return m_epoch;
     }
 
+    /// Calls of this client fail while it is cut off from the store.
+    void set_cut_off(bool value)
+    {
+        const std::lock_guard<mutex> lock(m_topics->guard);
+        m_cut_off = value;
+    }
+
     void stop() override
     {
         const std::lock_guard<mutex> lock(m_topics->guard);
@@ -176,6 +211,7 @@
 
     std::shared_ptr<fake_topics> m_topics;
     bool m_stopped = false;
+    bool m_cut_off = false;
     // Epoch in the newest answer.
     std::uint64_t m_epoch = 0;
 };
--- a/test/era_drill_test.cpp
+++ b/test/era_drill_test.cpp
@@ -1,17 +1,14 @@
-#include "chivedeal/core/metrics.hpp"
 #include "chivedeal/core/posix_thread.hpp"
 #include "chivedeal/core/system_clock.hpp"
 #include "chivedeal/era/epoch_register.hpp"
 #include "chivedeal/era/position.hpp"
 #include "chivedeal/forward/config_watcher.hpp"
-#include "chivedeal/forward/control_duties.hpp"
-#include "chivedeal/forward/duty_api.hpp"
+#include "chivedeal/forward/control_log.hpp"
 #include "chivedeal/forward/endpoint_watcher.hpp"
-#include "chivedeal/forward/event_queue.hpp"
-#include "chivedeal/forward/peer_exchange.hpp"
+#include "fakes/control_node.hpp"
+#include "fakes/control_system.hpp"
 #include "fakes/eventually.hpp"
 #include "fakes/fake_batch_sender.hpp"
-#include "fakes/fake_clock.hpp"
 #include "fakes/fake_node_event_listener.hpp"
 #include "fakes/fake_record_store.hpp"
 #include "platform/json_wire_format.hpp"
@@ -23,8 +20,6 @@
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -35,8 +30,9 @@
 namespace chivedeal::forward {
 namespace {
 
+using fakes::control_system;
+
 constexpr absl::Duration max_wait = absl::Seconds(10);
-constexpr absl::Duration tick_interval = absl::Milliseconds(250);
 const std::string ready_endpoint =
     R"({"service":"s","addr":"127.0.0.1:9000","zone":"z","version":"v1","slots":4,"state":"ready"})";
 
@@ -214,168 +210,6 @@
     EXPECT_TRUE(wait_for_configs(3));
 }
 
-/// Platform that checks the usage reports like the real one.
-class checking_platform : public duty_api
-{
-public:
-    status report_usage(const usage_report& report, const duty_fence& fence) override
-    {
-        if (fence.token < m_highest_token)
-            return error{.code = result_code::stale_fence, .message = "stale"};
-        m_highest_token = fence.token;
-        const auto accepted = m_accepted.try_emplace(report.window, report);
-        m_has_conflict = m_has_conflict || accepted.first->second != report;
-        return ok_status();
-    }
-    status order_endpoints(const fleet_order& /*order*/, const duty_fence& /*fence*/) override
-    {
-        return ok_status();
-    }
-    void stop() override {}
-
-    const std::map<std::int64_t, usage_report>& accepted() const { return m_accepted; }
-    bool has_conflict() const { return m_has_conflict; }
-    std::uint64_t highest_token() const { return m_highest_token; }
-
-private:
-    std::map<std::int64_t, usage_report> m_accepted;
-    std::uint64_t m_highest_token = 0;
-    bool m_has_conflict = false;
-};
-
-/// The control duties of one node, stepped by the test.
-class control_node
-{
-public:
-    control_node(const char* name, const std::shared_ptr<fakes::fake_topics>& topics,
-                 const fakes::fake_clock& clock, duty_api& platform)
-        : m_settings{.node = node_id(name), .reports_usage = true},
-          m_clock(clock),
-          m_store(topics),
-          m_control({.settings = m_settings,
-                     .time = clock,
-                     .store = m_store,
-                     .platform = platform,
-                     .format = m_format,
-                     .queue = m_queue,
-                     .forwarder = m_forwarder,
-                     .peers = m_peers,
-                     .epochs = &m_epochs,
-                     .counters = &m_counters})
-    {}
-
-    void tick() { m_control.tick(m_clock.now()); }
-    void handle(const node_event& event) { m_control.handle_event(event, m_clock.now()); }
-
-    /// Each call counts one more request for recent windows, so that a total that is computed again
-    /// differs.
-    void count_requests()
-    {
-        const std::int64_t current = absl::ToUnixSeconds(m_clock.now()) / 5;
-        local_state state;
-        for (std::int64_t window = current - 3; window <= current; ++window)
-            state.usage.push_back(
-                {.window = window, .counts = {{workspace_id("w"), ++m_requests}}});
-        handle({node_event::local_counters_updated{std::make_shared<const local_state>(state)}});
-        m_peers.publish(state);
-    }
-
-    node_beacon make_beacon() { return with_start(m_peers.make_beacon()); }
-    node_beacon make_reply() { return with_start(m_peers.make_reply()); }
-
-    era::epoch_register& epochs() { return m_epochs; }
-    metrics& counters() { return m_counters; }
-
-private:
-    static node_beacon with_start(node_beacon beacon)
-    {
-        beacon.started_us = 1;
-        return beacon;
-    }
-
-    node_settings m_settings;
-    const fakes::fake_clock& m_clock;
-    fakes::fake_record_store m_store;
-    event_queue m_queue{64};
-    fakes::fake_node_event_listener m_forwarder;
-    fakes::fake_node_event_listener m_listener;
-    platform::json_wire_format m_format;
-    era::epoch_register m_epochs;
-    metrics m_counters;
-    peer_exchange m_peers{{.settings = m_settings,
-                           .time = m_clock,
-                           .listeners = {},
-                           .prompt_listener = m_listener,
-                           .epochs = &m_epochs}};
-    control_duties m_control;
-    std::int64_t m_requests = 0;
-};
-
-/// Nodes that exchange beacons and share a store with epochs.
-class control_system
-{
-public:
-    explicit control_system(std::uint64_t epoch) { topics->epoch = epoch; }
-
-    void add(const char* name)
-    {
-        nodes[name] = std::make_unique<control_node>(name, topics, clock, platform);
-    }
-
-    void step()
-    {
-        for (const auto& [name, node] : nodes) {
-            node->count_requests();
-            node->tick();
-        }
-        for (const auto& [name, node] : nodes)
-            for (const auto& [peer_name, peer] : nodes)
-                if (peer_name != name) {
-                    const node_beacon beacon = node->make_beacon();
-                    peer->epochs().note(beacon.store_epoch);
-                    peer->handle({node_event::peer_heard{
-                        std::make_shared<const node_beacon>(beacon), nullptr}});
-                }
-        clock.advance(tick_interval);
-        // The copy is three seconds old.
-        m_copies.push_back(topics->records);
-        if (m_copies.size() > 12)
-            m_copies.pop_front();
-        topics->copy = m_copies.front();
-    }
-
-    void run(absl::Duration time)
-    {
-        for (absl::Duration elapsed; elapsed < time; elapsed += tick_interval)
-            step();
-    }
-
-    /// The watchers read all the time and learn of the epoch.
-    void let_watchers_read()
-    {
-        for (const auto& [name, node] : nodes)
-            node->epochs().note(topics->epoch);
-    }
-
-    bool has_record(topic in, const std::string& key, const std::string& part) const
-    {
-        const auto found = topics->records.find(in);
-        return found != topics->records.end() &&
-               std::any_of(
-                   found->second.begin(), found->second.end(), [&](const stored_record& record) {
-                       return record.key == key && record.value.find(part) != std::string::npos;
-                   });
-    }
-
-    fakes::fake_clock clock;
-    std::shared_ptr<fakes::fake_topics> topics = std::make_shared<fakes::fake_topics>();
-    checking_platform platform;
-    std::map<std::string, std::unique_ptr<control_node>> nodes;
-
-private:
-    std::deque<std::map<topic, std::vector<stored_record>>> m_copies;
-};
-
 enum class drill_kind
 {
     before_a_call,
