Keep the final state of a roll-out over a change of the lease holder

Cause: a node read the status of a roll-out only with its order. The next holder wrote "running" over "done", without a condition; the platform had stopped the endpoints of the old version by then, so the usual failures counted against the only version left, and all nodes rolled it back. A node's own evaluation was final for it, whatever the holder stored. Change: the status topic is compared and set. A holder reads it before it writes, and appends at the end that it read. tracked_rollout puts a final state in the store before the node's own evaluation. Decisions are sent in the beacons; a node that has a result and hears of no decision reads the store. The roll-outs of control_duties are in a file of their own. move_step_decided says which of the two set the share. Conclusion: the first final state of an order stays, and all nodes follow it.

--- a/include/chivedeal/forward/control_duties.hpp
+++ b/include/chivedeal/forward/control_duties.hpp
@@ -13,7 +13,7 @@
 #include "chivedeal/forward/event_queue.hpp"
 #include "chivedeal/forward/fleet_planner.hpp"
 #include "chivedeal/forward/node_settings.hpp"
-#include "chivedeal/forward/rollout_evaluator.hpp"
+#include "chivedeal/forward/tracked_rollout.hpp"
 #include "chivedeal/forward/usage_collector.hpp"
 #include "chivedeal/forward/usage_ledger.hpp"
 
@@ -72,24 +72,6 @@
     void handle_event(const node_event& event, absl::Time now);
 
 private:
-    struct tracked_rollout
-    {
-        rollout_evaluator evaluator;
-        std::map<node_id, version_outcomes> outcomes;
-        double applied_share = -1;
-        rollout_state written_state = rollout_state::running;
-        bool status_written = false;
-        absl::Time done_at = absl::InfiniteFuture();
-        bool split_ended = false;
-        // The order was known before the store was restored.
-        bool is_carried = false;
-        // Newest state read from the store.
-        std::optional<rollout_state> stored_state;
-        absl::Time next_restore_attempt = absl::InfinitePast();
-    };
-
-    void record_outcomes(const node_id& node, const std::vector<version_outcomes>& outcomes,
-                         absl::Time now);
     void advance_lease(absl::Time now);
     bool read_control_log(absl::Time now);
     // Starts anew if the store was restored. Returns whether the newest answer of the store belongs
@@ -100,9 +82,6 @@
     void count_rewritten(std::initializer_list<log_field> record);
     void publish_reports(absl::Time now);
     bool is_published(std::int64_t window, absl::Time now);
-    void adopt_rewritten(const rollout_order& order);
-    bool adopt_stored_state(tracked_rollout& rollout);
-    void restore_status(tracked_rollout& rollout, absl::Time now);
     void append_grant(absl::Time now);
     void register_node(absl::Time now);
     void plan_fleets(absl::Time now);
@@ -113,11 +92,21 @@
     bool report_window(std::int64_t window, absl::Time now);
     bool plan_report(const usage_report& report, absl::Time now);
     bool send_report(const usage_report& report, absl::Time now);
-    void advance_rollouts(absl::Time now);
-    void apply_share(const service_id& service, tracked_rollout& rollout);
-    void write_status(tracked_rollout& rollout);
     std::optional<duty_fence> fence(absl::Time now) const;
 
+    // Roll-outs; see rollout_duties.cpp.
+    void begin_rollout(const rollout_order& order, absl::Time now);
+    void record_outcomes(const node_id& node, const std::vector<version_outcomes>& outcomes,
+                         absl::Time now);
+    void adopt_decisions(const std::vector<rollout_status>& decided, absl::Time now);
+    void advance_rollouts(absl::Time now);
+    void apply_share(const tracked_rollout& rollout, absl::Time now);
+    bool must_read_statuses(absl::Time now) const;
+    bool may_restore_status(const tracked_rollout& rollout, absl::Time now) const;
+    bool read_statuses(absl::Time now);
+    void write_status(tracked_rollout& rollout, absl::Time now);
+    void publish_decisions(absl::Time now);
+
     const node_settings& m_settings;
     const clock& m_time;
     record_store& m_store;
@@ -127,6 +116,8 @@
     node_event_listener& m_forwarder;
     peer_exchange& m_peers;
 
+    // Delay that differs from node to node, so that they don't act at the same moment.
+    absl::Duration m_stagger;
     duty_lease m_lease;
     control_log m_control_log;
     usage_ledger m_usage_windows;
@@ -135,6 +126,11 @@
     std::int64_t m_next_window = 0;
     absl::Time m_next_report_attempt = absl::InfinitePast();
     std::map<service_id, tracked_rollout> m_rollouts;
+    // Shares that the forwarder applies; absent without a split.
+    std::map<service_id, std::optional<double>> m_applied_shares;
+    // End of the status topic at the newest read or append of the holder.
+    std::optional<std::uint64_t> m_status_end;
+    absl::Time m_next_status_read = absl::InfinitePast();
     std::map<service_id, scale_spec> m_scale_specs;
     std::map<service_id, fleet_planner> m_planners;
     std::map<endpoint_id, endpoint_record> m_endpoints;
--- a/include/chivedeal/forward/node_beacon.hpp
+++ b/include/chivedeal/forward/node_beacon.hpp
@@ -6,6 +6,7 @@
 #include "chivedeal/era/planned_report.hpp"
 #include "chivedeal/forward/endpoint_load.hpp"
 #include "chivedeal/forward/part_suspicion.hpp"
+#include "chivedeal/forward/rollout_status.hpp"
 #include "chivedeal/forward/usage_report.hpp"
 #include "chivedeal/forward/version_outcomes.hpp"
 
@@ -54,6 +55,8 @@
     /// Usage reports that the lease holder is about to send. In the reply to a node that has just
     /// started, all recent ones.
     std::vector<era::planned_report> planned_reports;
+    /// Final states of roll-outs that the store has accepted recently.
+    std::vector<rollout_status> decided_rollouts;
 
     friend bool operator==(const node_beacon&, const node_beacon&) = default;
 };
--- a/include/chivedeal/forward/peer_exchange.hpp
+++ b/include/chivedeal/forward/peer_exchange.hpp
@@ -12,6 +12,7 @@
 #include "chivedeal/forward/peer_codec.hpp"
 #include "chivedeal/forward/peer_table.hpp"
 #include "chivedeal/forward/relayed_batch.hpp"
+#include "chivedeal/forward/rollout_status.hpp"
 #include "chivedeal/forward/wake_signal.hpp"
 
 #include "absl/time/time.h"
@@ -65,6 +66,8 @@
     /// `about_to_send` goes into every beacon, `recent` into replies to new peers. Thread-safe.
     void set_planned_reports(std::vector<era::planned_report> about_to_send,
                              std::vector<era::planned_report> recent);
+    /// Final states of roll-outs for the beacons; new ones are sent at once.
+    void set_decided_rollouts(std::vector<rollout_status> decided);
     void relay(relayed_batch batch) override;
     /// Sends a notice of a long prompt: to all peers, or, if there are many, to those of the
     /// region. Thread-safe.
@@ -112,6 +115,7 @@
     shared_cell<std::optional<std::uint64_t>> m_lease_token;
     shared_cell<std::vector<era::planned_report>> m_planned_reports;
     shared_cell<std::vector<era::planned_report>> m_recent_reports;
+    shared_cell<std::vector<rollout_status>> m_decided_rollouts;
     era::epoch_register* m_epochs;
     std::atomic<bool> m_stopping = false;
     std::atomic<bool> m_urgent = false;
--- a/src/forward/control_duties.cpp
+++ b/src/forward/control_duties.cpp
@@ -32,23 +32,14 @@
 // Planned reports are sent in the beacons for this long, so that each peer receives several.
 constexpr absl::Duration announcement_time = absl::Milliseconds(1500);
 constexpr std::size_t max_announced_reports = 16;
-// A node that doesn't hold the lease writes a lost roll-out status again after this time plus its
-// stagger, if the holder has not done so.
-constexpr absl::Duration status_backup_delay = absl::Seconds(1);
-constexpr absl::Duration status_retry_interval = absl::Seconds(1);
 constexpr absl::Duration registration_interval = absl::Seconds(30);
 constexpr absl::Duration registration_retry_interval = absl::Seconds(1);
-// After this time, the endpoints of the old version have stopped, so the traffic split has no
-// effect.
-constexpr absl::Duration completed_split_retention = absl::Seconds(8);
-// Fraction of the platform's limit on a new version's share that the nodes use.
-constexpr double exposure_limit_fraction = 0.5;
 
 // Upper bound of the stagger as a fraction of the lease term. Beacons inform all nodes of a new
 // holder within a quarter of the resulting spread, even in large clusters.
 constexpr double max_stagger_fraction = 0.25;
 
-absl::Duration lease_stagger(const node_settings& settings)
+absl::Duration stagger_of(const node_settings& settings)
 {
     const std::string& name = settings.node.str();
     const double fraction =
@@ -67,9 +58,10 @@
       m_event_queue(dependencies.queue),
       m_forwarder(dependencies.forwarder),
       m_peers(dependencies.peers),
+      m_stagger(stagger_of(dependencies.settings)),
       m_lease({.self = dependencies.settings.node,
                .term = dependencies.settings.lease_term,
-               .stagger = lease_stagger(dependencies.settings)},
+               .stagger = m_stagger},
               dependencies.time.now()),
       m_usage_windows(dependencies.settings.usage_window),
       m_true_time_offset(dependencies.time.wall_now() - dependencies.time.now()),
@@ -113,6 +105,7 @@
         m_demand_meter.on_counts(process, beacon.requested_prompt_tokens, now);
         m_usage_collector.on_counts(beacon.node, beacon.started_us, beacon.usage, now);
         record_outcomes(beacon.node, beacon.outcomes, now);
+        adopt_decisions(beacon.decided_rollouts, now);
         for (const era::planned_report& plan : beacon.planned_reports)
             m_control_log.add_planned(plan);
     }
@@ -141,14 +134,7 @@
         m_true_time_offset = offset->offset;
     }
     else if (const auto* ordered = std::get_if<node_event::rollout_ordered>(&event.value)) {
-        if (ordered->order.rewritten && m_rollouts.count(ordered->order.service) > 0)
-            return adopt_rewritten(ordered->order);
-        const rollout_evaluator::options evaluator_options{
-            .unproven_share = m_settings.unproven_share * exposure_limit_fraction};
-        tracked_rollout rollout{.evaluator =
-                                    rollout_evaluator(evaluator_options, ordered->order, now)};
-        (void)adopt_stored_state(rollout);
-        m_rollouts.insert_or_assign(ordered->order.service, std::move(rollout));
+        begin_rollout(ordered->order, now);
     }
     else if (std::holds_alternative<node_event::drain_requested>(event.value)) {
         m_lease.release();
@@ -156,19 +142,6 @@
     }
 }
 
-void control_duties::record_outcomes(const node_id& node,
-                                     const std::vector<version_outcomes>& outcomes, absl::Time now)
-{
-    for (const version_outcomes& counted : outcomes) {
-        const auto found = m_rollouts.find(counted.service);
-        if (found == m_rollouts.end() ||
-            found->second.evaluator.order().offset != counted.order_offset)
-            continue;
-        found->second.outcomes[node] = counted;
-    }
-    advance_rollouts(now);
-}
-
 bool control_duties::follow_epoch(absl::Time now)
 {
     m_epochs.note(m_store.epoch());
@@ -190,10 +163,9 @@
     m_report_guard.on_epoch(now);
     m_registered = false;
     m_next_registration = now;
-    for (auto& [service, rollout] : m_rollouts) {
-        rollout.status_written = false;
-        rollout.is_carried = true;
-    }
+    for (auto& [service, rollout] : m_rollouts)
+        rollout.on_restored();
+    m_status_end.reset();
     if (m_counters != nullptr)
         m_counters->set("chivedeal_store_epoch", static_cast<double>(epoch));
     if (!m_has_answer)
@@ -476,7 +448,7 @@
     }
     const auto rollout = m_rollouts.find(service);
     view.rollout_running =
-        rollout != m_rollouts.end() && rollout->second.evaluator.state() == rollout_state::running;
+        rollout != m_rollouts.end() && rollout->second.state() == rollout_state::running;
     view.tokens_per_second = m_demand_meter.tokens_per_second(service, now);
     return view;
 }
@@ -505,119 +477,4 @@
     }
 }
 
-void control_duties::advance_rollouts(absl::Time now)
-{
-    for (auto& [service, rollout] : m_rollouts) {
-        version_outcomes total;
-        for (const auto& [node, counted] : rollout.outcomes) {
-            total.target_good += counted.target_good;
-            total.target_bad += counted.target_bad;
-            total.other_good += counted.other_good;
-            total.other_bad += counted.other_bad;
-        }
-        rollout.evaluator.on_outcomes(total, now);
-        apply_share(service, rollout);
-        if (rollout.evaluator.state() == rollout_state::done &&
-            rollout.done_at == absl::InfiniteFuture())
-            rollout.done_at = now;
-        if (!rollout.split_ended && now - rollout.done_at > completed_split_retention) {
-            rollout.split_ended = true;
-            m_forwarder.on_event(
-                {node_event::version_share_changed{.service = service,
-                                                   .version = rollout.evaluator.order().target,
-                                                   .share = std::nullopt}});
-        }
-        if (fence(now))
-            write_status(rollout);
-        else
-            restore_status(rollout, now);
-    }
-}
-
-void control_duties::apply_share(const service_id& service, tracked_rollout& rollout)
-{
-    const double share = rollout.evaluator.share();
-    if (share == rollout.applied_share || rollout.split_ended)
-        return;
-    rollout.applied_share = share;
-    log_event(event_id::move_step_decided, {{"service", service.str()},
-                                            {"version", rollout.evaluator.order().target.str()},
-                                            {"share", absl::StrCat(share)}});
-    m_forwarder.on_event({node_event::version_share_changed{
-        .service = service, .version = rollout.evaluator.order().target, .share = share}});
-}
-
-void control_duties::adopt_rewritten(const rollout_order& order)
-{
-    tracked_rollout& rollout = m_rollouts.at(order.service);
-    rollout.evaluator.set_order_offset(order.offset);
-    for (auto& [node, counted] : rollout.outcomes)
-        counted.order_offset = order.offset;
-}
-
-// Returns whether the store answered.
-bool control_duties::adopt_stored_state(tracked_rollout& rollout)
-{
-    const auto statuses = m_store.newest(topic::rollout_status);
-    if (!follow_epoch(m_time.now()) || !is_ok(statuses))
-        return false;
-    for (const stored_record& record : get_value(statuses).records) {
-        const auto stored = m_format.decode_rollout_status(record);
-        if (is_ok(stored) && get_value(stored).service == rollout.evaluator.order().service &&
-            get_value(stored).target == rollout.evaluator.order().target) {
-            rollout.evaluator.on_state(get_value(stored).state);
-            rollout.stored_state = get_value(stored).state;
-        }
-    }
-    return true;
-}
-
-// Writes a lost final status again if the holder of the lease doesn't know it.
-void control_duties::restore_status(tracked_rollout& rollout, absl::Time now)
-{
-    if (!rollout.is_carried || rollout.status_written ||
-        rollout.evaluator.state() == rollout_state::running ||
-        now < m_epoch_learned_at + status_backup_delay + lease_stagger(m_settings) ||
-        now < rollout.next_restore_attempt)
-        return;
-    rollout.next_restore_attempt = now + status_retry_interval;
-    rollout.stored_state.reset();
-    if (!adopt_stored_state(rollout))
-        return;
-    if (rollout.stored_state == rollout.evaluator.state())
-        rollout.status_written = true;
-    else
-        write_status(rollout);
-    rollout.written_state = rollout.evaluator.state();
-}
-
-void control_duties::write_status(tracked_rollout& rollout)
-{
-    if (rollout.status_written && rollout.written_state == rollout.evaluator.state())
-        return;
-    // A process that started after the store lost the final status learns it from the nodes that
-    // write it again.
-    if (m_epoch > 0 && !rollout.status_written && !rollout.is_carried &&
-        !adopt_stored_state(rollout))
-        return;
-    const rollout_status next{.service = rollout.evaluator.order().service,
-                              .target = rollout.evaluator.order().target,
-                              .state = rollout.evaluator.state(),
-                              .order_offset = rollout.evaluator.order().offset};
-    const auto appended = m_store.append(topic::rollout_status, m_format.rollout_status_key(next),
-                                         m_format.encode_rollout_status(next), std::nullopt);
-    if (!follow_epoch(m_time.now()) || !is_ok(appended))
-        return;
-    if (rollout.is_carried && !rollout.status_written)
-        count_rewritten({{"topic", "rollout_status"},
-                         {"epoch", absl::StrCat(m_epoch)},
-                         {"key", next.service.str()}});
-    rollout.status_written = true;
-    rollout.written_state = next.state;
-    if (next.state != rollout_state::running)
-        log_event(next.state == rollout_state::done ? event_id::move_done
-                                                    : event_id::move_rolled_back,
-                  {{"service", next.service.str()}, {"version", next.target.str()}});
-}
-
 } // namespace chivedeal::forward
--- a/src/forward/peer_codec.cpp
+++ b/src/forward/peer_codec.cpp
@@ -136,6 +136,15 @@
             beacon.planned_reports.push_back(
                 {.report = decode_report(plan), .epoch = plan.at(2).get<std::uint64_t>()});
     }
+    // Nodes of the previous version send no decisions.
+    if (fields.size() > 21)
+        for (const json& decided : fields.at(21))
+            beacon.decided_rollouts.push_back(
+                {.service = service_id(decided.at(0).get<std::string>()),
+                 .target = version_id(decided.at(1).get<std::string>()),
+                 .state =
+                     decided.at(3).get<bool>() ? rollout_state::done : rollout_state::rolled_back,
+                 .order_offset = decided.at(2).get<std::uint64_t>()});
     return beacon;
 }
 
@@ -163,6 +172,15 @@
     return plans;
 }
 
+json encode_decisions(const node_beacon& beacon)
+{
+    json decisions = json::array();
+    for (const rollout_status& decided : beacon.decided_rollouts)
+        decisions.push_back({decided.service.str(), decided.target.str(), decided.order_offset,
+                             decided.state == rollout_state::done});
+    return decisions;
+}
+
 json encode_fields(const relayed_batch& batch)
 {
     json records = json::array();
@@ -225,7 +243,8 @@
             encode_suspicions(beacon),
             std::move(levels),
             beacon.store_epoch,
-            encode_plans(beacon)};
+            encode_plans(beacon),
+            encode_decisions(beacon)};
 }
 
 // Message kinds; the first element of an encoded message.
--- a/src/forward/peer_exchange.cpp
+++ b/src/forward/peer_exchange.cpp
@@ -55,6 +55,7 @@
       m_lease_token(std::make_shared<const std::optional<std::uint64_t>>()),
       m_planned_reports(std::make_shared<const std::vector<era::planned_report>>()),
       m_recent_reports(std::make_shared<const std::vector<era::planned_report>>()),
+      m_decided_rollouts(std::make_shared<const std::vector<rollout_status>>()),
       m_epochs(parts.epochs),
       m_table({.self = parts.settings.node, .self_address = parts.settings.peers}),
       m_relay({.region = parts.settings.region}),
@@ -103,6 +104,20 @@
     }
 }
 
+void peer_exchange::set_decided_rollouts(std::vector<rollout_status> decided)
+{
+    const auto previous = m_decided_rollouts.load();
+    if (decided == *previous)
+        return;
+    const bool has_news = decided.size() >= previous->size();
+    m_decided_rollouts.store(
+        std::make_shared<const std::vector<rollout_status>>(std::move(decided)));
+    if (has_news) {
+        m_urgent = true;
+        m_wake.raise();
+    }
+}
+
 void peer_exchange::add_candidate(const address& node) { (void)m_new_candidates.try_push(node); }
 
 void peer_exchange::relay(relayed_batch batch)
@@ -185,7 +200,8 @@
                        .usage = local->usage,
                        .suspicions = local->suspicions,
                        .store_epoch = m_epochs != nullptr ? m_epochs->newest() : 0,
-                       .planned_reports = *m_planned_reports.load()};
+                       .planned_reports = *m_planned_reports.load(),
+                       .decided_rollouts = *m_decided_rollouts.load()};
     std::vector<address> known_addresses;
     for (const auto& [node, peer] : m_table.beacons())
         known_addresses.push_back(peer.peer_address);
--- /dev/null
+++ b/test/forward_control_handover_test.cpp
@@ -0,0 +1,175 @@
+#include "chivedeal/forward/rollout_order.hpp"
+#include "chivedeal/forward/rollout_state.hpp"
+#include "chivedeal/forward/topic.hpp"
+#include "fakes/control_system.hpp"
+
+#include "absl/strings/str_cat.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace chivedeal::forward {
+namespace {
+
+using fakes::control_system;
+
+constexpr absl::Duration rollout_duration = absl::Seconds(12);
+
+rollout_order make_order(std::uint64_t offset = 5)
+{
+    return {.service = service_id("s"),
+            .target = version_id("v2"),
+            .duration = rollout_duration,
+            .offset = offset};
+}
+
+const std::vector<std::string> all_nodes = {"n1", "n2", "n3"};
+
+// Starts three nodes; n1 holds the lease.
+void start_nodes(control_system& system)
+{
+    system.add("n1");
+    system.step();
+    system.step();
+    system.add("n2");
+    system.add("n3");
+    system.run(absl::Seconds(2));
+}
+
+void restart_all(control_system& system)
+{
+    system.nodes.clear();
+    for (const std::string& name : all_nodes)
+        system.add(name);
+}
+
+// The status of one order goes from running to one final state and stays there.
+void expect_states_never_go_back(const control_system& system)
+{
+    const std::vector<rollout_state> states = system.stored_states();
+    const auto final_state = std::find_if(states.begin(), states.end(), [](rollout_state state) {
+        return state != rollout_state::running;
+    });
+    ASSERT_NE(final_state, states.end());
+    EXPECT_EQ(std::count(final_state, states.end(), *final_state),
+              std::distance(final_state, states.end()));
+}
+
+// All nodes send requests to the endpoints that the stored state leaves.
+void expect_nodes_follow_the_stored_state(const control_system& system)
+{
+    const bool is_done = system.has_ended(rollout_state::done);
+    for (const auto& [name, node] : system.nodes)
+        EXPECT_EQ(node->share().value_or(1) > 0, is_done) << name;
+}
+
+// Guards against review/6: after a rolling restart, a new holder wrote "running" over "done", and
+// all nodes rolled back the only version that was left.
+TEST(control_handover, new_holder_keeps_the_final_state_of_a_roll_out)
+{
+    control_system system(0);
+    start_nodes(system);
+    system.order(make_order());
+    system.run(absl::Seconds(5));
+    system.restart("n2");
+    system.run(absl::Seconds(5));
+    system.restart("n3");
+    system.run(absl::Seconds(2));
+    ASSERT_TRUE(system.has_ended(rollout_state::done));
+    system.nodes.erase("n1");
+    system.run(absl::Seconds(5));
+    expect_states_never_go_back(system);
+    restart_all(system);
+    system.run(absl::Seconds(20));
+    expect_states_never_go_back(system);
+    expect_nodes_follow_the_stored_state(system);
+}
+
+// Guards against a status that the store accepts without a response and executes after later ones.
+TEST(control_handover, late_append_does_not_replace_a_final_state)
+{
+    control_system system(0);
+    start_nodes(system);
+    system.topics->delayed_topic = topic::rollout_status;
+    system.order(make_order());
+    system.run(absl::Seconds(1));
+    system.topics->delayed_topic.reset();
+    ASSERT_FALSE(system.topics->late_appends.empty());
+    system.run(rollout_duration);
+    ASSERT_TRUE(system.has_ended(rollout_state::done));
+    system.topics->execute_late_appends();
+    expect_states_never_go_back(system);
+    restart_all(system);
+    system.run(absl::Seconds(20));
+    expect_states_never_go_back(system);
+    expect_nodes_follow_the_stored_state(system);
+}
+
+enum class trouble
+{
+    holder_ends,
+    holder_restarts,
+    holder_is_cut_off,
+    others_restart,
+    other_node_is_cut_off,
+    all_restart,
+};
+
+constexpr absl::Duration cut_off_time = absl::Seconds(6);
+
+void apply(trouble kind, control_system& system)
+{
+    switch (kind) {
+    case trouble::holder_ends:
+        system.nodes.erase("n1");
+        return;
+    case trouble::holder_restarts:
+        return system.restart("n1");
+    case trouble::others_restart:
+        system.restart("n2");
+        return system.restart("n3");
+    case trouble::holder_is_cut_off:
+    case trouble::other_node_is_cut_off: {
+        const char* name = kind == trouble::holder_is_cut_off ? "n1" : "n2";
+        system.nodes.at(name)->set_cut_off(true);
+        system.run(cut_off_time);
+        return system.nodes.at(name)->set_cut_off(false);
+    }
+    case trouble::all_restart:
+        return restart_all(system);
+    }
+}
+
+// Guards against a second holder, one that has just started or was cut off, that contradicts what
+// the first one stored, at each step of a roll-out; also after the trouble of another kind.
+TEST(control_handover, roll_out_states_never_go_back)
+{
+    constexpr trouble kinds[] = {trouble::holder_ends,           trouble::holder_restarts,
+                                 trouble::others_restart,        trouble::holder_is_cut_off,
+                                 trouble::other_node_is_cut_off, trouble::all_restart};
+    for (int step = 0; step < 64; step += 3)
+        for (const trouble first : kinds)
+            for (const trouble second : kinds) {
+                SCOPED_TRACE(absl::StrCat("step ", step, ", trouble ", static_cast<int>(first),
+                                          ", then ", static_cast<int>(second)));
+                control_system system(0);
+                start_nodes(system);
+                system.order(make_order());
+                for (int i = 0; i < step; ++i)
+                    system.step();
+                apply(first, system);
+                system.run(absl::Seconds(2));
+                if (system.nodes.count("n1") == 0)
+                    system.add("n1");
+                apply(second, system);
+                system.run(absl::Seconds(30));
+                expect_states_never_go_back(system);
+                expect_nodes_follow_the_stored_state(system);
+            }
+}
+
+} // namespace
+} // namespace chivedeal::forward
--- a/test/forward_peers_test.cpp
+++ b/test/forward_peers_test.cpp
@@ -49,6 +49,11 @@
                           .trial_age = absl::Milliseconds(40)},
                          {.part = "p2"}};
     beacon.known_peers = {{.host = "127.0.0.1", .port = 8}};
+    beacon.planned_reports = {{.report = {.window = 3, .counts = {{workspace_id("w"), 1}}}}};
+    beacon.decided_rollouts = {{.service = service_id("s"),
+                                .target = version_id("v2"),
+                                .state = rollout_state::done,
+                                .order_offset = 6}};
     const auto decoded = decode_message(encode_message(beacon));
     ASSERT_TRUE(is_ok(decoded));
     EXPECT_EQ(std::get<node_beacon>(get_value(decoded)), beacon);
