Go on with a roll-out from the evidence of earlier processes

Callers saw: during a roll-out with a change of the lease holder or restarts, a sound version missed its deadline or was rolled back, and a bad one that fails slowly got requests for as long as nodes restarted. Cause: the start of the roll-out, its counted responses and whether the version was proven existed in the processes only. A second holder began the evaluation anew, and the counts of a restarted node replaced those of the process before it. Change: the status of a running roll-out holds start, counts by process and whether the version is proven; a node that reads it goes on from there. outcome_ledger merges counts, which only rise. The holder writes them every 2 s, at once if three further bad responses were counted or the version is proven, and before it hands over the lease on SIGTERM. rollout_evaluator::on_state had no caller left; its test now reaches the final state by outcomes and checks that neither proof nor good outcomes leave it, tracked decisions have tests of their own in control_handover. Conclusion: what a holder learned of a roll-out survives it, up to two seconds of it if all processes are killed at once.

--- a/fakes/control_node.hpp
+++ b/fakes/control_node.hpp
@@ -54,27 +54,29 @@
         handle({forward::node_event::rollout_ordered{ordered}});
     }
 
-    /// Counts the responses of one tick by the version that the node's share selects: one in seven
-    /// fails, with either version.
-    void count_responses(bool has_old_endpoints)
+    /// Counts the responses of one tick by the version that the node's share selects. One in seven
+    /// of the other version fails. Returns the failures of the order's version.
+    int count_responses(bool has_old_endpoints, int target_failure_interval)
     {
         const double target_share = share().value_or(has_old_endpoints ? 0.5 : 1);
-        int to_target = target_share <= 0 ? 0 : target_share < 1 ? 1 : responses_per_tick;
-        if (!has_old_endpoints && to_target > 0)
-            to_target = responses_per_tick;
+        const int to_target = target_share <= 0                       ? 0
+                              : target_share < 1 && has_old_endpoints ? 1
+                                                                      : responses_per_tick;
+        int target_failures = 0;
         for (int i = 0; i < to_target; ++i)
-            ++(++m_responses % 7 == 0 ? m_outcomes.target_bad : m_outcomes.target_good);
-        if (!has_old_endpoints)
-            return;
-        for (int i = to_target; i < responses_per_tick; ++i)
-            ++(++m_responses % 7 == 0 ? m_outcomes.other_bad : m_outcomes.other_good);
+            target_failures += ++m_target_responses % target_failure_interval == 0 ? 1 : 0;
+        m_outcomes.target_bad += target_failures;
+        m_outcomes.target_good += to_target - target_failures;
+        for (int i = to_target; has_old_endpoints && i < responses_per_tick; ++i)
+            ++(++m_other_responses % 7 == 0 ? m_outcomes.other_bad : m_outcomes.other_good);
+        return target_failures;
     }
 
     /// The share of the target version that the forwarder applies; absent without a split.
     std::optional<double> share() const
     {
-        const auto changes = m_forwarder.all<forward::node_event::version_share_changed>();
-        return changes.empty() ? std::nullopt : changes.back().share;
+        const auto newest = m_forwarder.newest<forward::node_event::version_share_changed>();
+        return newest ? newest->share : std::nullopt;
     }
 
     void set_cut_off(bool value)
@@ -103,19 +105,13 @@
         m_peers.publish(state);
     }
 
-    forward::node_beacon make_beacon() { return with_start(m_peers.make_beacon()); }
-    forward::node_beacon make_reply() { return with_start(m_peers.make_reply()); }
+    forward::node_beacon make_beacon() { return m_peers.make_beacon(); }
+    forward::node_beacon make_reply() { return m_peers.make_reply(); }
 
     era::epoch_register& epochs() { return m_epochs; }
     metrics& counters() { return m_counters; }
 
 private:
-    static forward::node_beacon with_start(forward::node_beacon beacon)
-    {
-        beacon.started_us = 1;
-        return beacon;
-    }
-
     static constexpr int responses_per_tick = 12;
 
     forward::node_settings m_settings;
@@ -135,7 +131,8 @@
     forward::control_duties m_control;
     std::int64_t m_requests = 0;
     forward::version_outcomes m_outcomes;
-    int m_responses = 0;
+    int m_target_responses = 0;
+    int m_other_responses = 0;
     bool m_is_cut_off = false;
 };
 
--- a/fakes/control_system.hpp
+++ b/fakes/control_system.hpp
@@ -16,6 +16,7 @@
 #include "absl/time/time.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -37,9 +38,15 @@
     /// A node that starts reads the order in force, like the configuration.
     void add(const std::string& name)
     {
-        nodes[name] = std::make_unique<control_node>(name.c_str(), topics, clock, platform);
+        control_node& node = add_without_order(name);
         if (m_order)
-            nodes[name]->order(*m_order);
+            node.order(*m_order);
+    }
+
+    control_node& add_without_order(const std::string& name)
+    {
+        nodes[name] = std::make_unique<control_node>(name.c_str(), topics, clock, platform);
+        return *nodes[name];
     }
 
     void restart(const std::string& name)
@@ -51,6 +58,7 @@
     void order(const forward::rollout_order& ordered)
     {
         m_order = ordered;
+        m_ordered_at = clock.now();
         for (const auto& [name, node] : nodes)
             node->order(ordered);
     }
@@ -58,9 +66,11 @@
     /// Advances all nodes by one tick of the control duty.
     void step()
     {
+        const bool has_old_endpoints = !is_done();
         for (const auto& [name, node] : nodes) {
             if (m_order)
-                node->count_responses(!has_ended(forward::rollout_state::done));
+                target_failures +=
+                    node->count_responses(has_old_endpoints, target_failure_interval);
             node->count_requests();
             node->tick();
         }
@@ -73,6 +83,8 @@
                         std::make_shared<const forward::node_beacon>(beacon), nullptr}});
                 }
         clock.advance(tick_interval);
+        if (topics->epoch == 0)
+            return;
         // The copy is three seconds old.
         m_copies.push_back(topics->records);
         if (m_copies.size() > 12)
@@ -111,7 +123,8 @@
         const auto found = topics->records.find(forward::topic::rollout_status);
         if (found != topics->records.end())
             for (const forward::stored_record& record : found->second)
-                if (const auto status = m_format.decode_rollout_status(record); is_ok(status))
+                if (const auto status = m_format.decode_rollout_status(record);
+                    is_ok(status) && get_value(status).service == m_order->service)
                     states.push_back(get_value(status).state);
         return states;
     }
@@ -122,12 +135,35 @@
         return std::find(states.begin(), states.end(), with) != states.end();
     }
 
+    absl::Time ordered_at() const { return m_ordered_at; }
+    /// When the store accepted that the roll-out is done; `InfiniteFuture` if it hasn't.
+    absl::Time done_at() const { return m_done_at; }
+
+    /// One in so many responses of the order's version fails. Of the other version, one in seven.
+    int target_failure_interval = 7;
+    /// Failed responses of the order's version on all nodes.
+    int target_failures = 0;
     fake_clock clock;
     std::shared_ptr<fake_topics> topics = std::make_shared<fake_topics>();
     checking_platform platform;
     std::map<std::string, std::unique_ptr<control_node>> nodes;
 
 private:
+    // Whether the platform has stopped the endpoints of the old version.
+    bool is_done()
+    {
+        const auto& statuses = topics->records[forward::topic::rollout_status];
+        for (; m_seen_statuses < statuses.size(); ++m_seen_statuses) {
+            const auto status = m_format.decode_rollout_status(statuses[m_seen_statuses]);
+            if (is_ok(status) && get_value(status).state == forward::rollout_state::done)
+                m_done_at = std::min(m_done_at, clock.now());
+        }
+        return m_done_at != absl::InfiniteFuture();
+    }
+
+    absl::Time m_ordered_at = absl::InfinitePast();
+    std::size_t m_seen_statuses = 0;
+    absl::Time m_done_at = absl::InfiniteFuture();
     chivedeal::platform::json_wire_format m_format;
     std::optional<forward::rollout_order> m_order;
     std::deque<std::map<forward::topic, std::vector<forward::stored_record>>> m_copies;
--- a/fakes/fake_node_event_listener.hpp
+++ b/fakes/fake_node_event_listener.hpp
@@ -6,6 +6,7 @@
 #include "chivedeal/forward/node_event_listener.hpp"
 
 #include <mutex>
+#include <optional>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -32,6 +33,16 @@
         return found;
     }
 
+    template<typename Kind>
+    std::optional<Kind> newest() const
+    {
+        const std::lock_guard<mutex> lock(m_guard);
+        for (auto event = m_events.rbegin(); event != m_events.rend(); ++event)
+            if (const auto* found = std::get_if<Kind>(&event->value))
+                return *found;
+        return std::nullopt;
+    }
+
     template<typename Kind>
     std::vector<Kind> all() const
     {
--- a/include/chivedeal/forward/control_duties.hpp
+++ b/include/chivedeal/forward/control_duties.hpp
@@ -96,13 +96,14 @@
 
     // Roll-outs; see rollout_duties.cpp.
     void begin_rollout(const rollout_order& order, absl::Time now);
-    void record_outcomes(const node_id& node, const std::vector<version_outcomes>& outcomes,
+    void record_outcomes(const std::string& process, const std::vector<version_outcomes>& outcomes,
                          absl::Time now);
     void adopt_decisions(const std::vector<rollout_status>& decided, absl::Time now);
     void advance_rollouts(absl::Time now);
     void apply_share(const tracked_rollout& rollout, absl::Time now);
     bool must_read_statuses(absl::Time now) const;
     bool may_restore_status(const tracked_rollout& rollout, absl::Time now) const;
+    void hand_over_rollouts(absl::Time now);
     bool read_statuses(absl::Time now);
     void write_status(tracked_rollout& rollout, absl::Time now);
     void publish_decisions(absl::Time now);
--- a/include/chivedeal/forward/peer_exchange.hpp
+++ b/include/chivedeal/forward/peer_exchange.hpp
@@ -81,6 +81,9 @@
     /// Removes what nodes of other regions don't need: traffic between regions is billed by volume.
     static node_beacon trim_for_other_regions(node_beacon beacon, bool relayed);
 
+    /// Start of this process as its beacons name it, in microseconds since 1970.
+    std::int64_t started_us() const { return m_started_us; }
+
     /// Returns the next beacon.
     node_beacon make_beacon();
     /// Returns the reply to the first beacon of a peer, with what a node needs that has just
--- a/include/chivedeal/forward/rollout_evaluator.hpp
+++ b/include/chivedeal/forward/rollout_evaluator.hpp
@@ -7,6 +7,8 @@
 
 #include "absl/time/time.h"
 
+#include <cstdint>
+
 namespace chivedeal::forward {
 
 /// Decides the traffic share and the final state of one roll-out from the outcomes on all nodes.
@@ -29,14 +31,16 @@
 
     /// `total` is the sum over all nodes.
     void on_outcomes(const version_outcomes& total, absl::Time now);
-    /// Adopts the state that another node reached; `running` changes nothing.
-    void on_state(rollout_state state);
+    /// Another node has proven the version good.
+    void on_proven() { m_proven = true; }
+    void set_started_at(absl::Time started_at) { m_started_at = started_at; }
 
     /// The order was written again at another offset.
     void set_order_offset(std::uint64_t offset) { m_order.offset = offset; }
 
     const rollout_order& order() const { return m_order; }
     rollout_state state() const { return m_state; }
+    bool is_proven() const { return m_proven; }
     /// Share of the service's requests that the target version gets.
     double share() const;
 
--- a/include/chivedeal/forward/rollout_status.hpp
+++ b/include/chivedeal/forward/rollout_status.hpp
@@ -2,13 +2,18 @@
 #define CHIVEDEAL_FORWARD_ROLLOUT_STATUS_HPP
 
 #include "chivedeal/core/id.hpp"
+#include "chivedeal/forward/outcome_ledger.hpp"
 #include "chivedeal/forward/rollout_state.hpp"
 
+#include "absl/time/time.h"
+
 #include <cstdint>
+#include <optional>
 
 namespace chivedeal::forward {
 
-/// State of one roll-out as published to the operator and the other nodes.
+/// State of one roll-out as published to the operator and the other nodes. While it runs, the
+/// status has what a node needs to go on with the evaluation of the nodes before it.
 struct rollout_status
 {
     service_id service;
@@ -16,6 +21,11 @@
     rollout_state state = rollout_state::running;
     /// Offset of the order's record.
     std::uint64_t order_offset = 0;
+    /// True time at which a node first learned of the order.
+    std::optional<absl::Time> started_at;
+    /// Whether the target version gets all traffic.
+    bool proven = false;
+    outcome_ledger outcomes;
 
     friend bool operator==(const rollout_status&, const rollout_status&) = default;
 };
--- a/include/chivedeal/forward/tracked_rollout.hpp
+++ b/include/chivedeal/forward/tracked_rollout.hpp
@@ -1,7 +1,7 @@
 #ifndef CHIVEDEAL_FORWARD_TRACKED_ROLLOUT_HPP
 #define CHIVEDEAL_FORWARD_TRACKED_ROLLOUT_HPP
 
-#include "chivedeal/core/id.hpp"
+#include "chivedeal/forward/outcome_ledger.hpp"
 #include "chivedeal/forward/rollout_evaluator.hpp"
 #include "chivedeal/forward/rollout_order.hpp"
 #include "chivedeal/forward/rollout_state.hpp"
@@ -11,8 +11,8 @@
 #include "absl/time/time.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
+#include <string>
 
 namespace chivedeal::forward {
 
@@ -24,9 +24,10 @@
 public:
     tracked_rollout(rollout_evaluator::options settings, rollout_order order, absl::Time now);
 
-    /// Replaces the counts of `node`. Ignores counts for another order.
-    void on_outcomes(const node_id& node, const version_outcomes& counts);
-    /// Takes the order's status in the store; `stored` is empty if there is none.
+    /// Takes the counts of a process. Ignores counts for another order.
+    void on_outcomes(const std::string& process, const version_outcomes& counts);
+    /// Takes the order's status in the store and goes on from its evidence; `stored` is empty if
+    /// there is none.
     void on_status_read(const std::optional<rollout_status>& stored, absl::Time now);
     /// The store accepted this status.
     void on_status_written(const rollout_status& written, absl::Time now);
@@ -39,7 +40,7 @@
 
     /// Evaluates the outcomes of all nodes. Does nothing before the status was read once, since the
     /// roll-out may have ended before this process started.
-    void evaluate(absl::Time now);
+    void evaluate(absl::Time now, absl::Duration true_time_offset);
 
     const rollout_order& order() const { return m_evaluator.order(); }
     rollout_state state() const { return m_decided.value_or(m_evaluator.state()); }
@@ -55,16 +56,22 @@
     double share() const;
 
     /// The status to be stored.
-    rollout_status status() const;
-    /// Whether the store lacks `status()`. Only known after a read.
-    bool needs_write() const;
+    rollout_status status(absl::Duration true_time_offset) const;
+    /// Whether the status in the store has to be replaced. Only known after a read.
+    bool needs_write(absl::Time now) const;
+    /// Evidence that the store lacks is to be written without delay.
+    void request_checkpoint() { m_next_checkpoint = absl::InfinitePast(); }
     bool is_status_read() const { return m_is_status_read; }
     /// Whether the status was known in an earlier epoch of the store.
     bool is_carried() const { return m_is_carried; }
 
 private:
     rollout_evaluator m_evaluator;
-    std::map<node_id, version_outcomes> m_outcomes;
+    absl::Time m_learned_at;
+    // True time of the start, from the store.
+    std::optional<absl::Time> m_started_at;
+    outcome_ledger m_outcomes;
+    absl::Time m_next_checkpoint = absl::InfinitePast();
     std::optional<rollout_state> m_decided;
     // Newest status that the store is known to hold.
     std::optional<rollout_status> m_stored;
--- a/src/forward/control_duties.cpp
+++ b/src/forward/control_duties.cpp
@@ -104,7 +104,7 @@
         const std::string process = absl::StrCat(beacon.node.str(), "/", beacon.started_us);
         m_demand_meter.on_counts(process, beacon.requested_prompt_tokens, now);
         m_usage_collector.on_counts(beacon.node, beacon.started_us, beacon.usage, now);
-        record_outcomes(beacon.node, beacon.outcomes, now);
+        record_outcomes(process, beacon.outcomes, now);
         adopt_decisions(beacon.decided_rollouts, now);
         for (const era::planned_report& plan : beacon.planned_reports)
             m_control_log.add_planned(plan);
@@ -112,7 +112,8 @@
     else if (const auto* local = std::get_if<node_event::local_counters_updated>(&event.value)) {
         m_demand_meter.on_counts(m_settings.node.str(), local->state->requested_prompt_tokens, now);
         m_usage_collector.on_counts(m_settings.node, 0, local->state->usage, now);
-        record_outcomes(m_settings.node, local->state->outcomes, now);
+        const std::string process = absl::StrCat(m_settings.node.str(), "/", m_peers.started_us());
+        record_outcomes(process, local->state->outcomes, now);
     }
     else if (const auto* changed = std::get_if<node_event::config_changed>(&event.value)) {
         m_scale_specs.clear();
@@ -137,6 +138,7 @@
         begin_rollout(ordered->order, now);
     }
     else if (std::holds_alternative<node_event::drain_requested>(event.value)) {
+        hand_over_rollouts(now);
         m_lease.release();
         m_peers.set_lease_token(std::nullopt);
     }
--- a/src/forward/rollout_duties.cpp
+++ b/src/forward/rollout_duties.cpp
@@ -46,12 +46,12 @@
     advance_rollouts(now);
 }
 
-void control_duties::record_outcomes(const node_id& node,
+void control_duties::record_outcomes(const std::string& process,
                                      const std::vector<version_outcomes>& outcomes, absl::Time now)
 {
     for (const version_outcomes& counted : outcomes)
         if (const auto found = m_rollouts.find(counted.service); found != m_rollouts.end())
-            found->second.on_outcomes(node, counted);
+            found->second.on_outcomes(process, counted);
     advance_rollouts(now);
 }
 
@@ -74,7 +74,7 @@
     if (must_read_statuses(now))
         (void)read_statuses(now);
     for (auto& [service, rollout] : m_rollouts) {
-        rollout.evaluate(now);
+        rollout.evaluate(now, m_true_time_offset);
         apply_share(rollout, now);
         if (is_holder || may_restore_status(rollout, now))
             write_status(rollout, now);
@@ -113,7 +113,7 @@
         if (!rollout.is_status_read())
             return true;
         if (is_holder)
-            return !rollout.is_decided() || rollout.needs_write();
+            return !rollout.is_decided() || rollout.needs_write(now);
         return now >= rollout.undecided_since() + decision_wait + m_stagger ||
                may_restore_status(rollout, now);
     });
@@ -122,10 +122,18 @@
 // The holder of the lease may not know of a final state that the store lost.
 bool control_duties::may_restore_status(const tracked_rollout& rollout, absl::Time now) const
 {
-    return rollout.is_carried() && rollout.is_decided() && rollout.needs_write() &&
+    return rollout.is_carried() && rollout.is_decided() && rollout.needs_write(now) &&
            now >= m_epoch_learned_at + status_backup_delay + m_stagger;
 }
 
+// The next holder goes on from the evidence that this one has.
+void control_duties::hand_over_rollouts(absl::Time now)
+{
+    for (auto& [service, rollout] : m_rollouts)
+        rollout.request_checkpoint();
+    advance_rollouts(now);
+}
+
 bool control_duties::read_statuses(absl::Time now)
 {
     m_next_status_read = now + status_retry_interval;
@@ -150,9 +158,9 @@
 // that this node doesn't know. This holds for a request that the store executes late, too.
 void control_duties::write_status(tracked_rollout& rollout, absl::Time now)
 {
-    if (!m_status_end || !rollout.needs_write())
+    if (!m_status_end || !rollout.needs_write(now))
         return;
-    const rollout_status next = rollout.status();
+    const rollout_status next = rollout.status(m_true_time_offset);
     const auto appended = m_store.append(topic::rollout_status, m_format.rollout_status_key(next),
                                          m_format.encode_rollout_status(next), m_status_end);
     if (!follow_epoch(m_time.now()))
@@ -180,7 +188,7 @@
     std::vector<rollout_status> decided;
     for (const auto& [service, rollout] : m_rollouts)
         if (rollout.is_decided() && now < rollout.decided_at() + decision_announcement_time)
-            decided.push_back(rollout.status());
+            decided.push_back(rollout.status(m_true_time_offset));
     m_peers.set_decided_rollouts(std::move(decided));
 }
 
--- a/src/forward/rollout_evaluator.cpp
+++ b/src/forward/rollout_evaluator.cpp
@@ -46,12 +46,6 @@
     m_state = m_proven ? rollout_state::done : rollout_state::rolled_back;
 }
 
-void rollout_evaluator::on_state(rollout_state state)
-{
-    if (m_state == rollout_state::running)
-        m_state = state;
-}
-
 double rollout_evaluator::share() const
 {
     switch (m_state) {
--- a/src/forward/tracked_rollout.cpp
+++ b/src/forward/tracked_rollout.cpp
@@ -1,31 +1,49 @@
 #include "chivedeal/forward/tracked_rollout.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace chivedeal::forward {
 
+namespace {
+
+// If all processes end at once, the evidence of this time at most is lost.
+constexpr absl::Duration checkpoint_interval = absl::Seconds(2);
+// Bad responses that make a checkpoint due at once. A quarter of those at which a version is rolled
+// back, so that repeated restarts don't let it exceed its limit.
+constexpr std::int64_t max_unstored_bad_responses = 3;
+
+} // namespace
+
 tracked_rollout::tracked_rollout(rollout_evaluator::options settings, rollout_order order,
                                  absl::Time now)
-    : m_evaluator(settings, std::move(order), now)
+    : m_evaluator(settings, std::move(order), now), m_learned_at(now)
 {}
 
-void tracked_rollout::on_outcomes(const node_id& node, const version_outcomes& counts)
+void tracked_rollout::on_outcomes(const std::string& process, const version_outcomes& counts)
 {
     if (counts.order_offset == order().offset)
-        m_outcomes[node] = counts;
+        m_outcomes.add(process, counts);
 }
 
 void tracked_rollout::on_status_read(const std::optional<rollout_status>& stored, absl::Time now)
 {
     m_is_status_read = true;
     m_stored = stored;
-    if (stored)
-        on_decided(stored->state, now);
+    if (!stored)
+        return;
+    m_outcomes.merge(stored->outcomes);
+    if (stored->started_at)
+        m_started_at = std::min(*stored->started_at, m_started_at.value_or(*stored->started_at));
+    if (stored->proven)
+        m_evaluator.on_proven();
+    on_decided(stored->state, now);
 }
 
 void tracked_rollout::on_status_written(const rollout_status& written, absl::Time now)
 {
     on_status_read(written, now);
+    m_next_checkpoint = now + checkpoint_interval;
 }
 
 void tracked_rollout::on_decided(rollout_state final_state, absl::Time now)
@@ -36,12 +54,7 @@
     m_decided_at = now;
 }
 
-void tracked_rollout::on_rewritten(std::uint64_t offset)
-{
-    m_evaluator.set_order_offset(offset);
-    for (auto& [node, counts] : m_outcomes)
-        counts.order_offset = offset;
-}
+void tracked_rollout::on_rewritten(std::uint64_t offset) { m_evaluator.set_order_offset(offset); }
 
 void tracked_rollout::on_restored()
 {
@@ -49,18 +62,15 @@
     m_is_carried = true;
 }
 
-void tracked_rollout::evaluate(absl::Time now)
+void tracked_rollout::evaluate(absl::Time now, absl::Duration true_time_offset)
 {
     if (m_decided || !m_is_status_read || m_evaluator.state() != rollout_state::running)
         return;
-    version_outcomes total;
-    for (const auto& [node, counts] : m_outcomes) {
-        total.target_good += counts.target_good;
-        total.target_bad += counts.target_bad;
-        total.other_good += counts.other_good;
-        total.other_bad += counts.other_bad;
-    }
-    m_evaluator.on_outcomes(total, now);
+    // Computed again each time, since the offset of a process that has just started may be wrong
+    // until it has heard of its peers.
+    if (m_started_at)
+        m_evaluator.set_started_at(std::min(m_learned_at, *m_started_at - true_time_offset));
+    m_evaluator.on_outcomes(m_outcomes.total(), now);
     if (m_evaluator.state() != rollout_state::running)
         m_evaluated_at = now;
 }
@@ -72,14 +82,33 @@
     return *m_decided == rollout_state::done ? 1 : 0;
 }
 
-rollout_status tracked_rollout::status() const
+rollout_status tracked_rollout::status(absl::Duration true_time_offset) const
 {
-    return {.service = order().service,
-            .target = order().target,
-            .state = state(),
-            .order_offset = order().offset};
+    rollout_status current{.service = order().service,
+                           .target = order().target,
+                           .state = state(),
+                           .order_offset = order().offset};
+    if (current.state != rollout_state::running)
+        return current;
+    current.started_at = m_started_at.value_or(m_learned_at + true_time_offset);
+    current.proven = m_evaluator.is_proven();
+    current.outcomes = m_outcomes;
+    return current;
 }
 
-bool tracked_rollout::needs_write() const { return !m_stored || m_stored->state != state(); }
+bool tracked_rollout::needs_write(absl::Time now) const
+{
+    if (!m_stored || m_stored->state != state())
+        return true;
+    if (state() != rollout_state::running)
+        return false;
+    if (m_evaluator.is_proven() != m_stored->proven)
+        return true;
+    if (m_outcomes == m_stored->outcomes)
+        return false;
+    return now >= m_next_checkpoint ||
+           m_outcomes.total().target_bad >=
+               m_stored->outcomes.total().target_bad + max_unstored_bad_responses;
+}
 
 } // namespace chivedeal::forward
--- a/test/forward_control_handover_test.cpp
+++ b/test/forward_control_handover_test.cpp
@@ -118,6 +118,8 @@
     all_restart,
 };
 
+// The term of the lease, the largest stagger, and a second to read and write.
+constexpr absl::Duration max_takeover_time = absl::Milliseconds(4750);
 constexpr absl::Duration cut_off_time = absl::Seconds(6);
 
 void apply(trouble kind, control_system& system)
@@ -143,21 +145,21 @@
     }
 }
 
-// Guards against a second holder, one that has just started or was cut off, that contradicts what
-// the first one stored, at each step of a roll-out; also after the trouble of another kind.
-TEST(control_handover, roll_out_states_never_go_back)
+// Calls `check` for each pair of troubles, the first one `step` ticks after `begin` was called.
+template<typename Begin, typename Check>
+void for_each_trouble(int steps, int interval, Begin begin, Check check)
 {
     constexpr trouble kinds[] = {trouble::holder_ends,           trouble::holder_restarts,
                                  trouble::others_restart,        trouble::holder_is_cut_off,
                                  trouble::other_node_is_cut_off, trouble::all_restart};
-    for (int step = 0; step < 64; step += 3)
+    for (int step = 0; step < steps; step += interval)
         for (const trouble first : kinds)
             for (const trouble second : kinds) {
                 SCOPED_TRACE(absl::StrCat("step ", step, ", trouble ", static_cast<int>(first),
                                           ", then ", static_cast<int>(second)));
                 control_system system(0);
                 start_nodes(system);
-                system.order(make_order());
+                begin(system);
                 for (int i = 0; i < step; ++i)
                     system.step();
                 apply(first, system);
@@ -165,11 +167,68 @@
                 if (system.nodes.count("n1") == 0)
                     system.add("n1");
                 apply(second, system);
+                const absl::Time end_of_trouble = system.clock.now();
                 system.run(absl::Seconds(30));
-                expect_states_never_go_back(system);
-                expect_nodes_follow_the_stored_state(system);
+                check(system, end_of_trouble);
             }
 }
 
+void order_v2(control_system& system) { system.order(make_order()); }
+
+// Guards against a second holder, one that has just started or was cut off, that contradicts what
+// the first one stored, at each step of a roll-out; also after the trouble of another kind.
+TEST(control_handover, roll_out_states_never_go_back)
+{
+    for_each_trouble(64, 3, order_v2, [](const control_system& system, absl::Time) {
+        expect_states_never_go_back(system);
+        expect_nodes_follow_the_stored_state(system);
+    });
+}
+
+// Guards against a sound version that is rolled back or late because a second holder begins the
+// evaluation anew.
+TEST(control_handover, roll_out_goes_on_from_the_stored_evidence)
+{
+    for_each_trouble(64, 3, order_v2, [](const control_system& system, absl::Time end_of_trouble) {
+        EXPECT_LE(system.done_at(), std::max(system.ordered_at() + rollout_duration,
+                                             end_of_trouble + max_takeover_time));
+    });
+}
+
+// Guards against a second holder that reports a window with other counts, or reports no more.
+TEST(control_handover, usage_reports_are_never_contradicted)
+{
+    const auto begin = [](control_system& system) { system.run(absl::Seconds(8)); };
+    for_each_trouble(40, 1, begin, [](const control_system& system, absl::Time) {
+        EXPECT_FALSE(system.platform.has_conflict());
+        ASSERT_FALSE(system.platform.accepted().empty());
+        // A window is reported at most 10 s after its end.
+        EXPECT_GE(system.platform.accepted().rbegin()->first,
+                  absl::ToUnixSeconds(system.clock.now() - absl::Seconds(10)) / 5 - 1);
+    });
+}
+
+// Guards against a bad version that gets requests for ever because each restart of all nodes begins
+// the count of its failures anew. The platform allows 50 failures.
+TEST(control_handover, failures_of_a_version_are_counted_over_restarts)
+{
+    for (int lifetime_s = 4; lifetime_s <= 6; ++lifetime_s) {
+        SCOPED_TRACE(lifetime_s);
+        control_system system(0);
+        start_nodes(system);
+        system.target_failure_interval = 3;
+        rollout_order order = make_order();
+        order.duration = absl::Minutes(10);
+        system.order(order);
+        for (int restarts = 0; restarts < 30; ++restarts) {
+            system.run(absl::Seconds(lifetime_s));
+            restart_all(system);
+        }
+        system.run(absl::Seconds(10));
+        EXPECT_TRUE(system.has_ended(rollout_state::rolled_back));
+        EXPECT_LE(system.target_failures, 50);
+    }
+}
+
 } // namespace
 } // namespace chivedeal::forward
--- a/test/forward_rollout_evaluator_test.cpp
+++ b/test/forward_rollout_evaluator_test.cpp
@@ -63,8 +63,11 @@
 TEST(rollout_evaluator, never_leaves_a_final_state)
 {
     rollout_evaluator evaluator = make_evaluator();
-    evaluator.on_state(rollout_state::rolled_back);
-    evaluator.on_state(rollout_state::done);
+    evaluator.on_outcomes({.target_good = 10, .target_bad = 12, .other_good = 200}, start);
+    ASSERT_EQ(evaluator.state(), rollout_state::rolled_back);
+    evaluator.on_proven();
+    evaluator.on_outcomes({.target_good = 900, .target_bad = 12, .other_good = 900},
+                          start + absl::Seconds(11));
     EXPECT_EQ(evaluator.state(), rollout_state::rolled_back);
 }
 
--- a/test/platform_format_test.cpp
+++ b/test/platform_format_test.cpp
@@ -131,9 +131,14 @@
 TEST(json_wire_format, round_trips_a_rollout_status)
 {
     const json_wire_format format;
+    forward::outcome_ledger outcomes;
+    outcomes.add("n1/5", {.target_good = 3, .target_bad = 1, .other_good = 40, .other_bad = 2});
     const forward::rollout_status status{.service = service_id("s"),
                                          .target = version_id("v2"),
-                                         .state = forward::rollout_state::rolled_back};
+                                         .state = forward::rollout_state::rolled_back,
+                                         .started_at = absl::FromUnixMillis(1234),
+                                         .proven = true,
+                                         .outcomes = outcomes};
     const auto decoded = format.decode_rollout_status(
         make_record(format.rollout_status_key(status), format.encode_rollout_status(status)));
     ASSERT_TRUE(is_ok(decoded));
