Read the status of each roll-out before writing it

Cause: a holder that had read the statuses for one order wrote that of the next order without reading it, since it knew where the topic ends. A holder that has just started receives old orders one after the other, and wrote "running" over "done" of the second. Change: each order's status is read before it is written. Conclusion: the end of a topic says that nothing was written since, not that its records were read.

--- a/src/forward/rollout_duties.cpp
+++ b/src/forward/rollout_duties.cpp
@@ -105,13 +105,15 @@
 
 bool control_duties::must_read_statuses(absl::Time now) const
 {
-    if (now < m_next_status_read || m_status_end)
+    if (now < m_next_status_read)
         return false;
     const bool is_holder = fence(now).has_value();
     return std::any_of(m_rollouts.begin(), m_rollouts.end(), [&](const auto& entry) {
         const tracked_rollout& rollout = entry.second;
         if (!rollout.is_status_read())
             return true;
+        if (m_status_end)
+            return false;
         if (is_holder)
             return !rollout.is_decided() || rollout.needs_write(now);
         return now >= rollout.undecided_since() + decision_wait + m_stagger ||
@@ -158,7 +160,7 @@
 // that this node doesn't know. This holds for a request that the store executes late, too.
 void control_duties::write_status(tracked_rollout& rollout, absl::Time now)
 {
-    if (!m_status_end || !rollout.needs_write(now))
+    if (!m_status_end || !rollout.is_status_read() || !rollout.needs_write(now))
         return;
     const rollout_status next = rollout.status(m_true_time_offset);
     const auto appended = m_store.append(topic::rollout_status, m_format.rollout_status_key(next),
--- a/test/forward_control_handover_test.cpp
+++ b/test/forward_control_handover_test.cpp
@@ -1,6 +1,8 @@
+#include "chivedeal/forward/node_event.hpp"
 #include "chivedeal/forward/rollout_order.hpp"
 #include "chivedeal/forward/rollout_state.hpp"
 #include "chivedeal/forward/topic.hpp"
+#include "fakes/control_node.hpp"
 #include "fakes/control_system.hpp"
 
 #include "absl/strings/str_cat.h"
@@ -88,6 +90,29 @@
     expect_nodes_follow_the_stored_state(system);
 }
 
+// Guards against a holder that has just started, has read the status of another order, and writes
+// over that of this one.
+TEST(control_handover, holder_reads_the_status_of_each_order)
+{
+    control_system system(0);
+    start_nodes(system);
+    system.order(make_order());
+    system.run(rollout_duration);
+    ASSERT_TRUE(system.has_ended(rollout_state::done));
+    system.nodes.clear();
+    fakes::control_node& holder = system.add_without_order("n1");
+    system.run(absl::Seconds(5));
+    rollout_order other_order = make_order();
+    other_order.service = service_id("t");
+    holder.handle({node_event::rollout_ordered{other_order}});
+    system.step();
+    ASSERT_TRUE(system.has_record(topic::rollout_status, "rollout/t", "running"));
+    holder.order(make_order());
+    system.run(absl::Seconds(5));
+    expect_states_never_go_back(system);
+    expect_nodes_follow_the_stored_state(system);
+}
+
 // Guards against a status that the store accepts without a response and executes after later ones.
 TEST(control_handover, late_append_does_not_replace_a_final_state)
 {
