Evaluate a repeated roll-out order anew

Callers saw: an operator who ordered a version again after it had been rolled back got "rolled_back" at once; the version was never tried. Cause: the stored status names the version, not the order, so nodes that read it took the result of the earlier order. Change: the status holds the position of its order. That of another order is ignored, except "done", since the version has the traffic then. Positions of different epochs are not compared, as orders are written again at others. Conclusion: a decision in the store belongs to one order.

--- a/include/chivedeal/era/position.hpp
+++ b/include/chivedeal/era/position.hpp
@@ -16,6 +16,8 @@
     return (epoch << offset_bits) + offset;
 }
 
+constexpr std::uint64_t epoch_of(std::uint64_t position) { return position >> offset_bits; }
+
 constexpr std::uint64_t offset_of(std::uint64_t position)
 {
     return position & ((std::uint64_t{1} << offset_bits) - 1);
--- a/include/chivedeal/forward/rollout_status.hpp
+++ b/include/chivedeal/forward/rollout_status.hpp
@@ -19,8 +19,8 @@
     service_id service;
     version_id target;
     rollout_state state = rollout_state::running;
-    /// Offset of the order's record.
-    std::uint64_t order_offset = 0;
+    /// Position of the order's record. Nodes of earlier versions store none.
+    std::optional<std::uint64_t> order_offset;
     /// True time at which a node first learned of the order.
     std::optional<absl::Time> started_at;
     /// Whether the target version gets all traffic.
--- a/include/chivedeal/forward/tracked_rollout.hpp
+++ b/include/chivedeal/forward/tracked_rollout.hpp
@@ -26,6 +26,8 @@
 
     /// Takes the counts of a process. Ignores counts for another order.
     void on_outcomes(const std::string& process, const version_outcomes& counts);
+    /// Whether a status in the store is that of this order, not of an earlier one.
+    bool is_own_status(const rollout_status& stored) const;
     /// Takes the order's status in the store and goes on from its evidence; `stored` is empty if
     /// there is none.
     void on_status_read(const std::optional<rollout_status>& stored, absl::Time now);
--- a/src/forward/peer_codec.cpp
+++ b/src/forward/peer_codec.cpp
@@ -176,7 +176,8 @@
 {
     json decisions = json::array();
     for (const rollout_status& decided : beacon.decided_rollouts)
-        decisions.push_back({decided.service.str(), decided.target.str(), decided.order_offset,
+        decisions.push_back({decided.service.str(), decided.target.str(),
+                             decided.order_offset.value_or(0),
                              decided.state == rollout_state::done});
     return decisions;
 }
--- a/src/forward/rollout_duties.cpp
+++ b/src/forward/rollout_duties.cpp
@@ -147,8 +147,7 @@
         std::optional<rollout_status> stored;
         for (const stored_record& record : get_value(statuses).records) {
             const auto decoded = m_format.decode_rollout_status(record);
-            if (is_ok(decoded) && get_value(decoded).service == service &&
-                get_value(decoded).target == rollout.order().target)
+            if (is_ok(decoded) && rollout.is_own_status(get_value(decoded)))
                 stored = get_value(decoded);
         }
         rollout.on_status_read(stored, now);
--- a/src/forward/tracked_rollout.cpp
+++ b/src/forward/tracked_rollout.cpp
@@ -1,5 +1,7 @@
 #include "chivedeal/forward/tracked_rollout.hpp"
 
+#include "chivedeal/era/position.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -40,6 +42,16 @@
     on_decided(stored->state, now);
 }
 
+// A version that is done stays so for any later order. Positions of different epochs can't be
+// compared, as an order is written again at another one when the store was restored.
+bool tracked_rollout::is_own_status(const rollout_status& stored) const
+{
+    return stored.service == order().service && stored.target == order().target &&
+           (stored.state == rollout_state::done || !stored.order_offset ||
+            *stored.order_offset == order().offset ||
+            era::epoch_of(*stored.order_offset) != era::epoch_of(order().offset));
+}
+
 void tracked_rollout::on_status_written(const rollout_status& written, absl::Time now)
 {
     on_status_read(written, now);
--- a/test/forward_control_handover_test.cpp
+++ b/test/forward_control_handover_test.cpp
@@ -233,6 +233,23 @@
     });
 }
 
+// Guards against a second order for a version that takes the result of the first one.
+TEST(control_handover, repeated_order_is_evaluated_anew)
+{
+    control_system system(0);
+    start_nodes(system);
+    system.target_failure_interval = 1;
+    system.order(make_order(5));
+    system.run(rollout_duration);
+    ASSERT_TRUE(system.has_ended(rollout_state::rolled_back));
+    system.target_failure_interval = 7;
+    system.order(make_order(6));
+    system.run(absl::Seconds(3));
+    restart_all(system);
+    system.run(rollout_duration);
+    EXPECT_TRUE(system.has_ended(rollout_state::done));
+}
+
 // Guards against a bad version that gets requests for ever because each restart of all nodes begins
 // the count of its failures anew. The platform allows 50 failures.
 TEST(control_handover, failures_of_a_version_are_counted_over_restarts)
--- a/test/platform_format_test.cpp
+++ b/test/platform_format_test.cpp
@@ -136,6 +136,7 @@
     const forward::rollout_status status{.service = service_id("s"),
                                          .target = version_id("v2"),
                                          .state = forward::rollout_state::rolled_back,
+                                         .order_offset = 7,
                                          .started_at = absl::FromUnixMillis(1234),
                                          .proven = true,
                                          .outcomes = outcomes};
