Let records of a version move act on their own move only

A team that withdraws a move and declares it again could see the new one at half of the traffic, or ended, before it began. Cause: move_step and move_outcome name service and version, but not the declaration of the move. The log may execute an append late, and then it acts on a later move to the same version. The fence of a step doesn't help, as both moves can be under one lease. Change: both records hold the offset of the move's declaration, and the state machine ignores those of another one. Records of earlier versions, without the offset, act as before. During an update of the nodes, earlier versions still apply such late records; no test shows that case.

--- a/include/chivedeal/state/record.hpp
+++ b/include/chivedeal/state/record.hpp
@@ -48,6 +48,9 @@
     std::string scope;
     /// Fencing token of the lease under which the step was decided.
     std::uint64_t lease_offset = 0;
+    /// Offset of the move's declaration; 0 in records of earlier versions, which act on any move to
+    /// the version.
+    std::uint64_t move_offset = 0;
 
     friend bool operator==(const move_step&, const move_step&) = default;
 };
@@ -59,6 +62,8 @@
     version_id version;
     bool done = false;
     std::string reason;
+    /// Offset of the move's declaration; 0 in records of earlier versions.
+    std::uint64_t move_offset = 0;
 
     friend bool operator==(const move_outcome&, const move_outcome&) = default;
 };
--- a/include/chivedeal/state/state_machine.hpp
+++ b/include/chivedeal/state/state_machine.hpp
@@ -69,7 +69,8 @@
     error apply_outcome(const move_outcome& outcome, std::uint64_t offset);
     error apply_verdict(const version_verdict& verdict, std::uint64_t offset);
     std::shared_ptr<const version_move> open_move(const service_id& service,
-                                                  const version_id& version) const;
+                                                  const version_id& version,
+                                                  std::uint64_t move_offset) const;
     bool is_bad(const service_id& service, const version_id& version) const;
 
     state_machine_options m_options;
--- a/src/control/fixed_step_policy.cpp
+++ b/src/control/fixed_step_policy.cpp
@@ -46,7 +46,8 @@
             out.emplace_back(state::move_outcome{.service = service,
                                                  .version = move->to,
                                                  .done = false,
-                                                 .reason = "error rate is above the threshold"});
+                                                 .reason = "error rate is above the threshold",
+                                                 .move_offset = move->declared_offset});
             continue;
         }
         const absl::Time start = m_started_at.try_emplace(service, now).first->second;
@@ -55,13 +56,15 @@
             out.emplace_back(state::move_outcome{.service = service,
                                                  .version = move->to,
                                                  .done = true,
-                                                 .reason = "all steps completed"});
+                                                 .reason = "all steps completed",
+                                                 .move_offset = move->declared_offset});
         else if (step_shares[step] > move->share)
             out.emplace_back(append_step{.step = {.service = service,
                                                   .version = move->to,
                                                   .share = step_shares[step],
                                                   .scope = move_scope(service),
-                                                  .lease_offset = lease->fencing_token},
+                                                  .lease_offset = lease->fencing_token,
+                                                  .move_offset = move->declared_offset},
                                          .evidence = "step interval elapsed"});
     }
     return out;
--- a/src/control/move_policy.cpp
+++ b/src/control/move_policy.cpp
@@ -141,13 +141,15 @@
         out.emplace_back(state::move_outcome{.service = move.service,
                                              .version = move.to,
                                              .done = true,
-                                             .reason = m_evidence.describe()});
+                                             .reason = m_evidence.describe(),
+                                             .move_offset = move.declared_offset});
     }
     else if (remaining <= absl::ZeroDuration()) {
         out.emplace_back(state::move_outcome{.service = move.service,
                                              .version = move.to,
                                              .done = false,
-                                             .reason = unfinished_reason(inputs, move)});
+                                             .reason = unfinished_reason(inputs, move),
+                                             .move_offset = move.declared_offset});
     }
     else if (share > move.share) {
         const std::string scope = move_scope(move.service);
@@ -156,7 +158,8 @@
                                  .version = move.to,
                                  .share = share,
                                  .scope = scope,
-                                 .lease_offset = inputs.held.find(scope, now)->fencing_token},
+                                 .lease_offset = inputs.held.find(scope, now)->fencing_token,
+                                 .move_offset = move.declared_offset},
                         .evidence = m_evidence.describe()});
     }
     else {
@@ -234,8 +237,11 @@
                                                 .version = move.to,
                                                 .declared_offset = m_to_offset,
                                                 .reason = reason});
-    out.emplace_back(state::move_outcome{
-        .service = move.service, .version = move.to, .done = false, .reason = reason});
+    out.emplace_back(state::move_outcome{.service = move.service,
+                                         .version = move.to,
+                                         .done = false,
+                                         .reason = reason,
+                                         .move_offset = move.declared_offset});
 }
 
 // After the deadline a move can only end: it completes if the new version is proven and the bake
--- a/src/state/record_codec.cpp
+++ b/src/state/record_codec.cpp
@@ -49,7 +49,8 @@
                 {"version", encode_text(value.version.str())},
                 {"share", value.share},
                 {"scope", encode_text(value.scope)},
-                {"lease_offset", value.lease_offset}};
+                {"lease_offset", value.lease_offset},
+                {"move_offset", value.move_offset}};
     }
 
     json operator()(const move_outcome& value) const
@@ -58,7 +59,8 @@
                 {"service", encode_text(value.service.str())},
                 {"version", encode_text(value.version.str())},
                 {"done", value.done},
-                {"reason", encode_text(value.reason)}};
+                {"reason", encode_text(value.reason)},
+                {"move_offset", value.move_offset}};
     }
 
     json operator()(const version_verdict& value) const
@@ -126,12 +128,16 @@
                          .version = version_id(fields.text("version")),
                          .share = fields.number("share"),
                          .scope = fields.text("scope"),
-                         .lease_offset = fields.offset("lease_offset")};
+                         .lease_offset = fields.offset("lease_offset"),
+                         .move_offset =
+                             fields.has("move_offset") ? fields.offset("move_offset") : 0};
     if (type == "move_outcome")
         return move_outcome{.service = service_id(fields.text("service")),
                             .version = version_id(fields.text("version")),
                             .done = fields.flag("done"),
-                            .reason = fields.text("reason")};
+                            .reason = fields.text("reason"),
+                            .move_offset =
+                                fields.has("move_offset") ? fields.offset("move_offset") : 0};
     if (type == "version_verdict")
         return version_verdict{.service = service_id(fields.text("service")),
                                .version = version_id(fields.text("version")),
--- a/src/state/state_machine.cpp
+++ b/src/state/state_machine.cpp
@@ -347,7 +347,7 @@
         return make_error(result_code::stale_fence,
                           absl::StrCat("the lease ", step.scope,
                                        " is not held under the fencing token of this step"));
-    const auto move = open_move(step.service, step.version);
+    const auto move = open_move(step.service, step.version, step.move_offset);
     if (!move)
         return make_error(result_code::move_not_open,
                           "the service has no open move to this version");
@@ -364,7 +364,7 @@
 
 error state_machine::apply_outcome(const move_outcome& outcome, std::uint64_t offset)
 {
-    const auto move = open_move(outcome.service, outcome.version);
+    const auto move = open_move(outcome.service, outcome.version, outcome.move_offset);
     if (!move)
         return make_error(result_code::move_not_open,
                           "the service has no open move to this version");
@@ -398,10 +398,13 @@
 }
 
 std::shared_ptr<const version_move> state_machine::open_move(const service_id& service,
-                                                             const version_id& version) const
+                                                             const version_id& version,
+                                                             std::uint64_t move_offset) const
 {
     auto move = find_or_null(m_state.moves, service);
-    return move && move->status == move_status::open && move->to == version ? move : nullptr;
+    const bool is_named = move && move->status == move_status::open && move->to == version &&
+                          (move_offset == 0 || move->declared_offset == move_offset);
+    return is_named ? move : nullptr;
 }
 
 bool state_machine::is_bad(const service_id& service, const version_id& version) const
--- a/test/state_machine_test.cpp
+++ b/test/state_machine_test.cpp
@@ -202,6 +202,35 @@
     EXPECT_EQ(m.step(0.4), result_code::move_not_open);
 }
 
+// Guards against a step or an outcome of an earlier move that the log executes late and that acts on
+// a later move to the same version.
+TEST(state_machine, ignores_late_records_of_an_earlier_move)
+{
+    machine_under_test m;
+    m.open_move();
+    const version_move earlier = m.move();
+    const std::uint64_t lease = m.machine.publish()->leases.at("moves")->fence;
+    EXPECT_EQ(m.declare("/teams/t/moves/s", std::nullopt, earlier.declared_offset),
+              result_code::ok);
+    EXPECT_EQ(m.declare("/teams/t/moves/s", move_body, 0), result_code::ok);
+    ASSERT_EQ(m.move().to, earlier.to);
+    ASSERT_NE(m.move().declared_offset, earlier.declared_offset);
+    EXPECT_EQ(m.apply(move_step{.service = earlier.service,
+                                .version = earlier.to,
+                                .share = 0.5,
+                                .scope = "moves",
+                                .lease_offset = lease,
+                                .move_offset = earlier.declared_offset}),
+              result_code::move_not_open);
+    EXPECT_EQ(m.apply(move_outcome{.service = earlier.service,
+                                   .version = earlier.to,
+                                   .done = true,
+                                   .move_offset = earlier.declared_offset}),
+              result_code::move_not_open);
+    EXPECT_EQ(m.move().status, move_status::open);
+    EXPECT_EQ(m.move().share, 0);
+}
+
 // Guards against a service without a version that serves its traffic, during and after a move.
 TEST(state_machine, makes_the_version_of_a_done_move_current)
 {
