Don't roll back a version for failures that nothing compares

Cause: without responses of other versions the evaluator expects no failures at all. Change: without them, failures of the target version don't count as too many. It is still completed only with enough good responses. A version that fails in part is completed if no other version had a response since the order; old endpoints get over nine tenths of the requests until a version is proven, so this needs all of them to be gone.

--- a/src/forward/rollout_evaluator.cpp
+++ b/src/forward/rollout_evaluator.cpp
@@ -13,9 +13,16 @@
 // version may stop. Streams on the old version have until then to end.
 constexpr double completion_fraction = 0.9;
 
-double bad_share(std::int64_t good, std::int64_t bad)
+// Bad responses of the target version that the failure rate of the other versions explains. Without
+// responses of other versions, nothing shows that the target version has more than is usual for the
+// service, and there may be no version to go back to.
+double expected_bad_responses(const version_outcomes& total)
 {
-    return good + bad == 0 ? 0 : static_cast<double>(bad) / static_cast<double>(good + bad);
+    const std::int64_t others = total.other_good + total.other_bad;
+    if (others == 0)
+        return static_cast<double>(total.target_bad);
+    return static_cast<double>(total.other_bad) / static_cast<double>(others) *
+           static_cast<double>(total.target_good + total.target_bad);
 }
 
 } // namespace
@@ -28,9 +35,7 @@
 {
     if (m_state != rollout_state::running)
         return;
-    const std::int64_t responses = total.target_good + total.target_bad;
-    const double expected_bad =
-        bad_share(total.other_good, total.other_bad) * static_cast<double>(responses);
+    const double expected_bad = expected_bad_responses(total);
     if (static_cast<double>(total.target_bad) - expected_bad >=
         m_options.max_excess_bad_responses) {
         m_state = rollout_state::rolled_back;
--- a/test/forward_rollout_evaluator_test.cpp
+++ b/test/forward_rollout_evaluator_test.cpp
@@ -40,6 +40,25 @@
     EXPECT_EQ(evaluator.state(), rollout_state::running);
 }
 
+// Guards against rolling back the only version that serves a service because of failures that are
+// usual for it.
+TEST(rollout_evaluator, keeps_a_version_without_another_to_compare_it_with)
+{
+    rollout_evaluator evaluator = make_evaluator();
+    evaluator.on_outcomes({.target_good = 86, .target_bad = 14}, start + absl::Seconds(3));
+    EXPECT_EQ(evaluator.state(), rollout_state::running);
+    evaluator.on_outcomes({.target_good = 172, .target_bad = 28}, start + absl::Seconds(11));
+    EXPECT_EQ(evaluator.state(), rollout_state::done);
+}
+
+// Guards against completing a version that fails always, as no other version had responses.
+TEST(rollout_evaluator, rolls_back_a_version_without_good_responses)
+{
+    rollout_evaluator evaluator = make_evaluator();
+    evaluator.on_outcomes({.target_bad = 500}, start + absl::Seconds(11));
+    EXPECT_EQ(evaluator.state(), rollout_state::rolled_back);
+}
+
 TEST(rollout_evaluator, moves_all_traffic_before_a_good_version_is_done)
 {
     rollout_evaluator evaluator = make_evaluator();
