Give up the lease if later grants may have expired unread

The platform refuses the call of such a node by its token. Cause: a node that was cut off for longer than records are kept gets a truncated batch, which has no grants. control_log kept the holder, so a former holder went on as the holder until it read again. Change: a truncated batch makes control_log forget the holder, and the rest of the topic is read at once, with two reads at most. Figures: control_handover.holder_gives_up_a_lease_whose_later_grants_have_expired fails before (one call with a stale token) and passes now, as do control_handover, era_*, duty_lease, control_log and the tests of roll-outs. Conclusion: a node acts as the holder only if it has read all grants since its own.

--- a/fakes/control_node.hpp
+++ b/fakes/control_node.hpp
@@ -81,10 +81,11 @@
 
     void set_cut_off(bool value)
     {
-        m_is_cut_off = value;
+        set_cut_off_from_peers(value);
         m_store.set_cut_off(value);
     }
-    bool is_cut_off() const { return m_is_cut_off; }
+    void set_cut_off_from_peers(bool value) { m_is_cut_off_from_peers = value; }
+    bool is_cut_off_from_peers() const { return m_is_cut_off_from_peers; }
 
     void tick() { m_control.tick(m_clock.now()); }
     void handle(const forward::node_event& event) { m_control.handle_event(event, m_clock.now()); }
@@ -133,7 +134,7 @@
     forward::version_outcomes m_outcomes;
     int m_target_responses = 0;
     int m_other_responses = 0;
-    bool m_is_cut_off = false;
+    bool m_is_cut_off_from_peers = false;
 };
 
 } // namespace chivedeal::fakes
--- a/fakes/control_system.hpp
+++ b/fakes/control_system.hpp
@@ -76,7 +76,8 @@
         }
         for (const auto& [name, node] : nodes)
             for (const auto& [peer_name, peer] : nodes)
-                if (peer_name != name && !node->is_cut_off() && !peer->is_cut_off()) {
+                if (peer_name != name && !node->is_cut_off_from_peers() &&
+                    !peer->is_cut_off_from_peers()) {
                     const forward::node_beacon beacon = node->make_beacon();
                     peer->epochs().note(beacon.store_epoch);
                     peer->handle({forward::node_event::peer_heard{
--- a/fakes/fake_record_store.hpp
+++ b/fakes/fake_record_store.hpp
@@ -22,6 +22,7 @@
     mutex guard;
     condition changed;
     std::map<forward::topic, std::vector<forward::stored_record>> records;
+    std::map<forward::topic, std::uint64_t> first_offsets;
     bool down = false;
     std::uint64_t epoch = 0;
     std::map<forward::topic, std::vector<forward::stored_record>> copy;
@@ -108,6 +109,13 @@
         changed.notify_all();
     }
 
+    /// The records of a topic expire; reads of them are truncated.
+    void expire(forward::topic from)
+    {
+        const std::lock_guard<mutex> lock(guard);
+        first_offsets[from] = records[from].size();
+    }
+
     void set_down(bool value)
     {
         const std::lock_guard<mutex> lock(guard);
@@ -149,6 +157,8 @@
             return unavailable();
         m_topics->begin_call();
         m_epoch = m_topics->epoch;
+        if (const std::uint64_t first = m_topics->first_offsets[from]; offset < first)
+            return forward::record_batch{.next_offset = first, .truncated = true};
         const auto& all = m_topics->records[from];
         if (m_epoch > 0 && offset > all.size())
             return forward::record_batch{.next_offset = 0, .truncated = true};
--- a/include/chivedeal/forward/control_duties.hpp
+++ b/include/chivedeal/forward/control_duties.hpp
@@ -74,6 +74,7 @@
 private:
     void advance_lease(absl::Time now);
     bool read_control_log(absl::Time now);
+    bool read_lease_records(absl::Time now);
     // Starts anew if the store was restored. Returns whether the newest answer of the store belongs
     // to the epoch in which it was requested, so that it may be used.
     bool follow_epoch(absl::Time now);
--- a/src/forward/control_duties.cpp
+++ b/src/forward/control_duties.cpp
@@ -300,11 +300,9 @@
 
 bool control_duties::read_control_log(absl::Time now)
 {
-    auto batch = m_store.read(topic::lease, m_control_log.end_offset(), absl::ZeroDuration());
-    if (!follow_epoch(now) || !is_ok(batch))
+    if (!read_lease_records(now))
         return false;
     m_has_answer = true;
-    m_control_log.apply(get_value(batch));
     if (m_epoch > 0 && !m_is_log_read)
         m_report_guard.on_first_read(m_control_log.has_grant_of_epoch());
     m_is_log_read = true;
@@ -313,6 +311,21 @@
     return true;
 }
 
+bool control_duties::read_lease_records(absl::Time now)
+{
+    // A truncated batch only says where the retained records begin.
+    for (int reads = 0; reads < 2; ++reads) {
+        const auto batch =
+            m_store.read(topic::lease, m_control_log.end_offset(), absl::ZeroDuration());
+        if (!follow_epoch(now) || !is_ok(batch))
+            return false;
+        m_control_log.apply(get_value(batch));
+        if (!get_value(batch).truncated)
+            return true;
+    }
+    return false;
+}
+
 void control_duties::append_grant(absl::Time now)
 {
     const auto appended =
--- a/src/forward/control_log.cpp
+++ b/src/forward/control_log.cpp
@@ -43,6 +43,9 @@
 void control_log::apply(const record_batch& batch)
 {
     m_end_offset = batch.next_offset;
+    // Grants may have expired that this node didn't read.
+    if (batch.truncated)
+        m_holder.reset();
     for (const stored_record& record : batch.records) {
         const json object = parse_json_object(record.value);
         if (object.contains("holder")) {
--- a/test/forward_control_handover_test.cpp
+++ b/test/forward_control_handover_test.cpp
@@ -233,6 +233,28 @@
     });
 }
 
+// Guards against a former holder that was cut off for so long that the grant of the next one has
+// expired from the log, and that goes on as the holder.
+TEST(control_handover, holder_gives_up_a_lease_whose_later_grants_have_expired)
+{
+    control_system system(0);
+    start_nodes(system);
+    system.run(absl::Seconds(10));
+    fakes::control_node& former = *system.nodes.at("n1");
+    former.set_cut_off(true);
+    system.run(absl::Seconds(20));
+    ASSERT_TRUE(system.nodes.at("n2")->make_beacon().lease_token ||
+                system.nodes.at("n3")->make_beacon().lease_token);
+    system.topics->expire(topic::lease);
+    // Records expire long after the windows that they plan.
+    system.run(absl::Seconds(20));
+    former.set_cut_off(false);
+    former.set_cut_off_from_peers(true);
+    system.run(absl::Seconds(10));
+    EXPECT_EQ(system.platform.stale_calls(), 0);
+    EXPECT_FALSE(system.platform.has_conflict());
+}
+
 // Guards against a second order for a version that takes the result of the first one.
 TEST(control_handover, repeated_order_is_evaluated_anew)
 {
