--- a/test/forward_fleet_planner_test.cpp
+++ b/test/forward_fleet_planner_test.cpp
@@ -60,6 +60,23 @@
     EXPECT_EQ(total_desired(repeated, true), 0);
 }
 
+// Guards against a second holder that takes back what the first one ordered and has not booted yet.
+TEST(fleet_planner, second_holder_orders_no_fewer_endpoints)
+{
+    const scale_spec spec = make_spec();
+    fleet_planner first = make_planner();
+    const auto ordered = first.plan(make_view(0, 6, 250000), spec, start);
+    for (int booted = 0; booted <= 3; ++booted) {
+        fleet_planner second = make_planner();
+        const auto orders =
+            second.plan(make_view(booted, 6, 250000), spec, start + absl::Seconds(2));
+        EXPECT_EQ(total_desired(orders, true), total_desired(ordered, true)) << booted;
+        if (booted == 0) {
+            EXPECT_EQ(total_desired(orders, false), total_desired(ordered, false));
+        }
+    }
+}
+
 // Guards against a shortage after the cloud has reclaimed whole zones and offers no other
 // reclaimable endpoints.
 TEST(fleet_planner, orders_on_demand_endpoints_after_reclaimable_ones_are_refused)
