Order roll-outs in the fault soak

Cause: the soak knew no roll-outs, so that no run of the real processes under faults showed what holders make of each other's decisions. Change: the operator of a run orders versions without endpoints, repeats the orders and replaces them while they run, from a generator of its own. After the run, the status of an order must not have left its final state, and the newest order of each service must have ended. Conclusion: orders, restarts, pauses and outages of the store overlap there now. Versions with endpoints of their own, and so completed roll-outs, are not played.

--- a/test/platform_soak/soak_run.cpp
+++ b/test/platform_soak/soak_run.cpp
@@ -1,10 +1,15 @@
 #include "test/platform_soak/soak_run.hpp"
 
+#include "chivedeal/core/json_object.hpp"
+
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 
 #include <algorithm>
 #include <csignal>
+#include <cstdint>
+#include <map>
+#include <string>
 #include <utility>
 
 namespace chivedeal::soak {
@@ -28,6 +33,7 @@
       m_random(m_options.seed),
       m_link_random(m_options.seed + 1),
       m_signal_random(m_options.seed + 2),
+      m_rollout_random(m_options.seed + 3),
       m_store(m_options.nodes)
 {}
 
@@ -43,6 +49,7 @@
     m_ledger.begin_calm();
     run_until(absl::Now() + calm_time, false);
     m_ledger.end_calm();
+    check_rollouts();
     m_callers.clear();
     stop_all_nodes();
     m_endpoints.clear();
@@ -103,6 +110,8 @@
         }
         if (with_faults && now >= m_next_link_fault)
             disturb_links(now);
+        if (with_faults && now >= m_next_rollout)
+            order_rollout(now);
         absl::SleepFor(step);
     }
 }
@@ -350,6 +359,41 @@
     after(absl::Milliseconds(300 + m_link_random() % 4000), [this] { restore_links(); });
 }
 
+// Orders a version without endpoints, so that requests are served as without the order and the
+// roll-out is rolled back at its end. An order is often repeated, or replaced while it runs.
+void soak_run::order_rollout(absl::Time now)
+{
+    m_next_rollout = now + absl::Milliseconds(1500 + m_rollout_random() % 5000);
+    const char* service = services[m_rollout_random() % 2];
+    m_store.put("keyed.op", absl::StrCat("rollout/", service),
+                absl::StrCat(R"({"service":")", service, R"(","target":"v)",
+                             2 + m_rollout_random() % 2, R"(","duration_s":)",
+                             1 + m_rollout_random() % 4, "}"));
+}
+
+// The status of an order goes from running to one final state, and the newest order has ended.
+void soak_run::check_rollouts()
+{
+    for (const char* service : services) {
+        const std::string key = absl::StrCat("rollout/", service);
+        std::map<std::uint64_t, std::string> final_states;
+        std::string newest_state;
+        for (const std::string& value : m_store.values("keyed.status", key)) {
+            const nlohmann::json status = parse_json_object(value);
+            newest_state = member_or(status, "state", "");
+            std::string& final_state = final_states[member_or(status, "order", std::uint64_t{0})];
+            if (!final_state.empty() && newest_state != final_state)
+                m_ledger.fail(absl::StrCat("ROLLOUT: ", newest_state, " replaced ", final_state,
+                                           " of ", key));
+            if (newest_state != "running")
+                final_state = newest_state;
+        }
+        if (newest_state == "running" ||
+            (newest_state.empty() && !m_store.values("keyed.op", key).empty()))
+            m_ledger.fail(absl::StrCat("ROLLOUT: ", key, " has not ended"));
+    }
+}
+
 void soak_run::restore_links()
 {
     m_ledger.end_disturbances(absl::Now());
--- a/test/platform_soak/soak_run.hpp
+++ b/test/platform_soak/soak_run.hpp
@@ -55,6 +55,8 @@
     void disturb_endpoint(absl::Time now);
     void disturb_store(absl::Time now);
     void disturb_links(absl::Time now);
+    void order_rollout(absl::Time now);
+    void check_rollouts();
     void restore_links();
     void send_deadly_prompts(absl::Time now);
     void kill_all_nodes(absl::Time now);
@@ -74,6 +76,7 @@
     // Apart from the other faults, so that a seed still means the same for those.
     std::mt19937 m_link_random;
     std::mt19937 m_signal_random;
+    std::mt19937 m_rollout_random;
     ledger m_ledger;
     soak_store m_store;
     std::vector<std::unique_ptr<soak_node>> m_nodes;
@@ -84,6 +87,7 @@
     std::map<soak_node*, bool> m_restarting;
     std::map<soak_node*, bool> m_frozen;
     std::atomic<double> m_deadly_share = 0;
+    absl::Time m_next_rollout = absl::InfinitePast();
     absl::Time m_next_link_fault = absl::InfinitePast();
     absl::Time m_next_heartbeat = absl::InfinitePast();
     int m_next_endpoint = 1;
--- a/test/platform_soak/soak_store.cpp
+++ b/test/platform_soak/soak_store.cpp
@@ -110,6 +110,18 @@
     m_changed.notify_all();
 }
 
+std::vector<std::string> soak_store::values(const std::string& topic, const std::string& key) const
+{
+    const std::lock_guard<mutex> lock(m_mutex);
+    std::vector<std::string> found;
+    const std::string prefix = static_cast<char>(key.size()) + key;
+    if (const auto records = m_topics.find(topic); records != m_topics.end())
+        for (const std::string& record : records->second)
+            if (record.compare(0, prefix.size(), prefix) == 0)
+                found.push_back(record.substr(prefix.size()));
+    return found;
+}
+
 bool soak_store::has_record(const std::string& topic, const std::string& part) const
 {
     const std::lock_guard<mutex> lock(m_mutex);
--- a/test/platform_soak/soak_store.hpp
+++ b/test/platform_soak/soak_store.hpp
@@ -49,6 +49,8 @@
     /// one with each drill.
     void drill();
 
+    /// Values of the topic's records with this key, in the sequence in which they were appended.
+    std::vector<std::string> values(const std::string& topic, const std::string& key) const;
     /// Whether a record of the topic contains the text.
     bool has_record(const std::string& topic, const std::string& part) const;
 
