Take a bad version out of use while the store is down

Cause: a node that had not read the status of a roll-out didn't evaluate it at all, so that a bad version kept its share while the store gave no answers. Change: without the status, failures beyond those of the other versions count, time doesn't. Conclusion: what a node has seen itself holds without the store; what needs the history of the roll-out waits for it.

--- a/include/chivedeal/forward/tracked_rollout.hpp
+++ b/include/chivedeal/forward/tracked_rollout.hpp
@@ -40,8 +40,8 @@
     /// The store was restored from an older copy, so its status isn't known any more.
     void on_restored();
 
-    /// Evaluates the outcomes of all nodes. Does nothing before the status was read once, since the
-    /// roll-out may have ended before this process started.
+    /// Evaluates the outcomes of all nodes. Before the status was read once, a bad version loses its
+    /// traffic, but the roll-out isn't completed.
     void evaluate(absl::Time now, absl::Duration true_time_offset);
 
     const rollout_order& order() const { return m_evaluator.order(); }
--- a/src/forward/tracked_rollout.cpp
+++ b/src/forward/tracked_rollout.cpp
@@ -84,13 +84,15 @@
 
 void tracked_rollout::evaluate(absl::Time now, absl::Duration true_time_offset)
 {
-    if (m_decided || !m_is_status_read || m_evaluator.state() != rollout_state::running)
+    if (m_decided || m_evaluator.state() != rollout_state::running)
         return;
     // Computed again each time, since the offset of a process that has just started may be wrong
     // until it has heard of its peers.
     if (m_started_at)
         m_evaluator.set_started_at(std::min(m_learned_at, *m_started_at - true_time_offset));
-    m_evaluator.on_outcomes(m_outcomes.total(), now);
+    // Without the status, failures count, but not the time that passes: the roll-out may have ended
+    // before this process started.
+    m_evaluator.on_outcomes(m_outcomes.total(), m_is_status_read ? now : m_learned_at);
     if (m_evaluator.state() != rollout_state::running)
         m_evaluated_at = now;
 }
--- a/test/forward_control_handover_test.cpp
+++ b/test/forward_control_handover_test.cpp
@@ -255,6 +255,42 @@
     EXPECT_FALSE(system.platform.has_conflict());
 }
 
+// Guards against a bad version that gets requests while the store doesn't answer: its status can't
+// be read, but its failures show.
+TEST(control_handover, bad_version_loses_its_traffic_while_the_store_is_down)
+{
+    control_system system(0);
+    start_nodes(system);
+    system.topics->set_down(true);
+    system.target_failure_interval = 1;
+    system.order(make_order());
+    system.run(absl::Seconds(5));
+    for (const auto& [name, node] : system.nodes)
+        EXPECT_EQ(node->share(), 0) << name;
+    EXPECT_LE(system.target_failures, 50);
+    system.topics->set_down(false);
+    system.run(absl::Seconds(5));
+    EXPECT_TRUE(system.has_ended(rollout_state::rolled_back));
+}
+
+// Guards against a node that starts while the store doesn't answer and takes the only version out
+// of use, because it knows of no evidence when the duration of the roll-out is over.
+TEST(control_handover, node_without_the_status_keeps_the_only_version)
+{
+    control_system system(0);
+    start_nodes(system);
+    system.order(make_order());
+    system.run(rollout_duration);
+    ASSERT_TRUE(system.has_ended(rollout_state::done));
+    system.topics->set_down(true);
+    restart_all(system);
+    for (absl::Duration elapsed; elapsed < absl::Seconds(20); elapsed += absl::Seconds(1)) {
+        system.run(absl::Seconds(1));
+        for (const auto& [name, node] : system.nodes)
+            EXPECT_GT(node->share().value_or(1), 0) << name;
+    }
+}
+
 // Guards against a second order for a version that takes the result of the first one.
 TEST(control_handover, repeated_order_is_evaluated_anew)
 {
