Start a process of the soak after the one before has ended

Cause: soak_node::start began the new process before it reaped the old one, whose ports are in use until it has ended. Change: the soak waits for the end of the killed process. The platform restarts a process that has exited or was killed, so none of its checks changes. Conclusion: a fault of the harness.

--- a/test/platform_soak/soak_node.cpp
+++ b/test/platform_soak/soak_node.cpp
@@ -51,6 +51,9 @@
 {
     m_stopping_gracefully = false;
     ++m_starts;
+    // Waits for a process that was killed, as the platform does: until it has ended, its ports are in
+    // use.
+    m_process.reset();
     m_process = std::make_unique<scenario::process>(scenario::process::options{
         .command = {m_options.program, "forward"},
         .environment = {"CHIVEDEAL_CONFIG=" + m_options.directory + "/" + m_options.name + ".json"},
