--- a/review/stand-ins-3/clients.hpp
+++ b/review/stand-ins-3/clients.hpp
@@ -30,8 +30,6 @@
         int clients = 24;
         std::string method = "POST";
         std::string path = "/orders/new";
-        /// Identifiers of requests begin here.
-        int id_prefix = 0x10000000;
         std::string deadline_ms = "3000";
         /// Time without a byte of the answer after which a client leaves.
         int patience_s = 5;
@@ -93,7 +91,7 @@
             due +=
                 std::chrono::microseconds(1000000LL * m_kind.clients / m_kind.requests_per_second);
             char id[32];
-            std::snprintf(id, sizeof id, "%016x", m_kind.id_prefix + m_next_id++);
+            std::snprintf(id, sizeof id, "%016x", 0x10000000 + m_next_id++);
             const httplib::Headers headers{{"Host", caller_host},
                                            {"Request-Id", id},
                                            {"Deadline-Ms", m_kind.deadline_ms},
--- a/review/stand-ins-3/exposure.cpp
+++ b/review/stand-ins-3/exposure.cpp
@@ -1,13 +1,11 @@
 // Roll-outs of a bad version (rule EXPOSURE):
-//   hang   the new version leaves part of its streams without an answer
-//   grey   the servers of the old version fail part of their requests for four seconds
-//   route  the new version fails all requests of a route with little traffic
-//   split  the service gets a small part of a route, and the new version turns bad after six seconds
+//   hang    the new version leaves part of its streams without an answer
+//   cancel  the operator orders the old version again while the roll-out runs
+//   grey    the servers of the old version fail part of their requests for four seconds
 //
 // Three entry nodes, a store, servers, clients, and a roll-out. Counted is what the servers see from
-// the order to its deadline. Without TROUBLE the new version answers the same streams with 500
-// (hang), the old servers stay sound (grey), the new version is sound (route), or the route isn't
-// split (split).
+// the order of the bad version to its deadline. Without TROUBLE the new version answers the same
+// streams with 500 (hang), the operator waits (cancel), or the old servers stay sound (grey).
 #include "clients.hpp"
 #include "nodes.hpp"
 #include "orders_config.hpp"
@@ -32,13 +30,10 @@
     bool streaming = false;
     /// Failing requests of the target version get no answer instead of an error.
     bool target_hangs = false;
-    /// Weight of the service in the route, of 100.
-    int weight = 100;
-    /// The target version fails this share of its requests from this time after its start on.
+    /// The target version fails this share of its requests.
     double target_failing = 0;
-    double target_good_seconds = 0;
-    /// The target version fails all requests of the route /fees/, which gets this many a second.
-    int fees_per_second = 0;
+    /// The operator orders the old version this long after the new one; never if 0.
+    double cancel_after = 0;
     /// The old version's servers fail this share of their requests in a time after the order.
     double old_failing = 0;
     double old_fails_from = 0;
@@ -51,26 +46,25 @@
         return {.requests_per_second = 140,
                 .target_failing = 0.2,
                 .old_failing = has_trouble() ? 0.45 : 0,
-                .old_fails_from = 0.5,
-                .old_fails_until = 4.5};
+                .old_fails_from = 2,
+                .old_fails_until = 6};
     if (name == "hang")
         return {.requests_per_second = 140,
                 .rollout_seconds = 20,
                 .streaming = true,
                 .target_hangs = has_trouble(),
                 .target_failing = 0.3};
-    if (name == "route")
-        return {.requests_per_second = 140, .fees_per_second = 3};
-    return {.requests_per_second = 240,
-            .weight = has_trouble() ? 5 : 100,
-            .target_failing = 0.4,
-            .target_good_seconds = 6};
+    return {
+        .requests_per_second = 140, .target_failing = 0.2, .cancel_after = has_trouble() ? 4.0 : 0};
 }
 
 constexpr int node_count = 3;
+// The servers of the new version are listed this long after the order.
+constexpr int server_start_ms = 500;
 // A client leaves a stream after a gap of 2 s: the longest of 2 s, 4 x goal_ms and 8 x gap_aim_ms.
 constexpr int stream_patience_s = 2;
 constexpr int hang_ms = 2500;
+constexpr int work_ms = 30;
 constexpr double expose_share = 0.1;
 constexpr double expose_slack = 50;
 constexpr double rollback_seconds = 5;
@@ -158,7 +152,7 @@
 int main(int argc, char** argv)
 {
     if (argc < 4) {
-        std::fprintf(stderr, "usage: exposure hang|grey|route|split FOLDER RECORD\n");
+        std::fprintf(stderr, "usage: exposure hang|cancel|grey FOLDER RECORD\n");
         return 2;
     }
     const scenario played = pick_scenario(argv[1]);
@@ -168,35 +162,30 @@
     store platform;
     if (!platform.start(network + ".9.1", store_port))
         return 2;
-    platform.put("keyed.op", "config", orders_config(4, 100, played.streaming).dump());
+    platform.put("keyed.op", "config", orders_config(4, played.streaming).dump());
 
     exposure_count counts(played.rollout_seconds);
     std::vector<std::unique_ptr<server>> servers;
-    const auto add_server = [&](const std::string& service, const std::string& version, int zone) {
+    const auto add_server = [&](const std::string& version, int zone) {
         const int number = static_cast<int>(servers.size()) + 1;
         servers.push_back(std::make_unique<server>(
-            platform, server::identity{.id = "i-" + std::to_string(number) + "-" + service,
-                                       .service = service,
+            platform, server::identity{.id = "i-" + std::to_string(number),
+                                       .service = "booking",
                                        .version = version,
                                        .zone = "zone-" + std::to_string(zone),
                                        .host = network + ".5." + std::to_string(number),
                                        .threads = played.streaming ? 160 : 32}));
         server& added = *servers.back();
-        added.handler = [&, service, version, started = std::chrono::steady_clock::now()](
-                            const httplib::Request& request, httplib::Response& response) {
-            sleep_ms(30);
+        added.handler = [&, version](const httplib::Request&, httplib::Response& response) {
+            sleep_ms(work_ms);
             const double at = counts.age();
-            const bool is_target = service == "booking" && version == "v2";
+            const bool is_target = version == "v2";
             bool fails = false;
-            if (is_target && seconds_since(started) >= played.target_good_seconds)
+            if (is_target)
                 fails = counts.draw(played.target_failing);
-            if (is_target && request.path.rfind("/fees/", 0) == 0)
-                fails = has_trouble();
-            if (service == "booking" && !is_target && at >= played.old_fails_from &&
-                at < played.old_fails_until)
+            if (!is_target && at >= played.old_fails_from && at < played.old_fails_until)
                 fails = counts.draw(played.old_failing);
-            if (service == "booking")
-                counts.on_request(is_target, fails, at);
+            counts.on_request(is_target, fails, at);
             if (fails && is_target && played.target_hangs) {
                 sleep_ms(hang_ms);
                 response.status = 500;
@@ -211,7 +200,7 @@
         return added.start();
     };
     for (int zone = 0; zone < node_count; ++zone)
-        if (!add_server("booking", "v1", zone) || !add_server("booking-next", "v1", zone))
+        if (!add_server("v1", zone))
             return 2;
 
     node_group nodes(network, argv[2], node_count);
@@ -225,70 +214,57 @@
                                  .clients = played.streaming ? 150 : 24,
                                  .deadline_ms = played.streaming ? "15000" : "3000",
                                  .patience_s = played.streaming ? stream_patience_s : 5});
-    std::unique_ptr<client_group> fees;
-    if (played.fees_per_second > 0)
-        fees = std::make_unique<client_group>(
-            nodes, client_group::options{.requests_per_second = played.fees_per_second,
-                                         .clients = 3,
-                                         .path = "/fees/pay",
-                                         .id_prefix = 0x20000000});
-    sleep_ms(4000);
-    if (played.weight < 100) {
-        platform.put("keyed.op", "config",
-                     orders_config(5, played.weight, played.streaming).dump());
-        record << "configuration 5: " << played.weight
-               << " of 100 requests of the route go to booking\n";
-    }
     sleep_ms(8000);
+    counts.begin();
+    const auto order = [&](const char* version) {
+        platform.put("keyed.op", "rollout/booking",
+                     json{{"service", "booking"},
+                          {"target", version},
+                          {"duration_s", played.rollout_seconds}}
+                         .dump());
+    };
+    order("v2");
+    sleep_ms(server_start_ms);
     for (int zone = 0; zone < node_count; ++zone)
-        if (!add_server("booking", "v2", zone))
+        if (!add_server("v2", zone))
             return 2;
-    counts.begin();
-    platform.put(
-        "keyed.op", "rollout/booking",
-        json{{"service", "booking"}, {"target", "v2"}, {"duration_s", played.rollout_seconds}}
-            .dump());
     record << "ordered: roll-out of booking v2 in " << played.rollout_seconds << " s\n";
-    if (played.fees_per_second == 0)
-        record << "v2 " << (played.target_hangs ? "leaves unanswered " : "answers with 500 ")
-               << 100 * played.target_failing << " of 100 requests from "
-               << played.target_good_seconds << " s after its start on\n";
-    else if (has_trouble())
-        record << "v2 answers all requests of the route /fees/ with 500\n";
+    record << "v2 " << (played.target_hangs ? "leaves unanswered " : "answers with 500 ")
+           << 100 * played.target_failing << " of 100 requests\n";
     if (played.old_failing > 0)
         record << "v1 fails " << 100 * played.old_failing << " of 100 requests from "
                << played.old_fails_from << " s to " << played.old_fails_until
                << " s after the order\n";
-    const auto set_phase = [&](const std::string& name) {
-        clients.set_phase(name);
-        if (fees)
-            fees->set_phase(name);
-    };
-    set_phase("during the roll-out");
-    std::string state;
+    clients.set_phase("during the roll-out");
+    std::string seen;
+    bool is_cancelled = false;
     while (counts.age() < played.rollout_seconds + 8) {
+        if (played.cancel_after > 0 && !is_cancelled && counts.age() >= played.cancel_after) {
+            is_cancelled = true;
+            order("v1");
+            record << "after " << counts.age() << " s: the operator orders v1\n";
+            clients.set_phase("after the order of v1");
+        }
         const std::string text = platform.newest("keyed.status", "rollout/booking");
-        const std::string newest = text.empty() ? "" : json::parse(text).value("state", "");
-        if (newest != state) {
-            state = newest;
-            record << "after " << counts.age() << " s: status " << state << "\n";
-            if (state != "running")
-                set_phase("after " + state);
+        const json status = text.empty() ? json::object() : json::parse(text);
+        const std::string state = status.value("state", "");
+        const std::string target = status.value("target", "");
+        if (state + target != seen) {
+            seen = state + target;
+            record << "after " << counts.age() << " s: status " << state << " of " << target
+                   << "\n";
+            if (state == "done" || state == "rolled_back")
+                clients.set_phase("after " + state + " of " + target);
             // The pages: at `done`, the old servers stop immediately, without draining.
             if (state == "done")
                 for (const auto& each : servers)
-                    if (each->self().service == "booking" && each->self().version == "v1")
+                    if (each->self().version != target)
                         each->stop();
         }
         sleep_ms(50);
     }
     clients.stop();
     clients.write(record);
-    if (fees) {
-        fees->stop();
-        record << "route /fees/: ";
-        fees->write(record);
-    }
     counts.write(record);
     nodes.kill_all();
     for (const auto& each : servers)
--- a/review/stand-ins-3/gone.cpp
+++ b/review/stand-ins-3/gone.cpp
@@ -1,9 +1,11 @@
-// Case: the servers of a new version are lost during its roll-out (rule RECOVER).
+// Cases: the servers of one version are lost during a roll-out (rule RECOVER).
+//   new  those of the new version, after it has been proven; the roll-out ends with `done`
+//   old  those of the old version, of a service with little traffic; it ends with `rolled_back`
 //
-// Three entry nodes, a store, nine servers of the old version, three of the new one, clients, and a
-// roll-out in 20 s of a sound version. After 14 s the three new servers crash for good (TROUBLE=1
-// only); their entries go after three heartbeats. When the status `done` has been acknowledged, the
-// old servers stop, as the pages say, and all processes are killed and start again (final fault).
+// Three entry nodes, a store, nine servers of one version and three of the other, clients, and a
+// roll-out of a sound version. The three servers crash for good (TROUBLE=1 only); their entries go
+// after three heartbeats. When the final status has been acknowledged, the servers of the version
+// that lost stop, as the pages say, and all processes are killed and start again (final fault).
 // Counted are the requests sent later than `recover_s` after that.
 #include "clients.hpp"
 #include "nodes.hpp"
@@ -19,10 +21,32 @@
 
 namespace {
 
+struct scenario
+{
+    int requests_per_second;
+    int rollout_seconds;
+    int old_servers;
+    int new_servers;
+    const char* lost_version;
+    double crash_after_seconds;
+};
+
+constexpr scenario new_lost{.requests_per_second = 140,
+                            .rollout_seconds = 20,
+                            .old_servers = 9,
+                            .new_servers = 3,
+                            .lost_version = "v2",
+                            .crash_after_seconds = 14};
+constexpr scenario old_lost{.requests_per_second = 4,
+                            .rollout_seconds = 12,
+                            .old_servers = 3,
+                            .new_servers = 9,
+                            .lost_version = "v1",
+                            .crash_after_seconds = 6};
+
 constexpr int node_count = 3;
-constexpr int old_servers = 9;
-constexpr int rollout_seconds = 20;
-constexpr double crash_after_seconds = 14;
+// The servers of the new version are listed this long after the order.
+constexpr int server_start_ms = 500;
 constexpr int heartbeat_ms = 1200;
 constexpr int recover_seconds = 12;
 
@@ -30,17 +54,18 @@
 
 int main(int argc, char** argv)
 {
-    if (argc < 3) {
-        std::fprintf(stderr, "usage: gone FOLDER RECORD\n");
+    if (argc < 4) {
+        std::fprintf(stderr, "usage: gone new|old FOLDER RECORD\n");
         return 2;
     }
     const std::string network = pick_network();
-    std::ofstream record(argv[2]);
+    const scenario played = std::string(argv[1]) == "old" ? old_lost : new_lost;
+    std::ofstream record(argv[3]);
     record << "trouble: " << (has_trouble() ? "yes" : "no") << "\n";
     store platform;
     if (!platform.start(network + ".9.1", store_port))
         return 2;
-    platform.put("keyed.op", "config", orders_config(4, 100).dump());
+    platform.put("keyed.op", "config", orders_config(4, false).dump());
 
     std::vector<std::unique_ptr<server>> servers;
     const auto add_server = [&](const std::string& version, int zone) {
@@ -62,42 +87,45 @@
             if (each->self().version == version)
                 action(*each);
     };
-    for (int i = 0; i < old_servers; ++i)
+    for (int i = 0; i < played.old_servers; ++i)
         if (!add_server("v1", i % node_count))
             return 2;
 
-    node_group nodes(network, argv[1], node_count);
+    node_group nodes(network, argv[2], node_count);
     nodes.start_all();
     if (!nodes.wait_ready(20)) {
         record << "the nodes are not ready\n";
         return 2;
     }
     sleep_ms(2000);
-    client_group clients(nodes, {.requests_per_second = 140});
+    client_group clients(nodes, {.requests_per_second = played.requests_per_second});
     sleep_ms(8000);
-    for (int zone = 0; zone < node_count; ++zone)
-        if (!add_server("v2", zone))
-            return 2;
     platform.put(
         "keyed.op", "rollout/booking",
-        json{{"service", "booking"}, {"target", "v2"}, {"duration_s", rollout_seconds}}.dump());
-    record << "ordered: roll-out of booking v2 in " << rollout_seconds << " s\n";
+        json{{"service", "booking"}, {"target", "v2"}, {"duration_s", played.rollout_seconds}}
+            .dump());
+    record << "ordered: roll-out of booking v2 in " << played.rollout_seconds << " s\n";
     clients.set_phase("during the roll-out");
     const auto ordered = std::chrono::steady_clock::now();
+    sleep_ms(server_start_ms);
+    for (int i = 0; i < played.new_servers; ++i)
+        if (!add_server("v2", i % node_count))
+            return 2;
     bool has_crashed = false;
     bool has_removed_entries = false;
     std::string state;
-    while (seconds_since(ordered) < rollout_seconds + 1) {
+    while (seconds_since(ordered) < played.rollout_seconds + 1) {
         const double age = seconds_since(ordered);
-        if (has_trouble() && !has_crashed && age >= crash_after_seconds) {
+        if (has_trouble() && !has_crashed && age >= played.crash_after_seconds) {
             has_crashed = true;
-            for_version("v2", [](server& each) { each.end(); });
-            record << "after " << age << " s: the servers of v2 crash for good\n";
+            for_version(played.lost_version, [](server& each) { each.end(); });
+            record << "after " << age << " s: the servers of " << played.lost_version
+                   << " crash for good\n";
         }
         if (has_crashed && !has_removed_entries &&
-            age >= crash_after_seconds + 3 * heartbeat_ms / 1000.0) {
+            age >= played.crash_after_seconds + 3 * heartbeat_ms / 1000.0) {
             has_removed_entries = true;
-            for_version("v2", [](server& each) { each.remove_entry(); });
+            for_version(played.lost_version, [](server& each) { each.remove_entry(); });
             record << "after " << age << " s: their entries have gone from the store\n";
         }
         const std::string text = platform.newest("keyed.status", "rollout/booking");
@@ -110,8 +138,8 @@
         }
         sleep_ms(20);
     }
-    // The final fault, right after the acknowledgement. The old servers stop at `done`, the new ones
-    // drain and leave some seconds after `rolled_back`.
+    // The final fault, right after the acknowledgement. The old servers stop at `done`; the new ones
+    // drain and leave after `rolled_back`.
     nodes.kill_all();
     clients.set_phase("while the processes are away and recover");
     for_version(state == "done" ? "v1" : "v2", [](server& each) { each.stop(); });
--- a/review/stand-ins-3/nodes.hpp
+++ b/review/stand-ins-3/nodes.hpp
@@ -126,11 +126,13 @@
             kill_node(node);
     }
 
-    /// Whether the process has ended by itself.
-    bool has_ended(int node)
+    /// The signal that has ended the process; 0 if it goes on or has ended otherwise.
+    int ending_signal(int node)
     {
         int status = 0;
-        return m_pids.count(node) > 0 && waitpid(m_pids[node], &status, WNOHANG) == m_pids[node];
+        const bool has_ended =
+            m_pids.count(node) > 0 && waitpid(m_pids[node], &status, WNOHANG) == m_pids[node];
+        return has_ended && WIFSIGNALED(status) ? WTERMSIG(status) : 0;
     }
 
     bool is_ready(int node) const
--- a/review/stand-ins-3/orders_config.hpp
+++ b/review/stand-ins-3/orders_config.hpp
@@ -7,10 +7,9 @@
 
 namespace review {
 
-/// Configuration with one route of unsafe requests, or of streams that can't be resumed. Of 100 of
-/// them, `weight` go to the service `booking`, the others to `booking-next`. A second route of unsafe
-/// requests to `booking` has the prefix /fees/.
-inline json orders_config(int version, int weight, bool streaming = false)
+/// Configuration of the service `booking` with one route, of unsafe requests or of streams that can't
+/// be resumed.
+inline json orders_config(int version, bool streaming)
 {
     json route = {{"name", "r-orders"},
                   {"host", caller_host},
@@ -20,24 +19,16 @@
                   {"goal_ms", streaming ? 500 : 200},
                   {"priority", 0},
                   {"attempts", 1},
-                  {"public", false}};
+                  {"public", false},
+                  {"service", "booking"}};
     if (streaming)
         route.update({{"resumable", false}, {"gap_aim_ms", 250}});
-    if (weight < 100)
-        route["backends"] = {{{"service", "booking"}, {"weight", weight}},
-                             {{"service", "booking-next"}, {"weight", 100 - weight}}};
-    else
-        route["service"] = "booking";
-    json fees = {{"name", "r-fees"},    {"host", caller_host}, {"path_prefix", "/fees/"},
-                 {"kind", "unsafe"},    {"timeout_ms", 3000},  {"goal_ms", 200},
-                 {"priority", 0},       {"attempts", 1},       {"public", false},
-                 {"service", "booking"}};
     const auto service = [](const char* name) {
         return json{{"name", name}, {"health_path", "/health"}, {"max_conns", 310}};
     };
     return {{"version", version},
-            {"routes", {route, fees}},
-            {"services", {service("booking"), service("booking-next")}},
+            {"routes", {route}},
+            {"services", {service("booking")}},
             {"limits",
              {{"max_header_bytes", 16384},
               {"max_body_bytes", 4194304},
