--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -5,6 +5,6 @@
 [ -x target/chivedeal ] && [ -x target/review-3/exposure ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout -k 2 115 target/review-3/exposure grey "$folder" "$here/record.txt"
+timeout -k 2 115 target/review-3/exposure cancel "$folder" "$here/record.txt"
 result=$?
 case $result in 0 | 1) exit $result ;; *) exit 2 ;; esac
