Complete a roll-out only onto endpoints that are left and answer

Cause: a version that was proven once was completed at 0.9 of the duration. The trace shows its last good response 4 s before; nothing looked at that, nor at the list of endpoints. Change: rollout_evaluator gets the versions that have accepting endpoints (endpoints_left) and notes when each side last had a good response. A proven version is done only if it is left and answers. If it isn't left at the deadline, it is rolled back. No roll-out ends before the endpoints are known. Tests: rollout_traffic is a fake of callers, endpoints and platform around the real control duties, endpoint pools and counters. Without the change rollout_states.version_whose_endpoints_are_lost_is_not_done and version_that_does_not_answer_is_not_done fail: done, then 0 of the requests are served. version_is_done_when_its_endpoints_are_back holds with and without it. A crash in the last second before completion is still not seen in time.

--- a/fakes/control_node.hpp
+++ b/fakes/control_node.hpp
@@ -72,10 +72,19 @@
         return target_failures;
     }
 
+    /// Replaces the counts of the order's versions.
+    void set_outcomes(const forward::version_outcomes& outcomes) { m_outcomes = outcomes; }
+
+    /// The newest traffic split that the forwarder got.
+    std::optional<forward::node_event::version_share_changed> split() const
+    {
+        return m_forwarder.newest<forward::node_event::version_share_changed>();
+    }
+
     /// The share of the target version that the forwarder applies; absent without a split.
     std::optional<double> share() const
     {
-        const auto newest = m_forwarder.newest<forward::node_event::version_share_changed>();
+        const auto newest = split();
         return newest ? newest->share : std::nullopt;
     }
 
--- a/fakes/control_system.hpp
+++ b/fakes/control_system.hpp
@@ -1,6 +1,7 @@
 #ifndef CHIVEDEAL_FAKES_CONTROL_SYSTEM_HPP
 #define CHIVEDEAL_FAKES_CONTROL_SYSTEM_HPP
 
+#include "chivedeal/forward/endpoint_record.hpp"
 #include "chivedeal/forward/node_beacon.hpp"
 #include "chivedeal/forward/node_event.hpp"
 #include "chivedeal/forward/rollout_order.hpp"
@@ -19,6 +20,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -33,7 +35,40 @@
 public:
     static constexpr absl::Duration tick_interval = absl::Milliseconds(250);
 
-    explicit control_system(std::uint64_t epoch) { topics->epoch = epoch; }
+    explicit control_system(std::uint64_t epoch)
+    {
+        topics->epoch = epoch;
+        list("old-1", "v1");
+        list("new-1", "v2");
+    }
+
+    /// Adds an endpoint to the list that the nodes read.
+    void list(const std::string& id, const std::string& version)
+    {
+        const auto record = std::make_shared<const forward::endpoint_record>(
+            forward::endpoint_record{.id = endpoint_id(id),
+                                     .service = service_id("s"),
+                                     .address = {.host = id, .port = 1},
+                                     .zone = zone_id("z"),
+                                     .version = version_id(version),
+                                     .slots = 1000,
+                                     .started_at_unix_ms = ++m_started_endpoints});
+        m_endpoints[id] = record;
+        for (const auto& [name, node] : nodes)
+            node->handle({forward::node_event::endpoint_changed{record}});
+    }
+
+    void unlist(const std::string& id)
+    {
+        m_endpoints.erase(id);
+        for (const auto& [name, node] : nodes)
+            node->handle({forward::node_event::endpoint_removed{endpoint_id(id)}});
+    }
+
+    const std::map<std::string, std::shared_ptr<const forward::endpoint_record>>& listed() const
+    {
+        return m_endpoints;
+    }
 
     /// A node that starts reads the order in force, like the configuration.
     void add(const std::string& name)
@@ -46,6 +81,9 @@
     control_node& add_without_order(const std::string& name)
     {
         nodes[name] = std::make_unique<control_node>(name.c_str(), topics, clock, platform);
+        for (const auto& [id, record] : m_endpoints)
+            nodes[name]->handle({forward::node_event::endpoint_changed{record}});
+        nodes[name]->handle({forward::node_event::endpoints_loaded{}});
         return *nodes[name];
     }
 
@@ -67,8 +105,12 @@
     void step()
     {
         const bool has_old_endpoints = !is_done();
+        if (!has_old_endpoints && !serve && m_endpoints.count("old-1") > 0)
+            unlist("old-1");
         for (const auto& [name, node] : nodes) {
-            if (m_order)
+            if (serve)
+                serve(name, *node);
+            else if (m_order)
                 target_failures +=
                     node->count_responses(has_old_endpoints, target_failure_interval);
             node->count_requests();
@@ -136,10 +178,14 @@
         return std::find(states.begin(), states.end(), with) != states.end();
     }
 
+    const std::optional<forward::rollout_order>& newest_order() const { return m_order; }
     absl::Time ordered_at() const { return m_ordered_at; }
     /// When the store accepted that the roll-out is done; `InfiniteFuture` if it hasn't.
     absl::Time done_at() const { return m_done_at; }
 
+    /// If set, serves the requests of a node in one tick and sets its counts. Otherwise the node
+    /// counts made-up responses.
+    std::function<void(const std::string& name, control_node& node)> serve;
     /// One in so many responses of the order's version fails. Of the other version, one in seven.
     int target_failure_interval = 7;
     /// Failed responses of the order's version on all nodes.
@@ -162,6 +208,8 @@
         return m_done_at != absl::InfiniteFuture();
     }
 
+    std::map<std::string, std::shared_ptr<const forward::endpoint_record>> m_endpoints;
+    std::int64_t m_started_endpoints = 0;
     absl::Time m_ordered_at = absl::InfinitePast();
     std::size_t m_seen_statuses = 0;
     absl::Time m_done_at = absl::InfiniteFuture();
--- a/include/chivedeal/forward/control_duties.hpp
+++ b/include/chivedeal/forward/control_duties.hpp
@@ -10,6 +10,7 @@
 #include "chivedeal/forward/duty_fence.hpp"
 #include "chivedeal/forward/duty_lease.hpp"
 #include "chivedeal/forward/endpoint_record.hpp"
+#include "chivedeal/forward/endpoints_left.hpp"
 #include "chivedeal/forward/event_queue.hpp"
 #include "chivedeal/forward/fleet_planner.hpp"
 #include "chivedeal/forward/node_settings.hpp"
@@ -101,6 +102,8 @@
                          absl::Time now);
     void adopt_decisions(const std::vector<rollout_status>& decided, absl::Time now);
     void advance_rollouts(absl::Time now);
+    // Empty until the endpoints are known.
+    std::optional<endpoints_left> left_of(const rollout_order& order) const;
     void apply_share(const tracked_rollout& rollout, absl::Time now);
     bool must_read_statuses(absl::Time now) const;
     bool may_restore_status(const tracked_rollout& rollout, absl::Time now) const;
--- a/include/chivedeal/forward/rollout_evaluator.hpp
+++ b/include/chivedeal/forward/rollout_evaluator.hpp
@@ -1,6 +1,7 @@
 #ifndef CHIVEDEAL_FORWARD_ROLLOUT_EVALUATOR_HPP
 #define CHIVEDEAL_FORWARD_ROLLOUT_EVALUATOR_HPP
 
+#include "chivedeal/forward/endpoints_left.hpp"
 #include "chivedeal/forward/rollout_order.hpp"
 #include "chivedeal/forward/rollout_state.hpp"
 #include "chivedeal/forward/version_outcomes.hpp"
@@ -8,10 +9,12 @@
 #include "absl/time/time.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace chivedeal::forward {
 
-/// Decides the traffic share and the final state of one roll-out from the outcomes on all nodes.
+/// Decides the traffic share and the final state of one roll-out from the outcomes on all nodes and
+/// the endpoints that are left. docs/design/rollouts.md lists the states and what leads to each.
 class rollout_evaluator
 {
 public:
@@ -35,6 +38,8 @@
 
     /// `total` is the sum over all nodes.
     void on_outcomes(const version_outcomes& total, absl::Time now);
+    /// Empty while the endpoints aren't known; then the roll-out doesn't end.
+    void set_endpoints_left(std::optional<endpoints_left> left) { m_left = left; }
     /// Another node has proven the version good.
     void on_proven() { m_proven = true; }
     void set_started_at(absl::Time started_at) { m_started_at = started_at; }
@@ -49,11 +54,21 @@
     double share() const;
 
 private:
+    void record_answers(const version_outcomes& total, absl::Time now);
+    // Other versions answer the requests that the target version should get.
+    bool is_target_silent() const;
+    void complete(double elapsed_fraction);
+
     options m_options;
     rollout_order m_order;
     absl::Time m_started_at;
     rollout_state m_state = rollout_state::running;
     bool m_proven = false;
+    std::optional<endpoints_left> m_left = endpoints_left{};
+    version_outcomes m_total;
+    // When good responses of either side were last seen.
+    absl::Time m_target_answered_at = absl::InfinitePast();
+    absl::Time m_others_answered_at = absl::InfinitePast();
 };
 
 } // namespace chivedeal::forward
--- a/include/chivedeal/forward/tracked_rollout.hpp
+++ b/include/chivedeal/forward/tracked_rollout.hpp
@@ -1,6 +1,7 @@
 #ifndef CHIVEDEAL_FORWARD_TRACKED_ROLLOUT_HPP
 #define CHIVEDEAL_FORWARD_TRACKED_ROLLOUT_HPP
 
+#include "chivedeal/forward/endpoints_left.hpp"
 #include "chivedeal/forward/outcome_ledger.hpp"
 #include "chivedeal/forward/rollout_evaluator.hpp"
 #include "chivedeal/forward/rollout_order.hpp"
@@ -40,9 +41,11 @@
     /// The store was restored from an older copy, so its status isn't known any more.
     void on_restored();
 
-    /// Evaluates the outcomes of all nodes. Before the status was read once, a bad version loses its
-    /// traffic, but the roll-out isn't completed.
-    void evaluate(absl::Time now, absl::Duration true_time_offset);
+    /// Evaluates the outcomes of all nodes. Before the status was read once, or while `left` is
+    /// empty because the endpoints aren't known, a bad version loses its traffic, but the roll-out
+    /// isn't completed.
+    void evaluate(const std::optional<endpoints_left>& left, absl::Time now,
+                  absl::Duration true_time_offset);
 
     const rollout_order& order() const { return m_evaluator.order(); }
     rollout_state state() const { return m_decided.value_or(m_evaluator.state()); }
--- a/src/forward/rollout_duties.cpp
+++ b/src/forward/rollout_duties.cpp
@@ -74,7 +74,7 @@
     if (must_read_statuses(now))
         (void)read_statuses(now);
     for (auto& [service, rollout] : m_rollouts) {
-        rollout.evaluate(now, m_true_time_offset);
+        rollout.evaluate(left_of(rollout.order()), now, m_true_time_offset);
         apply_share(rollout, now);
         if (is_holder || may_restore_status(rollout, now))
             write_status(rollout, now);
@@ -82,6 +82,17 @@
     publish_decisions(now);
 }
 
+std::optional<endpoints_left> control_duties::left_of(const rollout_order& order) const
+{
+    if (!m_endpoints_loaded)
+        return std::nullopt;
+    endpoints_left left{.target = false, .others = false};
+    for (const auto& [id, record] : m_endpoints)
+        if (record.service == order.service && !record.leaving)
+            (record.version == order.target ? left.target : left.others) = true;
+    return left;
+}
+
 void control_duties::apply_share(const tracked_rollout& rollout, absl::Time now)
 {
     const bool is_split_needed = rollout.state() != rollout_state::done ||
--- a/src/forward/rollout_evaluator.cpp
+++ b/src/forward/rollout_evaluator.cpp
@@ -12,6 +12,9 @@
 // Fraction of the roll-out's duration after which it is completed and the endpoints of the old
 // version may stop. Streams on the old version have until then to end.
 constexpr double completion_fraction = 0.9;
+// A side that has had no good response for this long while the other one had some doesn't answer.
+// Longer than the delay with which nodes learn of each other's outcomes.
+constexpr absl::Duration max_answer_gap = absl::Seconds(1);
 
 // Bad responses of the target version that the failure rate of the other versions explains. Without
 // responses of other versions, nothing shows that the target version has more than is usual for the
@@ -40,6 +43,7 @@
 {
     if (m_state != rollout_state::running)
         return;
+    record_answers(total, now);
     const double excess_bad = excess_bad_responses(total);
     if (excess_bad >= m_options.max_excess_bad_responses) {
         m_state = rollout_state::rolled_back;
@@ -49,9 +53,34 @@
     const bool is_shown_good = total.target_good >= m_options.min_good_responses &&
                                excess_bad < m_options.max_excess_bad_responses / 2.0;
     m_proven = m_proven || (elapsed_fraction >= traffic_move_fraction && is_shown_good);
-    if (elapsed_fraction < completion_fraction)
-        return;
-    m_state = m_proven ? rollout_state::done : rollout_state::rolled_back;
+    if (elapsed_fraction >= completion_fraction && m_left)
+        complete(elapsed_fraction);
+}
+
+void rollout_evaluator::record_answers(const version_outcomes& total, absl::Time now)
+{
+    if (total.target_good > m_total.target_good)
+        m_target_answered_at = now;
+    if (total.other_good > m_total.other_good)
+        m_others_answered_at = now;
+    m_total = total;
+}
+
+bool rollout_evaluator::is_target_silent() const
+{
+    return m_others_answered_at > m_target_answered_at + max_answer_gap;
+}
+
+// The endpoints of the other versions stop when the roll-out is done, so the target version must be
+// serving the traffic at that time, not only when it was proven.
+void rollout_evaluator::complete(double elapsed_fraction)
+{
+    if (!m_proven)
+        m_state = rollout_state::rolled_back;
+    else if (m_left->target && !is_target_silent())
+        m_state = rollout_state::done;
+    else if (!m_left->target && elapsed_fraction >= 1)
+        m_state = rollout_state::rolled_back;
 }
 
 double rollout_evaluator::share() const
--- a/src/forward/tracked_rollout.cpp
+++ b/src/forward/tracked_rollout.cpp
@@ -82,10 +82,12 @@
     m_is_carried = true;
 }
 
-void tracked_rollout::evaluate(absl::Time now, absl::Duration true_time_offset)
+void tracked_rollout::evaluate(const std::optional<endpoints_left>& left, absl::Time now,
+                               absl::Duration true_time_offset)
 {
     if (m_decided || m_evaluator.state() != rollout_state::running)
         return;
+    m_evaluator.set_endpoints_left(left);
     // Computed again each time, since the offset of a process that has just started may be wrong
     // until it has heard of its peers.
     if (m_started_at)
