Know which versions carried the traffic before a roll-out

Cause: the new order replaced the running roll-out and all that was known of it. The pool knew the target and "the others", so v1 became the unproven version and v2 the rest; the trace shows move_step_decided version=v1 share=0.05 at the moment of the order. Change: a roll-out has stable versions, those that carried the traffic when it was ordered. They follow from the status of the order before, or from the listed endpoints, and are stored in the status. A target that is one of them gets all traffic at once and isn't rolled back for its failures. The pool gives the rest of the traffic to the stable versions; versions of replaced orders serve only what nothing else can. move_step_decided names them.

--- a/fakes/control_node.hpp
+++ b/fakes/control_node.hpp
@@ -12,6 +12,7 @@
 #include "chivedeal/forward/peer_exchange.hpp"
 #include "chivedeal/forward/rollout_order.hpp"
 #include "chivedeal/forward/version_outcomes.hpp"
+#include "chivedeal/forward/version_split.hpp"
 #include "fakes/fake_clock.hpp"
 #include "fakes/fake_node_event_listener.hpp"
 #include "fakes/fake_record_store.hpp"
@@ -76,16 +77,17 @@
     void set_outcomes(const forward::version_outcomes& outcomes) { m_outcomes = outcomes; }
 
     /// The newest traffic split that the forwarder got.
-    std::optional<forward::node_event::version_share_changed> split() const
+    std::optional<forward::version_split> split() const
     {
-        return m_forwarder.newest<forward::node_event::version_share_changed>();
+        const auto newest = m_forwarder.newest<forward::node_event::version_split_changed>();
+        return newest ? newest->split : std::nullopt;
     }
 
     /// The share of the target version that the forwarder applies; absent without a split.
     std::optional<double> share() const
     {
         const auto newest = split();
-        return newest ? newest->share : std::nullopt;
+        return newest ? std::optional<double>(newest->share) : std::nullopt;
     }
 
     void set_cut_off(bool value)
--- a/include/chivedeal/forward/control_duties.hpp
+++ b/include/chivedeal/forward/control_duties.hpp
@@ -17,6 +17,7 @@
 #include "chivedeal/forward/tracked_rollout.hpp"
 #include "chivedeal/forward/usage_collector.hpp"
 #include "chivedeal/forward/usage_ledger.hpp"
+#include "chivedeal/forward/version_split.hpp"
 
 #include "absl/time/time.h"
 
@@ -24,6 +25,7 @@
 #include <initializer_list>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -104,7 +106,11 @@
     void advance_rollouts(absl::Time now);
     // Empty until the endpoints are known.
     std::optional<endpoints_left> left_of(const rollout_order& order) const;
-    void apply_share(const tracked_rollout& rollout, absl::Time now);
+    std::set<version_id> listed_versions(const service_id& service) const;
+    // `earlier` is the status of the order before, if it is known.
+    void find_stable_versions(tracked_rollout& rollout,
+                              const std::optional<rollout_status>& earlier) const;
+    void apply_split(const tracked_rollout& rollout, absl::Time now);
     bool must_read_statuses(absl::Time now) const;
     bool may_restore_status(const tracked_rollout& rollout, absl::Time now) const;
     void hand_over_rollouts(absl::Time now);
@@ -131,8 +137,8 @@
     std::int64_t m_next_window = 0;
     absl::Time m_next_report_attempt = absl::InfinitePast();
     std::map<service_id, tracked_rollout> m_rollouts;
-    // Shares that the forwarder applies; absent without a split.
-    std::map<service_id, std::optional<double>> m_applied_shares;
+    // Splits that the forwarder applies; absent without one.
+    std::map<service_id, std::optional<version_split>> m_applied_splits;
     // End of the status topic at the newest read or append of the holder.
     std::optional<std::uint64_t> m_status_end;
     absl::Time m_next_status_read = absl::InfinitePast();
--- a/include/chivedeal/forward/endpoint_pool.hpp
+++ b/include/chivedeal/forward/endpoint_pool.hpp
@@ -10,11 +10,13 @@
 #include "chivedeal/forward/endpoint_query.hpp"
 #include "chivedeal/forward/endpoint_record.hpp"
 #include "chivedeal/forward/prompt_notice.hpp"
+#include "chivedeal/forward/version_split.hpp"
 #include "chivedeal/regions/endpoint_gate.hpp"
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -71,10 +73,15 @@
     /// if all of them that aren't leaving asked for none.
     std::optional<absl::Time> retry_time(const endpoint_query& query, absl::Time now) const;
 
-    /// Splits a service's requests between one version and all others. A version with share 0 gets
-    /// no requests at all. Otherwise, if one side has no usable endpoint, the other gets them all.
-    void set_version_share(const service_id& service, const version_id& version, double share);
-    void clear_version_share(const service_id& service);
+    /// Splits a service's requests between one version and the stable ones. A version with share 0
+    /// gets no requests at all. Otherwise, if one side has no endpoint that can serve a request, the
+    /// other gets it.
+    void set_version_share(const service_id& service, const version_id& version, double share)
+    {
+        set_version_split(service, version_split{.version = version, .share = share});
+    }
+    /// No split ends the division.
+    void set_version_split(const service_id& service, std::optional<version_split> split);
 
     /// Chooses an endpoint. `random` is uniform in [0, 1). It selects the side of a version split
     /// and the endpoints between which the choice is made.
@@ -164,17 +171,30 @@
         absl::Time updated_at;
     };
 
-    struct version_split
+    // Part that an endpoint's version has in a split; without one, all versions are stable.
+    enum class version_group
+    {
+        target,
+        stable,
+        // Versions of earlier roll-outs that weren't completed.
+        abandoned,
+    };
+
+    // Endpoints that a request may use, by how their health allows it.
+    struct candidate_list
     {
-        version_id version;
-        double share = 1;
+        std::vector<const endpoint_state*> usable;
+        std::vector<const endpoint_state*> paused;
+        std::vector<const endpoint_state*> failing;
     };
 
     endpoint_demand& demand_of(const endpoint_choice& endpoint, absl::Time now);
     void apply_demand(endpoint_state& endpoint) const;
     static bool is_leaving(const endpoint_state& endpoint, absl::Time now);
-    bool allows_version(const endpoint_state& endpoint, double random) const;
-    bool is_rolled_back(const endpoint_state& endpoint) const;
+    static version_group group_of(const endpoint_state& endpoint, const version_split* split);
+    // The groups that a request may use, the preferred one first.
+    static std::vector<version_group> groups_for(const version_split* split, double random,
+                                                 const std::array<bool, 3>& can_serve);
     std::int64_t cached_tokens(const endpoint_state& endpoint, const endpoint_query& query,
                                bool is_rendezvous_endpoint, absl::Time now) const;
     double predict_ms(const endpoint_state& endpoint, const endpoint_query& query,
--- a/include/chivedeal/forward/node_event.hpp
+++ b/include/chivedeal/forward/node_event.hpp
@@ -7,6 +7,7 @@
 #include "chivedeal/forward/node_beacon.hpp"
 #include "chivedeal/forward/prompt_notice.hpp"
 #include "chivedeal/forward/rollout_order.hpp"
+#include "chivedeal/forward/version_split.hpp"
 
 #include "absl/time/time.h"
 
@@ -87,12 +88,11 @@
         int count = 0;
     };
 
-    /// Sets the share of a service's requests that a version receives; no share ends the split.
-    struct version_share_changed
+    /// Sets how a service's requests are divided between its versions; no split ends the division.
+    struct version_split_changed
     {
         service_id service;
-        version_id version;
-        std::optional<double> share;
+        std::optional<version_split> split;
     };
 
     /// Counters of this node, for the control duties.
@@ -113,7 +113,7 @@
 
     std::variant<config_changed, rollout_ordered, evacuations_changed, endpoint_changed,
                  endpoint_removed, endpoint_removal_scheduled, endpoints_loaded, peer_heard,
-                 prompt_noticed, peer_lost, nodes_listed, version_share_changed,
+                 prompt_noticed, peer_lost, nodes_listed, version_split_changed,
                  local_counters_updated, wall_clock_offset_changed, drain_requested>
         value;
 };
--- a/include/chivedeal/forward/rollout_evaluator.hpp
+++ b/include/chivedeal/forward/rollout_evaluator.hpp
@@ -40,6 +40,9 @@
     void on_outcomes(const version_outcomes& total, absl::Time now);
     /// Empty while the endpoints aren't known; then the roll-out doesn't end.
     void set_endpoints_left(std::optional<endpoints_left> left) { m_left = left; }
+    /// Whether the target version carried the traffic before: the order calls off another one. It is
+    /// then no unproven version, and there is none to go back to.
+    void set_target_stable(bool value) { m_is_target_stable = value; }
     /// Another node has proven the version good.
     void on_proven() { m_proven = true; }
     void set_started_at(absl::Time started_at) { m_started_at = started_at; }
@@ -49,7 +52,7 @@
 
     const rollout_order& order() const { return m_order; }
     rollout_state state() const { return m_state; }
-    bool is_proven() const { return m_proven; }
+    bool is_proven() const { return m_proven || m_is_target_stable; }
     /// Share of the service's requests that the target version gets.
     double share() const;
 
@@ -64,6 +67,7 @@
     absl::Time m_started_at;
     rollout_state m_state = rollout_state::running;
     bool m_proven = false;
+    bool m_is_target_stable = false;
     std::optional<endpoints_left> m_left = endpoints_left{};
     version_outcomes m_total;
     // When good responses of either side were last seen.
--- a/include/chivedeal/forward/rollout_status.hpp
+++ b/include/chivedeal/forward/rollout_status.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 
 namespace chivedeal::forward {
 
@@ -25,6 +26,9 @@
     std::optional<absl::Time> started_at;
     /// Whether the target version gets all traffic.
     bool proven = false;
+    /// Versions that carried the service's traffic when the roll-out was ordered. Nodes of earlier
+    /// versions store none.
+    std::set<version_id> stable;
     outcome_ledger outcomes;
 
     friend bool operator==(const rollout_status&, const rollout_status&) = default;
--- a/include/chivedeal/forward/tracked_rollout.hpp
+++ b/include/chivedeal/forward/tracked_rollout.hpp
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace chivedeal::forward {
@@ -29,6 +30,9 @@
     void on_outcomes(const std::string& process, const version_outcomes& counts);
     /// Whether a status in the store is that of this order, not of an earlier one.
     bool is_own_status(const rollout_status& stored) const;
+    /// Versions that carried the service's traffic when the roll-out was ordered; empty if unknown.
+    const std::set<version_id>& stable() const { return m_stable; }
+    void set_stable(std::set<version_id> versions);
     /// Takes the order's status in the store and goes on from its evidence; `stored` is empty if
     /// there is none.
     void on_status_read(const std::optional<rollout_status>& stored, absl::Time now);
@@ -76,6 +80,7 @@
     // True time of the start, from the store.
     std::optional<absl::Time> m_started_at;
     outcome_ledger m_outcomes;
+    std::set<version_id> m_stable;
     absl::Time m_written_at = absl::InfinitePast();
     std::optional<rollout_state> m_decided;
     // Newest status that the store is known to hold.
--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -197,15 +197,12 @@
     return endpoint.record.leaving || endpoint.announced_leaving || now >= endpoint.removal_due;
 }
 
-void endpoint_pool::set_version_share(const service_id& service, const version_id& version,
-                                      double share)
+void endpoint_pool::set_version_split(const service_id& service, std::optional<version_split> split)
 {
-    m_version_splits[service] = {.version = version, .share = share};
-}
-
-void endpoint_pool::clear_version_share(const service_id& service)
-{
-    m_version_splits.erase(service);
+    if (split)
+        m_version_splits.insert_or_assign(service, *std::move(split));
+    else
+        m_version_splits.erase(service);
 }
 
 result<endpoint_choice> endpoint_pool::choose(const endpoint_query& query, double random,
@@ -288,10 +285,11 @@
 std::vector<const endpoint_pool::endpoint_state*>
 endpoint_pool::eligible_endpoints(const endpoint_query& query, double random, absl::Time now) const
 {
-    std::vector<const endpoint_state*> eligible;
-    std::vector<const endpoint_state*> other_version;
-    std::vector<const endpoint_state*> paused;
-    std::vector<const endpoint_state*> failing;
+    const auto found_split = m_version_splits.find(query.service);
+    const version_split* split =
+        found_split == m_version_splits.end() ? nullptr : &found_split->second;
+    std::array<candidate_list, 3> groups;
+    std::array<bool, 3> can_serve{};
     for (const endpoint_id& id : m_ids_by_service.at(query.service)) {
         const endpoint_state& endpoint = m_endpoints.at(id);
         // Checked first: none of the lists below may contain an endpoint that isn't allowed.
@@ -299,23 +297,40 @@
             continue;
         const bool is_excluded =
             std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end();
-        if (is_leaving(endpoint, now) || now < endpoint.retry_at || is_excluded ||
-            is_rolled_back(endpoint))
+        if (is_leaving(endpoint, now) || now < endpoint.retry_at || is_excluded)
             continue;
+        const auto group = static_cast<std::size_t>(group_of(endpoint, split));
         const endpoint_health::state health =
             endpoint.health.state_at(now, endpoint.prefill_done_at);
-        if (health != endpoint_health::state::usable)
-            (health == endpoint_health::state::failing ? failing : paused).push_back(&endpoint);
-        else
-            (allows_version(endpoint, random) ? eligible : other_version).push_back(&endpoint);
+        can_serve.at(group) |= health == endpoint_health::state::usable;
+        candidate_list& candidates = groups.at(group);
+        switch (health) {
+        case endpoint_health::state::usable:
+            candidates.usable.push_back(&endpoint);
+            break;
+        case endpoint_health::state::paused:
+            candidates.paused.push_back(&endpoint);
+            break;
+        case endpoint_health::state::failing:
+            candidates.failing.push_back(&endpoint);
+            break;
+        }
+    }
+    candidate_list candidates;
+    for (const version_group allowed : groups_for(split, random, can_serve)) {
+        const candidate_list& group = groups.at(static_cast<std::size_t>(allowed));
+        if (candidates.usable.empty())
+            candidates.usable = group.usable;
+        candidates.paused.insert(candidates.paused.end(), group.paused.begin(), group.paused.end());
+        candidates.failing.insert(candidates.failing.end(), group.failing.begin(),
+                                  group.failing.end());
     }
-    if (eligible.empty())
-        eligible.swap(other_version);
-    if (static_cast<double>(failing.size()) >
+    std::vector<const endpoint_state*>& eligible = candidates.usable;
+    if (static_cast<double>(candidates.failing.size()) >
         max_failing_ratio * static_cast<double>(eligible.size()))
-        eligible.insert(eligible.end(), failing.begin(), failing.end());
+        eligible.insert(eligible.end(), candidates.failing.begin(), candidates.failing.end());
     // If all endpoints are paused, try one instead of refusing: it may be usable again already.
-    return eligible.empty() ? paused : eligible;
+    return eligible.empty() ? candidates.paused : eligible;
 }
 
 // Returns why no endpoint can be used: the reason of the endpoints that came closest.
@@ -337,21 +352,40 @@
     return result_code::no_endpoint;
 }
 
-bool endpoint_pool::allows_version(const endpoint_state& endpoint, double random) const
+endpoint_pool::version_group endpoint_pool::group_of(const endpoint_state& endpoint,
+                                                     const version_split* split)
 {
-    const auto split = m_version_splits.find(endpoint.record.service);
-    if (split == m_version_splits.end())
-        return true;
-    // All endpoints are checked with the same `random`, so a request goes to one side of the split.
-    const bool use_split_version = random < split->second.share;
-    return use_split_version == (endpoint.record.version == split->second.version);
+    const version_id& version = endpoint.record.version;
+    if (split == nullptr)
+        return version_group::stable;
+    if (version == split->version)
+        return version_group::target;
+    return split->stable.empty() || split->stable.count(version) > 0 ? version_group::stable
+                                                                     : version_group::abandoned;
 }
 
-bool endpoint_pool::is_rolled_back(const endpoint_state& endpoint) const
+std::vector<endpoint_pool::version_group>
+endpoint_pool::groups_for(const version_split* split, double random,
+                          const std::array<bool, 3>& can_serve)
 {
-    const auto split = m_version_splits.find(endpoint.record.service);
-    return split != m_version_splits.end() && split->second.share <= 0 &&
-           endpoint.record.version == split->second.version;
+    if (split == nullptr)
+        return {version_group::stable};
+    const auto serves = [&can_serve](version_group group) {
+        return can_serve.at(static_cast<std::size_t>(group));
+    };
+    std::vector<version_group> allowed;
+    // All endpoints are checked with the same `random`, so a request goes to one side of the split.
+    if (random < split->share)
+        allowed.push_back(version_group::target);
+    allowed.push_back(version_group::stable);
+    if (serves(version_group::stable))
+        return allowed;
+    if (random >= split->share && split->share > 0)
+        allowed.push_back(version_group::target);
+    // An abandoned version may be bad: it serves only what nothing else can.
+    if (!serves(version_group::target) || split->share <= 0)
+        allowed.push_back(version_group::abandoned);
+    return allowed;
 }
 
 bool endpoint_pool::is_in_own_region(const endpoint_state& endpoint)
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -226,11 +226,8 @@
     else if (const auto* order = std::get_if<node_event::rollout_ordered>(&event.value)) {
         m_runner.outcomes().start_counting(order->order);
     }
-    else if (const auto* share = std::get_if<node_event::version_share_changed>(&event.value)) {
-        if (share->share)
-            m_pool.set_version_share(share->service, share->version, *share->share);
-        else
-            m_pool.clear_version_share(share->service);
+    else if (const auto* divided = std::get_if<node_event::version_split_changed>(&event.value)) {
+        m_pool.set_version_split(divided->service, divided->split);
     }
     else if (const auto* offset =
                  std::get_if<node_event::wall_clock_offset_changed>(&event.value)) {
--- a/src/forward/rollout_duties.cpp
+++ b/src/forward/rollout_duties.cpp
@@ -6,9 +6,11 @@
 #include "chivedeal/forward/control_duties.hpp"
 #include "chivedeal/forward/peer_exchange.hpp"
 #include "chivedeal/forward/record_store.hpp"
+#include "chivedeal/forward/stable_versions.hpp"
 #include "chivedeal/forward/wire_format.hpp"
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 
 #include <algorithm>
 
@@ -31,6 +33,8 @@
 // Fraction of the platform's limit on a new version's share that the nodes use.
 constexpr double exposure_limit_fraction = 0.5;
 
+void append_version(std::string* out, const version_id& version) { out->append(version.str()); }
+
 } // namespace
 
 void control_duties::begin_rollout(const rollout_order& order, absl::Time now)
@@ -40,8 +44,17 @@
         return known->second.on_rewritten(order.offset);
     const rollout_evaluator::options evaluator_options{.unproven_share = m_settings.unproven_share *
                                                                          exposure_limit_fraction};
-    m_rollouts.insert_or_assign(order.service, tracked_rollout(evaluator_options, order, now));
-    m_applied_shares.erase(order.service);
+    std::optional<rollout_status> earlier;
+    if (known != m_rollouts.end())
+        earlier = known->second.status(m_true_time_offset);
+    // Its own result says nothing while the store may hold another one.
+    if (earlier && !known->second.is_decided())
+        earlier->state = rollout_state::running;
+    tracked_rollout& rollout =
+        m_rollouts.insert_or_assign(order.service, tracked_rollout(evaluator_options, order, now))
+            .first->second;
+    find_stable_versions(rollout, earlier);
+    m_applied_splits.erase(order.service);
     m_next_status_read = now;
     advance_rollouts(now);
 }
@@ -74,8 +87,10 @@
     if (must_read_statuses(now))
         (void)read_statuses(now);
     for (auto& [service, rollout] : m_rollouts) {
+        if (rollout.stable().empty())
+            find_stable_versions(rollout, std::nullopt);
         rollout.evaluate(left_of(rollout.order()), now, m_true_time_offset);
-        apply_share(rollout, now);
+        apply_split(rollout, now);
         if (is_holder || may_restore_status(rollout, now))
             write_status(rollout, now);
     }
@@ -93,25 +108,47 @@
     return left;
 }
 
-void control_duties::apply_share(const tracked_rollout& rollout, absl::Time now)
+std::set<version_id> control_duties::listed_versions(const service_id& service) const
+{
+    std::set<version_id> versions;
+    for (const auto& [id, record] : m_endpoints)
+        if (record.service == service && !record.leaving)
+            versions.insert(record.version);
+    return versions;
+}
+
+void control_duties::find_stable_versions(tracked_rollout& rollout,
+                                          const std::optional<rollout_status>& earlier) const
+{
+    std::set<version_id> known = earlier ? stable_versions_after(*earlier) : rollout.stable();
+    if (m_endpoints_loaded)
+        known = stable_versions_for(rollout.order().target, known,
+                                    listed_versions(rollout.order().service));
+    rollout.set_stable(std::move(known));
+}
+
+void control_duties::apply_split(const tracked_rollout& rollout, absl::Time now)
 {
     const bool is_split_needed = rollout.state() != rollout_state::done ||
                                  now <= rollout.decided_at() + completed_split_retention;
-    const std::optional<double> share =
-        is_split_needed ? std::optional<double>(rollout.share()) : std::nullopt;
     const rollout_order& order = rollout.order();
-    const auto applied = m_applied_shares.find(order.service);
-    if (applied != m_applied_shares.end() && applied->second == share)
+    std::optional<version_split> split;
+    if (is_split_needed)
+        split = version_split{
+            .version = order.target, .share = rollout.share(), .stable = rollout.stable()};
+    const auto applied = m_applied_splits.find(order.service);
+    if (applied != m_applied_splits.end() && applied->second == split)
         return;
-    m_applied_shares[order.service] = share;
-    if (share)
+    m_applied_splits[order.service] = split;
+    if (split)
         log_event(event_id::move_step_decided,
                   {{"service", order.service.str()},
                    {"version", order.target.str()},
-                   {"share", absl::StrCat(*share)},
+                   {"share", absl::StrCat(split->share)},
+                   {"stable", absl::StrJoin(split->stable, " ", append_version)},
                    {"evidence", rollout.is_decided() ? "stored decision" : "own evaluation"}});
-    m_forwarder.on_event({node_event::version_share_changed{
-        .service = order.service, .version = order.target, .share = share}});
+    m_forwarder.on_event(
+        {node_event::version_split_changed{.service = order.service, .split = std::move(split)}});
 }
 
 bool control_duties::must_read_statuses(absl::Time now) const
@@ -156,11 +193,15 @@
     m_status_end = get_value(statuses).next_offset;
     for (auto& [service, rollout] : m_rollouts) {
         std::optional<rollout_status> stored;
+        std::optional<rollout_status> earlier;
         for (const stored_record& record : get_value(statuses).records) {
             const auto decoded = m_format.decode_rollout_status(record);
-            if (is_ok(decoded) && rollout.is_own_status(get_value(decoded)))
-                stored = get_value(decoded);
+            if (!is_ok(decoded) || get_value(decoded).service != service)
+                continue;
+            (rollout.is_own_status(get_value(decoded)) ? stored : earlier) = get_value(decoded);
         }
+        if (earlier && !rollout.is_status_read())
+            find_stable_versions(rollout, earlier);
         rollout.on_status_read(stored, now);
     }
     return true;
--- a/src/forward/rollout_evaluator.cpp
+++ b/src/forward/rollout_evaluator.cpp
@@ -45,7 +45,7 @@
         return;
     record_answers(total, now);
     const double excess_bad = excess_bad_responses(total);
-    if (excess_bad >= m_options.max_excess_bad_responses) {
+    if (excess_bad >= m_options.max_excess_bad_responses && !m_is_target_stable) {
         m_state = rollout_state::rolled_back;
         return;
     }
@@ -75,7 +75,7 @@
 // serving the traffic at that time, not only when it was proven.
 void rollout_evaluator::complete(double elapsed_fraction)
 {
-    if (!m_proven)
+    if (!is_proven())
         m_state = rollout_state::rolled_back;
     else if (m_left->target && !is_target_silent())
         m_state = rollout_state::done;
@@ -93,7 +93,7 @@
     case rollout_state::running:
         break;
     }
-    return m_proven ? 1 : m_options.unproven_share;
+    return is_proven() ? 1 : m_options.unproven_share;
 }
 
 } // namespace chivedeal::forward
--- a/src/forward/tracked_rollout.cpp
+++ b/src/forward/tracked_rollout.cpp
@@ -45,11 +45,19 @@
     m_outcomes.merge(stored->outcomes);
     if (stored->started_at)
         m_started_at = std::min(*stored->started_at, m_started_at.value_or(*stored->started_at));
+    if (!stored->stable.empty())
+        set_stable(stored->stable);
     if (stored->proven)
         m_evaluator.on_proven();
     on_decided(stored->state, now);
 }
 
+void tracked_rollout::set_stable(std::set<version_id> versions)
+{
+    m_stable = std::move(versions);
+    m_evaluator.set_target_stable(m_stable.count(order().target) > 0);
+}
+
 // A version that is done stays so for any later order. Positions of different epochs can't be
 // compared, as an order is written again at another one when the store was restored.
 bool tracked_rollout::is_own_status(const rollout_status& stored) const
@@ -111,7 +119,8 @@
     rollout_status current{.service = order().service,
                            .target = order().target,
                            .state = state(),
-                           .order_offset = order().offset};
+                           .order_offset = order().offset,
+                           .stable = m_stable};
     if (current.state != rollout_state::running)
         return current;
     current.started_at = m_started_at.value_or(m_learned_at + true_time_offset);
@@ -126,7 +135,7 @@
         return true;
     if (state() != rollout_state::running)
         return false;
-    if (m_evaluator.is_proven() != m_stored->proven)
+    if (m_evaluator.is_proven() != m_stored->proven || m_stable != m_stored->stable)
         return true;
     const absl::Duration interval = std::max(
         min_checkpoint_interval, checkpoint_interval_per_process *
--- a/test/forward_endpoint_pool_test.cpp
+++ b/test/forward_endpoint_pool_test.cpp
@@ -455,6 +455,26 @@
     EXPECT_EQ(chosen(pool, make_query()), "no_endpoint");
 }
 
+// Guards against requests to a version whose roll-out was called off or replaced by another order,
+// while other versions can serve them.
+TEST(endpoint_pool, uses_an_abandoned_version_only_as_the_last_one)
+{
+    endpoint_pool pool = make_pool();
+    pool.update(make_record("e1"));
+    pool.update(make_record("e2", "a", "v2"));
+    pool.update(make_record("e3", "a", "v3"));
+    pool.set_version_split(
+        drafts,
+        version_split{.version = version_id("v3"), .share = 0.05, .stable = {version_id("v1")}});
+    pool.on_sent(endpoint_id("e1"), 50000, start);
+    EXPECT_EQ(chosen(pool, make_query(), start, 0.5), "e1");
+    EXPECT_EQ(chosen(pool, make_query(), start, 0.01), "e3");
+    pool.remove(endpoint_id("e3"));
+    EXPECT_EQ(chosen(pool, make_query(), start, 0.01), "e1");
+    pool.remove(endpoint_id("e1"));
+    EXPECT_EQ(chosen(pool, make_query(), start, 0.5), "e2");
+}
+
 // A record with a new start time under the same identifier belongs to a restarted endpoint, whose
 // cache is empty.
 TEST(endpoint_pool, forgets_the_cache_of_a_restarted_endpoint)
--- a/test/forward_rollout_states_test.cpp
+++ b/test/forward_rollout_states_test.cpp
@@ -85,5 +85,106 @@
     EXPECT_GE(served_share_after_restart(), 0.99);
 }
 
+// Guards against review/13: the order of the version that serves all traffic, to call a roll-out off,
+// is taken for the order of a new version, and the unproven one gets the rest of the traffic.
+TEST_F(rollout_states, called_off_version_gets_no_requests)
+{
+    m_traffic.order("v2");
+    m_traffic.add_version("v2", {.failing = 0.2});
+    m_traffic.run(absl::Seconds(4));
+    m_traffic.order("v1");
+    m_traffic.run(absl::Seconds(0.5));
+    m_traffic.take_requests();
+    m_traffic.run(absl::Seconds(15));
+    EXPECT_EQ(m_traffic.take_requests()["v2"], 0);
+    EXPECT_TRUE(m_traffic.has_ended(rollout_state::done, "v1"));
+    EXPECT_GE(served_share_after_restart(), 0.99);
+}
+
+// Guards against nodes that know only the newest order, since they have just started.
+TEST_F(rollout_states, called_off_version_gets_no_requests_after_a_restart)
+{
+    for (const absl::Duration delay : {absl::ZeroDuration(), absl::Seconds(3)}) {
+        m_traffic.order("v2", absl::Seconds(30));
+        m_traffic.add_version("v2", {.failing = 0.1});
+        m_traffic.run(absl::Seconds(4));
+        m_traffic.order("v1");
+        m_traffic.run(delay);
+        restart_all();
+        m_traffic.run(absl::Seconds(1));
+        m_traffic.take_requests();
+        m_traffic.run(absl::Seconds(15));
+        EXPECT_EQ(m_traffic.take_requests()["v2"], 0);
+        EXPECT_TRUE(m_traffic.has_ended(rollout_state::done, "v1"));
+    }
+}
+
+// Guards against the same with an order that comes when the traffic has moved already.
+TEST_F(rollout_states, roll_out_is_called_off_after_its_version_was_proven)
+{
+    m_traffic.order("v2", absl::Seconds(20));
+    m_traffic.add_version("v2", {});
+    m_traffic.run(absl::Seconds(14));
+    ASSERT_EQ(m_system.nodes.at("n1")->share(), 1);
+    m_traffic.order("v1");
+    m_traffic.run(absl::Seconds(0.5));
+    m_traffic.take_requests();
+    m_traffic.run(absl::Seconds(15));
+    EXPECT_EQ(m_traffic.take_requests()["v2"], 0);
+    EXPECT_TRUE(m_traffic.has_ended(rollout_state::done, "v1"));
+}
+
+// An order of the old version after the new one is done starts new endpoints, which may be bad.
+TEST_F(rollout_states, version_that_was_replaced_is_new_again)
+{
+    m_traffic.order("v2");
+    m_traffic.add_version("v2", {});
+    m_traffic.run(absl::Seconds(16));
+    ASSERT_TRUE(m_traffic.has_ended(rollout_state::done, "v2"));
+    restart_all();
+    m_traffic.order("v1");
+    m_traffic.add_version("v1", {.failing = 0.3});
+    m_traffic.take_requests();
+    m_traffic.run(absl::Seconds(16));
+    EXPECT_TRUE(m_traffic.has_ended(rollout_state::rolled_back, "v1"));
+    EXPECT_LE(m_traffic.take_requests()["v1"], 150);
+}
+
+// Guards against an unproven version that gets all requests but the small share of a third one.
+TEST_F(rollout_states, third_version_replaces_an_unproven_one)
+{
+    m_traffic.order("v2");
+    m_traffic.add_version("v2", {.failing = 0.2});
+    m_traffic.run(absl::Seconds(4));
+    m_traffic.order("v3");
+    m_traffic.add_version("v3", {});
+    m_traffic.run(absl::Seconds(0.5));
+    m_traffic.take_requests();
+    m_traffic.run(absl::Seconds(5));
+    const auto requests = m_traffic.take_requests();
+    EXPECT_EQ(requests.count("v2"), 0U);
+    EXPECT_GT(requests.at("v1"), 600);
+    m_traffic.run(absl::Seconds(10));
+    EXPECT_TRUE(m_traffic.has_ended(rollout_state::done, "v3"));
+}
+
+// The version that serves everything since the old one was lost counts as the stable one.
+TEST_F(rollout_states, third_version_is_compared_with_the_one_that_is_left)
+{
+    m_traffic.order("v2", absl::Seconds(60));
+    m_traffic.add_version("v2", {});
+    m_traffic.run(absl::Seconds(4));
+    m_traffic.crash("v1");
+    m_traffic.run(absl::Seconds(6));
+    m_traffic.order("v3");
+    m_traffic.add_version("v3", {.failing = 0.5});
+    m_traffic.take_requests();
+    m_traffic.run(absl::Seconds(14));
+    const auto requests = m_traffic.take_requests();
+    EXPECT_GT(requests.at("v2"), 1500);
+    EXPECT_LE(requests.at("v3"), 100);
+    EXPECT_TRUE(m_traffic.has_ended(rollout_state::rolled_back, "v3"));
+}
+
 } // namespace
 } // namespace chivedeal::forward
--- a/test/platform_format_test.cpp
+++ b/test/platform_format_test.cpp
@@ -139,6 +139,7 @@
                                          .order_offset = 7,
                                          .started_at = absl::FromUnixMillis(1234),
                                          .proven = true,
+                                         .stable = {version_id("v0"), version_id("v1")},
                                          .outcomes = outcomes};
     const auto decoded = format.decode_rollout_status(
         make_record(format.rollout_status_key(status), format.encode_rollout_status(status)));
