Keep an unproven version to its share while stable endpoints fail

Cause: the pool sent the old version's part of the requests to the new one when the old one's endpoints were paused, failing, or tried before by the same request. Change: the stable versions keep their requests while one of their endpoints isn't leaving and could be reached lately (endpoint_health::is_unreachable). Lost ones leave theirs to the unproven version, as before. For a request that has tried all stable endpoints there is no further attempt on the unproven version. Tests: endpoint_pool.keeps_an_unproven_version_to_its_share_while_stable_endpoints_are_reachable fails without the change in three of its five steps.

--- a/include/chivedeal/forward/endpoint_health.hpp
+++ b/include/chivedeal/forward/endpoint_health.hpp
@@ -23,6 +23,10 @@
     /// `prefill_done_at` is the expected time at which the endpoint has read all its prompts.
     state state_at(absl::Time now, absl::Time prefill_done_at) const;
 
+    /// Whether the endpoint could not be reached by this node lately. One that fails or refuses
+    /// requests can be.
+    bool is_unreachable(absl::Time now) const { return now < m_unreachable_until; }
+
     /// Whether requests of this node are unanswered and the endpoint has sent no data for too long.
     bool is_silent_to_this_node(absl::Time now, absl::Time prefill_done_at) const;
 
@@ -49,6 +53,7 @@
     int m_consecutive_failures = 0;
     double m_failure_share = 0;
     absl::Time m_unusable_until = absl::InfinitePast();
+    absl::Time m_unreachable_until = absl::InfinitePast();
     // Whether failed requests, not an unreachable address, made the endpoint unusable.
     bool m_unusable_due_to_failures = false;
     // Requests of this node whose response has not started.
--- a/src/forward/endpoint_health.cpp
+++ b/src/forward/endpoint_health.cpp
@@ -54,6 +54,7 @@
 void endpoint_health::on_bytes(absl::Time now)
 {
     m_last_activity = now;
+    m_unreachable_until = absl::InfinitePast();
     m_silent_since = m_unanswered_requests > 0 ? now : absl::InfiniteFuture();
 }
 
@@ -90,6 +91,7 @@
     m_unusable_until =
         now + std::min(max_pause, base_pause * std::exp2(std::min(m_consecutive_failures,
                                                                   max_pause_doublings)));
+    m_unreachable_until = m_unusable_until;
 }
 
 void endpoint_health::on_refused(absl::Time now)
--- a/src/forward/endpoint_pool.cpp
+++ b/src/forward/endpoint_pool.cpp
@@ -297,9 +297,14 @@
             continue;
         const bool is_excluded =
             std::find(query.excluded.begin(), query.excluded.end(), id) != query.excluded.end();
-        if (is_leaving(endpoint, now) || now < endpoint.retry_at || is_excluded)
+        if (is_leaving(endpoint, now))
+            continue;
+        const version_group part = group_of(endpoint, split);
+        const auto group = static_cast<std::size_t>(part);
+        can_serve.at(group) |=
+            part == version_group::stable && !endpoint.health.is_unreachable(now);
+        if (now < endpoint.retry_at || is_excluded)
             continue;
-        const auto group = static_cast<std::size_t>(group_of(endpoint, split));
         const endpoint_health::state health =
             endpoint.health.state_at(now, endpoint.prefill_done_at);
         can_serve.at(group) |= health == endpoint_health::state::usable;
@@ -378,6 +383,8 @@
     if (random < split->share)
         allowed.push_back(version_group::target);
     allowed.push_back(version_group::stable);
+    // Stable versions that fail or refuse requests keep theirs: otherwise their trouble would give a
+    // version that isn't proven nearly all traffic.
     if (serves(version_group::stable))
         return allowed;
     if (random >= split->share && split->share > 0)
--- a/test/forward_endpoint_pool_test.cpp
+++ b/test/forward_endpoint_pool_test.cpp
@@ -455,6 +455,27 @@
     EXPECT_EQ(chosen(pool, make_query()), "no_endpoint");
 }
 
+// Guards against review/14: an unproven version that gets nearly all requests because the endpoints
+// of the stable one fail, ask for a pause or were tried before. Only lost ones leave theirs to it.
+TEST(endpoint_pool, keeps_an_unproven_version_to_its_share_while_stable_endpoints_are_reachable)
+{
+    endpoint_pool pool = make_pool();
+    pool.update(make_record("e1"));
+    pool.update(make_record("e2", "a", "v2"));
+    pool.set_version_share(drafts, version_id("v2"), 0.05);
+    for (int i = 0; i < 50; ++i)
+        pool.on_failure(endpoint_id("e1"), start);
+    EXPECT_EQ(chosen(pool, make_query(), start, 0.5), "e1");
+    pool.on_refused(endpoint_id("e1"), start);
+    EXPECT_EQ(chosen(pool, make_query(), start, 0.5), "e1");
+    endpoint_query tried = make_query();
+    tried.excluded.push_back(endpoint_id("e1"));
+    EXPECT_EQ(chosen(pool, tried, start, 0.5), "no_endpoint");
+    pool.on_unreachable(endpoint_id("e1"), start);
+    EXPECT_EQ(chosen(pool, make_query(), start, 0.5), "e2");
+    EXPECT_EQ(chosen(pool, tried, start, 0.5), "e2");
+}
+
 // Guards against requests to a version whose roll-out was called off or replaced by another order,
 // while other versions can serve them.
 TEST(endpoint_pool, uses_an_abandoned_version_only_as_the_last_one)
