Compare the versions of a roll-out second by second and by route

Sound versions were rolled back where both versions fail alike. Cause: the evaluation compared sums since the order. With sound versions, chance adds up to the 12 failures that roll one back. Change: outcome_counter compares the target's responses of each second and route with those of the stable versions and reports how many failures these explain. Without such responses it takes their usual rate (failure_history), which leaves out incidents. rollout_evaluator counts what is left from its lowest sum, and tolerates a third more failures than the stable versions have. Beacons and the status carry the comparison by process; those of the previous version are read as before. move_done and move_rolled_back log the counts. After the traffic has moved there is nothing to compare with at the same time; an incident of both versions then still counts against the new one.

--- a/include/chivedeal/forward/request_runner.hpp
+++ b/include/chivedeal/forward/request_runner.hpp
@@ -148,7 +148,7 @@
     void record_lost_request(const exchange& current, absl::Time now);
     void report_quarantine_changes();
     void count_usage(exchange& current, absl::Time now);
-    void count_outcome(const exchange& current, bool good);
+    void count_failure(const exchange& current, absl::Time now);
     void count_response(const exchange& current, std::optional<double> pace, bool in_time,
                         absl::Time now);
     void buffer_body(exchange& current, std::string_view bytes, absl::Time now);
--- a/include/chivedeal/forward/rollout_evaluator.hpp
+++ b/include/chivedeal/forward/rollout_evaluator.hpp
@@ -8,6 +8,7 @@
 
 #include "absl/time/time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 
@@ -22,16 +23,17 @@
     {
         /// Share of the service's requests until the version is proven good.
         double unproven_share = 0.05;
-        /// Bad responses, beyond those expected at the other versions' failure rate, at which a
-        /// version is rolled back. Well below the platform's limit of 50, since nodes learn of each
-        /// other's outcomes with a delay.
+        /// Excess of bad responses over its lowest value so far at which a version is rolled back.
+        /// Well below the platform's limit of 50 bad responses, since nodes learn of each other's
+        /// outcomes with a delay.
         int max_excess_bad_responses = 12;
         /// Good responses required to prove a version good.
         int min_good_responses = 60;
     };
 
-    /// Bad responses of the target version beyond those that the other versions' failure rate
-    /// explains; negative if it fails less often than they do.
+    /// Bad responses of the target version beyond those that the stable versions' failure rate
+    /// explains; negative if it fails less often than they do. Only increases count against a
+    /// version, so that a time in which it failed less often excuses no later failures.
     static double excess_bad_responses(const version_outcomes& total);
 
     rollout_evaluator(options settings, rollout_order order, absl::Time started_at);
@@ -45,6 +47,8 @@
     void set_target_stable(bool value) { m_is_target_stable = value; }
     /// Another node has proven the version good.
     void on_proven() { m_proven = true; }
+    /// Lowest excess that another process has seen.
+    void on_lowest_excess(double excess) { m_lowest_excess = std::min(m_lowest_excess, excess); }
     void set_started_at(absl::Time started_at) { m_started_at = started_at; }
 
     /// The order was written again at another offset.
@@ -52,6 +56,9 @@
 
     const rollout_order& order() const { return m_order; }
     rollout_state state() const { return m_state; }
+    double lowest_excess() const { return m_lowest_excess; }
+    /// Increase of the excess over its lowest value so far.
+    double excess_increase() const { return m_excess_increase; }
     bool is_proven() const { return m_proven || m_is_target_stable; }
     /// Share of the service's requests that the target version gets.
     double share() const;
@@ -60,6 +67,9 @@
     void record_answers(const version_outcomes& total, absl::Time now);
     // Other versions answer the requests that the target version should get.
     bool is_target_silent() const;
+    void record_excess(double excess, absl::Time now);
+    // Whether the version has too many failures to be proven, but not enough to be rolled back.
+    bool is_suspect() const;
     void complete(double elapsed_fraction);
 
     options m_options;
@@ -70,6 +80,12 @@
     bool m_is_target_stable = false;
     std::optional<endpoints_left> m_left = endpoints_left{};
     version_outcomes m_total;
+    double m_lowest_excess = 0;
+    // Increase of the excess over its lowest value: now, and at two times before.
+    double m_excess_increase = 0;
+    double m_last_increase = 0;
+    double m_earlier_increase = 0;
+    absl::Time m_next_sample = absl::InfinitePast();
     // When good responses of either side were last seen.
     absl::Time m_target_answered_at = absl::InfinitePast();
     absl::Time m_others_answered_at = absl::InfinitePast();
--- a/include/chivedeal/forward/rollout_status.hpp
+++ b/include/chivedeal/forward/rollout_status.hpp
@@ -26,6 +26,8 @@
     std::optional<absl::Time> started_at;
     /// Whether the target version gets all traffic.
     bool proven = false;
+    /// Lowest excess of bad responses so far; see `rollout_evaluator`.
+    double lowest_excess = 0;
     /// Versions that carried the service's traffic when the roll-out was ordered. Nodes of earlier
     /// versions store none.
     std::set<version_id> stable;
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -228,6 +228,8 @@
     }
     else if (const auto* divided = std::get_if<node_event::version_split_changed>(&event.value)) {
         m_pool.set_version_split(divided->service, divided->split);
+        if (divided->split)
+            m_runner.outcomes().set_stable(divided->service, divided->split->stable);
     }
     else if (const auto* offset =
                  std::get_if<node_event::wall_clock_offset_changed>(&event.value)) {
--- a/src/forward/peer_codec.cpp
+++ b/src/forward/peer_codec.cpp
@@ -28,7 +28,8 @@
     for (const version_outcomes& outcome : beacon.outcomes)
         outcomes.push_back({outcome.service.str(), outcome.target.str(), outcome.order_offset,
                             outcome.target_good, outcome.target_bad, outcome.other_good,
-                            outcome.other_bad});
+                            outcome.other_bad, outcome.compared_good, outcome.compared_bad,
+                            outcome.expected_bad_milli});
     return outcomes;
 }
 
@@ -106,7 +107,7 @@
                                 .is_silent = load.at(5).get<bool>(),
                                 // Absent without observations, and from nodes of earlier versions.
                                 .pace_percent = load.size() > 6 ? load.at(6).get<int>() : 0});
-    for (const json& outcome : fields.at(12))
+    for (const json& outcome : fields.at(12)) {
         beacon.outcomes.push_back({.service = service_id(outcome.at(0).get<std::string>()),
                                    .target = version_id(outcome.at(1).get<std::string>()),
                                    .order_offset = outcome.at(2).get<std::uint64_t>(),
@@ -114,6 +115,13 @@
                                    .target_bad = outcome.at(4).get<std::int64_t>(),
                                    .other_good = outcome.at(5).get<std::int64_t>(),
                                    .other_bad = outcome.at(6).get<std::int64_t>()});
+        // Nodes of the previous version compare no intervals.
+        if (outcome.size() > 9) {
+            beacon.outcomes.back().compared_good = outcome.at(7).get<std::int64_t>();
+            beacon.outcomes.back().compared_bad = outcome.at(8).get<std::int64_t>();
+            beacon.outcomes.back().expected_bad_milli = outcome.at(9).get<std::int64_t>();
+        }
+    }
     for (const json& known_peer : fields.at(13))
         beacon.known_peers.push_back(decode_address(known_peer));
     for (const json& report_fields : fields.at(14))
--- a/src/forward/request_observations.cpp
+++ b/src/forward/request_observations.cpp
@@ -190,10 +190,11 @@
     m_usage.count_start(current.match.workspace->name, now + m_true_time_offset);
 }
 
-void request_runner::count_outcome(const exchange& current, bool good)
+void request_runner::count_failure(const exchange& current, absl::Time now)
 {
     if (current.attempt_choice)
-        m_outcomes.count(current.query.service, current.attempt_choice->version, good);
+        m_outcomes.count(current.query.service, current.attempt_choice->version,
+                         current.match.matched->name, false, now);
 }
 
 void request_runner::count_response(const exchange& current, std::optional<double> pace,
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -513,7 +513,7 @@
             record_timeout(current, now);
         else
             m_pool.on_failure(endpoint, now);
-        count_outcome(current, false);
+        count_failure(current, now);
         // The request probably ran and counts as usage. A stream that timed out without data more
         // likely still waits at the endpoint.
         if (outcome != attempt_outcome::timed_out ||
@@ -589,7 +589,7 @@
         m_endpoints.cancel(current.id);
         if (silent)
             record_timeout(current, now);
-        count_outcome(current, false);
+        count_failure(current, now);
         release_attempt(current);
     }
     if (current.relaying) {
--- a/src/forward/rollout_duties.cpp
+++ b/src/forward/rollout_duties.cpp
@@ -10,6 +10,7 @@
 #include "chivedeal/forward/wire_format.hpp"
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
 #include "absl/strings/str_join.h"
 
 #include <algorithm>
@@ -233,7 +234,11 @@
     if (next.state != rollout_state::running)
         log_event(next.state == rollout_state::done ? event_id::move_done
                                                     : event_id::move_rolled_back,
-                  {{"service", next.service.str()}, {"version", next.target.str()}});
+                  {{"service", next.service.str()},
+                   {"version", next.target.str()},
+                   {"good", absl::StrCat(rollout.total().target_good)},
+                   {"bad", absl::StrCat(rollout.total().target_bad)},
+                   {"excess", absl::StrFormat("%.1f", rollout.excess_increase())}});
 }
 
 void control_duties::publish_decisions(absl::Time now)
--- a/src/forward/rollout_evaluator.cpp
+++ b/src/forward/rollout_evaluator.cpp
@@ -1,5 +1,7 @@
 #include "chivedeal/forward/rollout_evaluator.hpp"
 
+#include "chivedeal/forward/response_counts.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -16,23 +18,36 @@
 // Longer than the delay with which nodes learn of each other's outcomes.
 constexpr absl::Duration max_answer_gap = absl::Seconds(1);
 
-// Bad responses of the target version that the failure rate of the other versions explains. Without
-// responses of other versions, nothing shows that the target version has more than is usual for the
-// service, and there may be no version to go back to.
-double expected_bad_responses(const version_outcomes& total)
+// A version that fails up to this many times as often as the stable ones isn't taken for worse.
+// Otherwise chance would sum up to an excess with enough responses.
+constexpr double tolerated_failure_ratio = 4.0 / 3;
+// Fraction of the excess at which a version is rolled back that it must stay below to be proven and
+// to be done.
+constexpr double max_proven_excess_fraction = 0.5;
+// The excess is rising if it is higher than once to twice this time before.
+constexpr absl::Duration excess_sample_interval = absl::Seconds(2);
+
+// Excess of the responses that no node could compare with others of the same interval. They are
+// judged by the stable versions' failure rate on all nodes. Without responses of stable versions,
+// nothing shows that the target version has more failures than is usual for the service.
+double uncompared_excess(const version_outcomes& total)
 {
-    const std::int64_t others = total.other_good + total.other_bad;
-    if (others == 0)
-        return static_cast<double>(total.target_bad);
-    return static_cast<double>(total.other_bad) / static_cast<double>(others) *
-           static_cast<double>(total.target_good + total.target_bad);
+    const response_counts stable{.good = total.other_good, .bad = total.other_bad};
+    if (stable.total() == 0)
+        return 0;
+    const response_counts uncompared{.good = total.target_good - total.compared_good,
+                                     .bad = total.target_bad - total.compared_bad};
+    return static_cast<double>(uncompared.bad) - tolerated_failure_ratio * stable.failure_rate() *
+                                                     static_cast<double>(uncompared.total());
 }
 
 } // namespace
 
 double rollout_evaluator::excess_bad_responses(const version_outcomes& total)
 {
-    return static_cast<double>(total.target_bad) - expected_bad_responses(total);
+    return static_cast<double>(total.compared_bad) -
+           tolerated_failure_ratio * static_cast<double>(total.expected_bad_milli) / 1000 +
+           uncompared_excess(total);
 }
 
 rollout_evaluator::rollout_evaluator(options settings, rollout_order order, absl::Time started_at)
@@ -44,15 +59,14 @@
     if (m_state != rollout_state::running)
         return;
     record_answers(total, now);
-    const double excess_bad = excess_bad_responses(total);
-    if (excess_bad >= m_options.max_excess_bad_responses && !m_is_target_stable) {
+    record_excess(excess_bad_responses(total), now);
+    if (m_excess_increase >= m_options.max_excess_bad_responses && !m_is_target_stable) {
         m_state = rollout_state::rolled_back;
         return;
     }
     const double elapsed_fraction = absl::FDivDuration(now - m_started_at, m_order.duration);
-    const bool is_shown_good = total.target_good >= m_options.min_good_responses &&
-                               excess_bad < m_options.max_excess_bad_responses / 2.0;
-    m_proven = m_proven || (elapsed_fraction >= traffic_move_fraction && is_shown_good);
+    m_proven = m_proven || (elapsed_fraction >= traffic_move_fraction && !is_suspect() &&
+                            total.target_good >= m_options.min_good_responses);
     if (elapsed_fraction >= completion_fraction && m_left)
         complete(elapsed_fraction);
 }
@@ -71,13 +85,31 @@
     return m_others_answered_at > m_target_answered_at + max_answer_gap;
 }
 
+void rollout_evaluator::record_excess(double excess, absl::Time now)
+{
+    m_lowest_excess = std::min(m_lowest_excess, excess);
+    m_excess_increase = excess - m_lowest_excess;
+    if (now < m_next_sample)
+        return;
+    m_earlier_increase = std::exchange(m_last_increase, m_excess_increase);
+    m_next_sample = now + excess_sample_interval;
+}
+
+bool rollout_evaluator::is_suspect() const
+{
+    return m_excess_increase >= m_options.max_excess_bad_responses * max_proven_excess_fraction &&
+           !m_is_target_stable;
+}
+
 // The endpoints of the other versions stop when the roll-out is done, so the target version must be
 // serving the traffic at that time, not only when it was proven.
 void rollout_evaluator::complete(double elapsed_fraction)
 {
+    // Failures that have ended, such as those of an endpoint that crashed, don't hold it up.
+    const bool is_rising = m_excess_increase > m_earlier_increase;
     if (!is_proven())
         m_state = rollout_state::rolled_back;
-    else if (m_left->target && !is_target_silent())
+    else if (m_left->target && !is_target_silent() && !(is_suspect() && is_rising))
         m_state = rollout_state::done;
     else if (!m_left->target && elapsed_fraction >= 1)
         m_state = rollout_state::rolled_back;
--- a/src/forward/tracked_rollout.cpp
+++ b/src/forward/tracked_rollout.cpp
@@ -43,6 +43,7 @@
     if (!stored)
         return;
     m_outcomes.merge(stored->outcomes);
+    m_evaluator.on_lowest_excess(stored->lowest_excess);
     if (stored->started_at)
         m_started_at = std::min(*stored->started_at, m_started_at.value_or(*stored->started_at));
     if (!stored->stable.empty())
@@ -125,6 +126,7 @@
         return current;
     current.started_at = m_started_at.value_or(m_learned_at + true_time_offset);
     current.proven = m_evaluator.is_proven();
+    current.lowest_excess = m_evaluator.lowest_excess();
     current.outcomes = m_outcomes;
     return current;
 }
--- a/test/forward_rollout_evaluator_test.cpp
+++ b/test/forward_rollout_evaluator_test.cpp
@@ -90,5 +90,44 @@
     EXPECT_EQ(evaluator.state(), rollout_state::rolled_back);
 }
 
+// Guards against a time in which the target failed less than the others and that excuses as many
+// failures later.
+TEST(rollout_evaluator, counts_failures_from_the_lowest_excess)
+{
+    rollout_evaluator evaluator = make_evaluator();
+    version_outcomes total{.target_good = 80,
+                           .target_bad = 20,
+                           .other_good = 500,
+                           .other_bad = 400,
+                           .compared_good = 80,
+                           .compared_bad = 20,
+                           .expected_bad_milli = 45000};
+    evaluator.on_outcomes(total, start + absl::Seconds(3));
+    EXPECT_EQ(evaluator.state(), rollout_state::running);
+    total.target_bad = total.compared_bad = 32;
+    evaluator.on_outcomes(total, start + absl::Seconds(5));
+    EXPECT_EQ(evaluator.state(), rollout_state::rolled_back);
+}
+
+// Guards against a version that is done while its failures go on, just below the limit.
+TEST(rollout_evaluator, waits_while_the_excess_is_rising)
+{
+    rollout_evaluator evaluator = make_evaluator();
+    version_outcomes total{.target_good = 100, .other_good = 900};
+    evaluator.on_outcomes(total, start + absl::Seconds(8));
+    ASSERT_TRUE(evaluator.is_proven());
+    for (int half_seconds = 17; half_seconds <= 23; ++half_seconds) {
+        ++total.target_bad;
+        total.target_good += 70;
+        evaluator.on_outcomes(total, start + absl::Seconds(half_seconds * 0.5));
+    }
+    EXPECT_EQ(evaluator.state(), rollout_state::running);
+    for (int half_seconds = 24; half_seconds <= 34; ++half_seconds) {
+        total.target_good += 70;
+        evaluator.on_outcomes(total, start + absl::Seconds(half_seconds * 0.5));
+    }
+    EXPECT_EQ(evaluator.state(), rollout_state::done);
+}
+
 } // namespace
 } // namespace chivedeal::forward
--- a/test/forward_rollout_states_test.cpp
+++ b/test/forward_rollout_states_test.cpp
@@ -186,5 +186,91 @@
     EXPECT_TRUE(m_traffic.has_ended(rollout_state::rolled_back, "v3"));
 }
 
+// Guards against review/14: failures of the old version for some seconds excuse those of a bad one
+// later, and let it have most of the traffic meanwhile.
+TEST_F(rollout_states, failures_of_the_old_version_excuse_no_later_ones)
+{
+    for (const double failing : {0.2, 0.45, 1.0}) {
+        m_traffic.order("v2");
+        m_traffic.add_version("v2", {.failing = failing});
+        m_traffic.take_requests();
+        m_traffic.run(absl::Seconds(2));
+        m_traffic.versions.at("v1").failing = 0.45;
+        m_traffic.run(absl::Seconds(4));
+        m_traffic.versions.at("v1").failing = 0;
+        m_traffic.run(absl::Seconds(6));
+        const auto requests = m_traffic.take_requests();
+        EXPECT_LE(requests.at("v2"), 0.1 * (requests.at("v1") + requests.at("v2")) + 50);
+        EXPECT_TRUE(m_traffic.has_ended(rollout_state::rolled_back, "v2"));
+        m_traffic.run(absl::Seconds(5));
+    }
+}
+
+// Guards against a bad version that has more traffic than it may have because the old one fails at
+// any other time.
+TEST_F(rollout_states, bad_version_is_rolled_back_whenever_the_old_one_fails)
+{
+    for (int begin = 0; begin < 12; ++begin) {
+        SCOPED_TRACE(begin);
+        m_traffic.order("v2", absl::Seconds(20));
+        m_traffic.add_version("v2", {.failing = 0.2});
+        m_traffic.take_requests();
+        m_traffic.run(absl::Seconds(begin));
+        m_traffic.versions.at("v1").failing = 0.45;
+        m_traffic.run(absl::Seconds(8));
+        m_traffic.versions.at("v1").failing = 0;
+        m_traffic.run(absl::Seconds(12 - begin));
+        const auto requests = m_traffic.take_requests();
+        EXPECT_LE(requests.at("v2"), 0.1 * (requests.at("v1") + requests.at("v2")) + 50);
+        EXPECT_TRUE(m_traffic.has_ended(rollout_state::rolled_back, "v2"));
+        m_traffic.run(absl::Seconds(5));
+    }
+}
+
+// Returns in how many of 40 trials a version is done that fails the same share of requests as the
+// old one.
+int count_done(double failing, double failing_for_4_s, double requests_per_tick)
+{
+    int done = 0;
+    for (unsigned seed = 1; seed <= 40; ++seed) {
+        fakes::control_system system{0};
+        fakes::rollout_traffic traffic{system, seed};
+        traffic.requests_per_tick = requests_per_tick;
+        traffic.versions.at("v1").failing = failing;
+        for (const char* name : {"n1", "n2", "n3"})
+            system.add(name);
+        traffic.run(absl::Seconds(4));
+        traffic.order("v2");
+        traffic.add_version("v2", {.failing = failing});
+        traffic.run(absl::Seconds(2));
+        for (auto& [name, version] : traffic.versions)
+            version.failing = failing_for_4_s;
+        traffic.run(absl::Seconds(4));
+        for (auto& [name, version] : traffic.versions)
+            version.failing = failing;
+        traffic.run(absl::Seconds(8));
+        done += traffic.has_ended(rollout_state::done, "v2") ? 1 : 0;
+    }
+    return done;
+}
+
+// Guards against blaming a version for failures that the old one has as well. 140 requests a second.
+TEST(sound_version, is_done_although_the_service_fails_as_usual)
+{
+    EXPECT_EQ(count_done(0, 0, 12), 40);
+    EXPECT_GE(count_done(0.03, 0.03, 24), 39);
+    EXPECT_GE(count_done(0.08, 0.08, 24), 38);
+    EXPECT_GE(count_done(0.2, 0.2, 24), 38);
+}
+
+// Guards against blaming a version for an incident that both versions have at the same time.
+TEST(sound_version, is_done_although_both_versions_fail_for_a_time)
+{
+    EXPECT_GE(count_done(0, 0.3, 24), 38);
+    EXPECT_GE(count_done(0.03, 0.45, 24), 38);
+    EXPECT_GE(count_done(0, 1, 48), 38);
+    EXPECT_GE(count_done(0, 0.45, 120), 38);
+}
+
 } // namespace
 } // namespace chivedeal::forward
