Roll back only to a version that is left

Cause: a version without 60 good responses was rolled back at 0.9 of the duration whatever was left. The pool left a rolled-back version out although there was no other. Change: a version is rolled back only if another one is left, and if, since it was to be rolled back, that one has answered or the target has not. Otherwise the roll-out is held. If no other version has been left for a second, the target is done at the end of its time unless its failures condemn it. While a rolled-back version is the only one, the split is lifted. The evaluator no longer needs a frozen clock while the status isn't known.

--- a/fakes/rollout_traffic.hpp
+++ b/fakes/rollout_traffic.hpp
@@ -69,6 +69,9 @@
         m_removals[name] = m_system.clock.now() + absl::Milliseconds(3600);
     }
 
+    /// Endpoints of the version that were to stop go on.
+    void keep(const std::string& name) { m_removals.erase(name); }
+
     void order(const std::string& target, absl::Duration duration = absl::Seconds(12))
     {
         ++m_orders;
--- a/include/chivedeal/forward/rollout_evaluator.hpp
+++ b/include/chivedeal/forward/rollout_evaluator.hpp
@@ -29,6 +29,8 @@
         int max_excess_bad_responses = 12;
         /// Good responses required to prove a version good.
         int min_good_responses = 60;
+        /// Delay with which outcomes of other nodes become known.
+        absl::Duration outcome_delay;
     };
 
     /// Bad responses of the target version beyond those that the stable versions' failure rate
@@ -42,6 +44,9 @@
     void on_outcomes(const version_outcomes& total, absl::Time now);
     /// Empty while the endpoints aren't known; then the roll-out doesn't end.
     void set_endpoints_left(std::optional<endpoints_left> left) { m_left = left; }
+    /// Until the stored status is known, failures count, but not the time that passes: the roll-out
+    /// may have ended before.
+    void set_status_known(bool value) { m_is_status_known = value; }
     /// Whether the target version carried the traffic before: the order calls off another one. It is
     /// then no unproven version, and there is none to go back to.
     void set_target_stable(bool value) { m_is_target_stable = value; }
@@ -65,21 +70,33 @@
 
 private:
     void record_answers(const version_outcomes& total, absl::Time now);
+    void record_left(absl::Time now);
     // Other versions answer the requests that the target version should get.
     bool is_target_silent() const;
+    // Rolls back, unless what happened since `since` suggests that the other versions are lost.
+    void give_up(absl::Time since, absl::Time now);
+    bool can_go_back(absl::Time now) const;
     void record_excess(double excess, absl::Time now);
     // Whether the version has too many failures to be proven, but not enough to be rolled back.
     bool is_suspect() const;
-    void complete(double elapsed_fraction);
+    void complete(double elapsed_fraction, absl::Time now);
+    void complete_without_others(absl::Time now);
 
     options m_options;
     rollout_order m_order;
     absl::Time m_started_at;
     rollout_state m_state = rollout_state::running;
     bool m_proven = false;
+    bool m_is_status_known = true;
     bool m_is_target_stable = false;
+    // The version has failed so often that it is rolled back as soon as another one is left.
+    bool m_condemned = false;
+    // When the version was first to be rolled back.
+    absl::Time m_given_up_at = absl::InfiniteFuture();
     std::optional<endpoints_left> m_left = endpoints_left{};
-    version_outcomes m_total;
+    // Since when no other version is left; `InfiniteFuture` while one is.
+    absl::Time m_others_lost_at = absl::InfiniteFuture();
+    std::optional<version_outcomes> m_total;
     double m_lowest_excess = 0;
     // Increase of the excess over its lowest value: now, and at two times before.
     double m_excess_increase = 0;
--- a/src/forward/rollout_duties.cpp
+++ b/src/forward/rollout_duties.cpp
@@ -33,6 +33,8 @@
 constexpr absl::Duration completed_split_retention = absl::Seconds(8);
 // Fraction of the platform's limit on a new version's share that the nodes use.
 constexpr double exposure_limit_fraction = 0.5;
+// Counts are passed on every 500 ms, and to other regions in beacons every 500 ms.
+constexpr absl::Duration outcome_delay = absl::Seconds(1);
 
 void append_version(std::string* out, const version_id& version) { out->append(version.str()); }
 
@@ -44,7 +46,8 @@
     if (order.rewritten && known != m_rollouts.end())
         return known->second.on_rewritten(order.offset);
     const rollout_evaluator::options evaluator_options{.unproven_share = m_settings.unproven_share *
-                                                                         exposure_limit_fraction};
+                                                                         exposure_limit_fraction,
+                                                       .outcome_delay = outcome_delay};
     std::optional<rollout_status> earlier;
     if (known != m_rollouts.end())
         earlier = known->second.status(m_true_time_offset);
@@ -130,9 +133,14 @@
 
 void control_duties::apply_split(const tracked_rollout& rollout, absl::Time now)
 {
-    const bool is_split_needed = rollout.state() != rollout_state::done ||
-                                 now <= rollout.decided_at() + completed_split_retention;
     const rollout_order& order = rollout.order();
+    const std::optional<endpoints_left> left = left_of(order);
+    // A version that was rolled back is better than none.
+    const bool is_only_version = left && !left->others && left->target;
+    const bool is_split_needed =
+        rollout.state() == rollout_state::done
+            ? now <= rollout.decided_at() + completed_split_retention
+            : rollout.state() == rollout_state::running || !is_only_version;
     std::optional<version_split> split;
     if (is_split_needed)
         split = version_split{
--- a/src/forward/rollout_evaluator.cpp
+++ b/src/forward/rollout_evaluator.cpp
@@ -15,8 +15,10 @@
 // version may stop. Streams on the old version have until then to end.
 constexpr double completion_fraction = 0.9;
 // A side that has had no good response for this long while the other one had some doesn't answer.
-// Longer than the delay with which nodes learn of each other's outcomes.
+// Longer than the delay with which outcomes of other nodes become known.
 constexpr absl::Duration max_answer_gap = absl::Seconds(1);
+// Endpoints that restart may be missing from the list for a moment.
+constexpr absl::Duration min_loss_time = absl::Seconds(1);
 
 // A version that fails up to this many times as often as the stable ones isn't taken for worse.
 // Otherwise chance would sum up to an excess with enough responses.
@@ -60,31 +62,63 @@
         return;
     record_answers(total, now);
     record_excess(excess_bad_responses(total), now);
-    if (m_excess_increase >= m_options.max_excess_bad_responses && !m_is_target_stable) {
-        m_state = rollout_state::rolled_back;
-        return;
-    }
-    const double elapsed_fraction = absl::FDivDuration(now - m_started_at, m_order.duration);
+    record_left(now);
+    m_condemned = m_condemned ||
+                  (m_excess_increase >= m_options.max_excess_bad_responses && !m_is_target_stable);
+    if (m_condemned)
+        return give_up(now, now);
+    const double elapsed_fraction =
+        m_is_status_known ? absl::FDivDuration(now - m_started_at, m_order.duration) : 0;
     m_proven = m_proven || (elapsed_fraction >= traffic_move_fraction && !is_suspect() &&
                             total.target_good >= m_options.min_good_responses);
     if (elapsed_fraction >= completion_fraction && m_left)
-        complete(elapsed_fraction);
+        complete(elapsed_fraction, now);
 }
 
 void rollout_evaluator::record_answers(const version_outcomes& total, absl::Time now)
 {
-    if (total.target_good > m_total.target_good)
-        m_target_answered_at = now;
-    if (total.other_good > m_total.other_good)
-        m_others_answered_at = now;
+    // It isn't known when the responses of the first counts came.
+    const version_outcomes earlier = m_total.value_or(version_outcomes{});
+    const absl::Time answered_at = m_total ? now : m_started_at;
+    if (total.target_good > earlier.target_good)
+        m_target_answered_at = answered_at;
+    if (total.other_good > earlier.other_good)
+        m_others_answered_at = answered_at;
     m_total = total;
 }
 
+void rollout_evaluator::record_left(absl::Time now)
+{
+    if (!m_left || m_left->others)
+        m_others_lost_at = absl::InfiniteFuture();
+    else
+        m_others_lost_at = std::min(m_others_lost_at, now);
+}
+
 bool rollout_evaluator::is_target_silent() const
 {
     return m_others_answered_at > m_target_answered_at + max_answer_gap;
 }
 
+void rollout_evaluator::give_up(absl::Time since, absl::Time now)
+{
+    m_given_up_at = std::min(m_given_up_at, since);
+    if (can_go_back(now))
+        m_state = rollout_state::rolled_back;
+}
+
+// While the target version isn't proven, the others get most requests. If only the target answers any
+// from now on, the others' endpoints are lost, although their records may still be listed. A proven
+// version gets all requests, so that the others' silence shows nothing.
+bool rollout_evaluator::can_go_back(absl::Time now) const
+{
+    if (!m_left || !m_left->others)
+        return false;
+    const absl::Time shown_at = m_given_up_at + m_options.outcome_delay;
+    return is_proven() || m_others_answered_at >= shown_at ||
+           (now >= shown_at && m_target_answered_at <= m_given_up_at);
+}
+
 void rollout_evaluator::record_excess(double excess, absl::Time now)
 {
     m_lowest_excess = std::min(m_lowest_excess, excess);
@@ -101,18 +135,26 @@
            !m_is_target_stable;
 }
 
-// The endpoints of the other versions stop when the roll-out is done, so the target version must be
-// serving the traffic at that time, not only when it was proven.
-void rollout_evaluator::complete(double elapsed_fraction)
+// The endpoints of the other versions stop when the roll-out is done, and those of the target when it
+// is rolled back, so the version that stays must be serving the traffic at that time.
+void rollout_evaluator::complete(double elapsed_fraction, absl::Time now)
 {
+    if (!m_left->others)
+        return complete_without_others(now);
     // Failures that have ended, such as those of an endpoint that crashed, don't hold it up.
-    const bool is_rising = m_excess_increase > m_earlier_increase;
-    if (!is_proven())
-        m_state = rollout_state::rolled_back;
-    else if (m_left->target && !is_target_silent() && !(is_suspect() && is_rising))
+    const bool is_failing = is_suspect() && m_excess_increase > m_earlier_increase;
+    if (is_proven() && m_left->target && !is_target_silent() && !is_failing)
+        m_state = rollout_state::done;
+    else if (!is_proven() || (!m_left->target && elapsed_fraction >= 1))
+        give_up(m_started_at + completion_fraction * m_order.duration - m_options.outcome_delay,
+                now);
+}
+
+// There is nothing to go back to, so the target version needs no proof, only to serve.
+void rollout_evaluator::complete_without_others(absl::Time now)
+{
+    if (m_left->target && m_total->target_good > 0 && now >= m_others_lost_at + min_loss_time)
         m_state = rollout_state::done;
-    else if (!m_left->target && elapsed_fraction >= 1)
-        m_state = rollout_state::rolled_back;
 }
 
 double rollout_evaluator::share() const
@@ -125,7 +167,10 @@
     case rollout_state::running:
         break;
     }
-    return is_proven() ? 1 : m_options.unproven_share;
+    if (!m_condemned)
+        return is_proven() ? 1 : m_options.unproven_share;
+    // As long as the endpoints aren't known, another version may be left.
+    return m_left ? m_options.unproven_share : 0;
 }
 
 } // namespace chivedeal::forward
--- a/src/forward/tracked_rollout.cpp
+++ b/src/forward/tracked_rollout.cpp
@@ -101,9 +101,8 @@
     // until it has heard of its peers.
     if (m_started_at)
         m_evaluator.set_started_at(std::min(m_learned_at, *m_started_at - true_time_offset));
-    // Without the status, failures count, but not the time that passes: the roll-out may have ended
-    // before this process started.
-    m_evaluator.on_outcomes(m_outcomes.total(), m_is_status_read ? now : m_learned_at);
+    m_evaluator.set_status_known(m_is_status_read);
+    m_evaluator.on_outcomes(m_outcomes.total(), now);
     if (m_evaluator.state() != rollout_state::running)
         m_evaluated_at = now;
 }
--- a/test/forward_rollout_states_test.cpp
+++ b/test/forward_rollout_states_test.cpp
@@ -7,6 +7,8 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+
 namespace chivedeal::forward {
 namespace {
 
@@ -227,6 +229,88 @@
     }
 }
 
+// Guards against review/15: a roll-out that is rolled back to endpoints that are lost, since too few
+// requests show that the new version is good.
+TEST_F(rollout_states, version_is_not_rolled_back_to_lost_endpoints)
+{
+    for (const double crash_after : {1.0, 4.0, 6.0, 7.0, 9.5}) {
+        SCOPED_TRACE(crash_after);
+        m_traffic.requests_per_tick = 0.4;
+        m_traffic.order("v2");
+        m_traffic.add_version("v2", {});
+        m_traffic.run(absl::Seconds(crash_after));
+        m_traffic.crash("v1");
+        m_traffic.run(absl::Seconds(15));
+        EXPECT_TRUE(m_traffic.has_ended(rollout_state::done, "v2"));
+        EXPECT_GE(served_share_after_restart(), 0.99);
+        m_traffic.order("v1");
+        m_traffic.add_version("v1", {});
+        m_traffic.crash("v2");
+        m_traffic.run(absl::Seconds(16));
+        EXPECT_TRUE(m_traffic.has_ended(rollout_state::done, "v1"));
+    }
+}
+
+// A bad version is better than none. It is neither done nor rolled back until another one is back.
+TEST_F(rollout_states, bad_version_is_held_while_no_other_one_is_left)
+{
+    m_traffic.order("v2");
+    m_traffic.add_version("v2", {.failing = 0.3});
+    m_traffic.run(absl::Seconds(1));
+    m_traffic.crash("v1");
+    m_traffic.run(absl::Seconds(6));
+    m_traffic.take_served_share();
+    m_traffic.run(absl::Seconds(10));
+    EXPECT_GE(m_traffic.take_served_share(), 0.6);
+    EXPECT_TRUE(m_traffic.has_ended(rollout_state::running, "v2"));
+    m_traffic.add_version("v1", {});
+    m_traffic.run(absl::Seconds(3));
+    EXPECT_TRUE(m_traffic.has_ended(rollout_state::rolled_back, "v2"));
+    EXPECT_GE(served_share_after_restart(), 0.99);
+}
+
+// Guards against a service that is refused although endpoints of the rolled-back version are left.
+TEST_F(rollout_states, rolled_back_version_serves_when_the_other_one_is_lost)
+{
+    m_traffic.order("v2");
+    m_traffic.add_version("v2", {.failing = 0.3});
+    while (!m_traffic.has_ended(rollout_state::rolled_back, "v2"))
+        m_traffic.run(absl::Seconds(0.25));
+    m_traffic.run(absl::Seconds(0.5));
+    m_traffic.keep("v2");
+    m_traffic.crash("v1");
+    m_traffic.run(absl::Seconds(5));
+    m_traffic.take_served_share();
+    m_traffic.run(absl::Seconds(3));
+    EXPECT_GE(m_traffic.take_served_share(), 0.6);
+    m_traffic.add_version("v1", {});
+    m_traffic.run(absl::Seconds(1));
+    m_traffic.take_requests();
+    m_traffic.run(absl::Seconds(3));
+    EXPECT_EQ(m_traffic.take_requests()["v2"], 0);
+}
+
+// Guards against a final state while nothing serves: whichever version comes back first decides.
+TEST_F(rollout_states, roll_out_goes_on_when_the_endpoints_of_both_versions_are_lost)
+{
+    for (const char* first : {"v1", "v2"}) {
+        SCOPED_TRACE(first);
+        m_traffic.order("v2");
+        m_traffic.add_version("v2", {});
+        m_traffic.run(absl::Seconds(5));
+        m_traffic.crash("v1");
+        m_traffic.crash("v2");
+        m_traffic.run(absl::Seconds(9));
+        EXPECT_TRUE(m_traffic.has_ended(rollout_state::running, "v2"));
+        m_traffic.add_version(first, {});
+        m_traffic.run(absl::Seconds(4));
+        const bool is_old_back = first == std::string("v1");
+        EXPECT_TRUE(m_traffic.has_ended(
+            is_old_back ? rollout_state::rolled_back : rollout_state::done, "v2"));
+        EXPECT_GE(served_share_after_restart(), 0.99);
+    }
+}
+
 // Returns in how many of 40 trials a version is done that fails the same share of requests as the
 // old one.
 int count_done(double failing, double failing_for_4_s, double requests_per_tick)
