Keep node events within 128 bytes

Cause: the split with its stable versions made node_event 136 bytes long, and node_event.fits_in_128_bytes failed in the run of all unit tests. A ring keeps all its slots in memory. Change: version_split_changed holds the split by a shared pointer, like other large values. Conclusion: no behaviour changes.

--- a/fakes/control_node.hpp
+++ b/fakes/control_node.hpp
@@ -80,7 +80,7 @@
     std::optional<forward::version_split> split() const
     {
         const auto newest = m_forwarder.newest<forward::node_event::version_split_changed>();
-        return newest ? newest->split : std::nullopt;
+        return newest && newest->split ? std::optional(*newest->split) : std::nullopt;
     }
 
     /// The share of the target version that the forwarder applies; absent without a split.
--- a/include/chivedeal/forward/node_event.hpp
+++ b/include/chivedeal/forward/node_event.hpp
@@ -12,7 +12,6 @@
 #include "absl/time/time.h"
 
 #include <memory>
-#include <optional>
 #include <set>
 #include <variant>
 
@@ -92,7 +91,7 @@
     struct version_split_changed
     {
         service_id service;
-        std::optional<version_split> split;
+        std::shared_ptr<const version_split> split;
     };
 
     /// Counters of this node, for the control duties.
--- a/src/forward/forwarder.cpp
+++ b/src/forward/forwarder.cpp
@@ -227,7 +227,8 @@
         m_runner.outcomes().start_counting(order->order);
     }
     else if (const auto* divided = std::get_if<node_event::version_split_changed>(&event.value)) {
-        m_pool.set_version_split(divided->service, divided->split);
+        m_pool.set_version_split(divided->service,
+                                 divided->split ? std::optional(*divided->split) : std::nullopt);
         if (divided->split)
             m_runner.outcomes().set_stable(divided->service, divided->split->stable);
     }
--- a/src/forward/rollout_duties.cpp
+++ b/src/forward/rollout_duties.cpp
@@ -14,6 +14,8 @@
 #include "absl/strings/str_join.h"
 
 #include <algorithm>
+#include <memory>
+#include <utility>
 
 namespace chivedeal::forward {
 
@@ -156,8 +158,10 @@
                    {"share", absl::StrCat(split->share)},
                    {"stable", absl::StrJoin(split->stable, " ", append_version)},
                    {"evidence", rollout.is_decided() ? "stored decision" : "own evaluation"}});
-    m_forwarder.on_event(
-        {node_event::version_split_changed{.service = order.service, .split = std::move(split)}});
+    node_event::version_split_changed changed{.service = order.service};
+    if (split)
+        changed.split = std::make_shared<const version_split>(*std::move(split));
+    m_forwarder.on_event({std::move(changed)});
 }
 
 bool control_duties::must_read_statuses(absl::Time now) const
