Count requests that callers abandon against the version that hangs

Cause: a caller that left ended its attempt without an outcome of the version. The trace has 110 streams without an answer before `done`, and no bad response in the evaluation: only the route's timeout of 15 s counts one, and callers leave after 2 s. Change: a caller that leaves after three times the latency objective without data (inside a stream: the shorter of it and the objective for gaps) counts as a bad response of the endpoint's version, unless the caller itself doesn't read. It is counted in chivedeal_requests_abandoned_total. Callers who leave early for reasons of their own don't count.

--- a/include/chivedeal/forward/exchange.hpp
+++ b/include/chivedeal/forward/exchange.hpp
@@ -55,6 +55,8 @@
     /// Body bytes of a stream after the first ones, and when the last of them arrived.
     std::size_t attempt_later_bytes = 0;
     absl::Time attempt_last_byte_at = absl::InfiniteFuture();
+    /// Reading from the endpoint pauses until the caller has read more of the response.
+    bool reading_paused = false;
     absl::Time attempt_started_at;
     absl::Time attempt_deadline = absl::InfiniteFuture();
     int attempts_sent = 0;
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -91,6 +91,23 @@
            static_cast<double>(current.attempt_later_bytes);
 }
 
+// Whether the endpoint has kept the caller waiting for so long that an answer, or the next data of a
+// stream, would count as bad.
+bool is_overdue(const exchange& current, absl::Time now)
+{
+    if (!current.attempt_choice || !current.attempt_sent || current.reading_paused)
+        return false;
+    const route& matched = *current.match.matched;
+    if (!current.attempt_body_started)
+        return now - current.attempt_started_at > matched.latency_objective * slow_response_factor;
+    const absl::Time last_data_at = current.attempt_later_bytes > 0
+                                        ? current.attempt_last_byte_at
+                                        : current.attempt_body_started_at;
+    const absl::Duration gap_objective =
+        std::min(matched.event_gap_objective, matched.latency_objective);
+    return now - last_data_at > gap_objective * slow_response_factor;
+}
+
 const service_id& pick_service(const route& matched, double sample)
 {
     double total_weight = 0;
@@ -243,6 +260,7 @@
         current.attempt_sent = false;
         current.attempt_head_received = false;
         current.attempt_body_started = false;
+        current.reading_paused = false;
         current.attempt_started_at = now;
         current.attempt_deadline = absl::InfiniteFuture();
         current.response_head = {};
@@ -364,8 +382,10 @@
         }
     }
     if (find_exchange(exchange_id) != nullptr &&
-        m_callers.backlog(current->connection) > max_backlog_bytes)
+        m_callers.backlog(current->connection) > max_backlog_bytes) {
+        current->reading_paused = true;
         m_endpoints.pause(exchange_id, true);
+    }
 }
 
 void request_runner::buffer_body(exchange& current, std::string_view bytes, absl::Time now)
@@ -404,8 +424,11 @@
 
 void request_runner::on_caller_writable(std::uint64_t connection)
 {
-    if (const exchange* current = find_exchange_of(connection))
-        m_endpoints.pause(current->id, false);
+    exchange* current = find_exchange_of(connection);
+    if (current == nullptr)
+        return;
+    current->reading_paused = false;
+    m_endpoints.pause(current->id, false);
 }
 
 void request_runner::on_response_end(std::uint64_t exchange_id, absl::Time now)
@@ -622,6 +645,11 @@
     if (current == nullptr)
         return;
     m_endpoints.cancel(current->id);
+    // Callers have less patience than the route's timeout, and would hide an endpoint that hangs.
+    if (is_overdue(*current, now)) {
+        m_counters.add("chivedeal_requests_abandoned_total", 1);
+        count_failure(*current, now);
+    }
     release_attempt(*current);
     finish(*current, 0, "caller disconnected", now);
 }
