Select a route's service and its version by different numbers

Cause: the number from the request's identifier selected the service and then the version. A service that comes first on its route gets the lowest numbers, which are also those of the unproven version. Change: the service is selected by a number of its own.

--- a/include/chivedeal/forward/exchange.hpp
+++ b/include/chivedeal/forward/exchange.hpp
@@ -33,8 +33,8 @@
     std::shared_ptr<const route_index> index;
     route_match match;
     endpoint_query query;
-    /// Value in [0, 1) derived from the request ID. It selects the service of a route and the
-    /// version, and is the same for every attempt.
+    /// Value in [0, 1) derived from the request ID. It selects the version, and is the same for
+    /// every attempt.
     double routing_sample = 0;
     /// Requests or tokens charged to the quota of the workspace.
     double quota_cost = 0;
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -188,7 +188,10 @@
                            current.head.deadline.value_or(absl::InfiniteDuration()));
     current.rule =
         retry_rule({.max_attempts = matched.max_attempts, .may_repeat = matched.may_repeat()});
-    current.query = {.service = pick_service(matched, current.routing_sample),
+    // Independent of the sample for the version: otherwise the requests of a service with a small
+    // part of the route would all go to its unproven version.
+    const double service_sample = hash_to_unit_interval(absl::StrCat(request_id, "/service"));
+    current.query = {.service = pick_service(matched, service_sample),
                      .prompt_tokens = current.head.prompt_tokens,
                      .prefix = current.head.prefix,
                      .homes = current.match.homes()};
