Send nothing after the head of the response to a HEAD request

Cause: the end of a stream wrote the last chunk of a body whatever the method was. Change: caller_side writes no body for HEAD requests on streams, as for other responses. Tests: head_request_test.gets_no_body_on_a_route_of_streams fails without the change, with 5 bytes after the head. Conclusion: fixed.

--- a/src/forward/caller_side.cpp
+++ b/src/forward/caller_side.cpp
@@ -272,7 +272,8 @@
 void caller_side::send_stream(std::uint64_t id, std::string_view bytes, absl::Time now)
 {
     caller_connection* connection = find(id);
-    if (connection == nullptr || !connection->chunked || bytes.empty())
+    if (connection == nullptr || !connection->chunked || bytes.empty() ||
+        connection->is_head_request)
         return;
     absl::StrAppend(&connection->output, absl::Hex(bytes.size()), "\r\n");
     connection->output.append(bytes);
@@ -286,7 +287,9 @@
     caller_connection* connection = find(id);
     if (connection == nullptr || !connection->chunked)
         return;
-    connection->output += "0\r\n\r\n";
+    // The response to a HEAD request ends with its head.
+    if (!connection->is_head_request)
+        connection->output += "0\r\n\r\n";
     connection->chunked = false;
     finish_response(*connection, now);
 }
--- a/test/forward_caller_faults_test.cpp
+++ b/test/forward_caller_faults_test.cpp
@@ -56,6 +56,29 @@
     EXPECT_TRUE(is_ready());
 }
 
+class head_request_test : public fakes::node_fixture
+{};
+
+// Guards against the end of a chunked body after the response to a HEAD request: the caller takes it
+// for the begin of its next response.
+TEST_F(head_request_test, gets_no_body_on_a_route_of_streams)
+{
+    const fakes::raw_endpoint endpoint([](const std::string& /*request*/) {
+        return fakes::raw_response{.bytes = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                                            "Transfer-Encoding: chunked\r\n\r\n"};
+    });
+    publish_config(1);
+    publish_endpoint(endpoint.listen_address());
+    start();
+    ASSERT_TRUE(fakes::eventually(max_wait, [this] { return is_ready(); }));
+    fakes::raw_caller caller(m_settings.front, absl::Seconds(1));
+    ASSERT_TRUE(caller.send("HEAD /stream/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\n"
+                            "Chivedeal-Request-Id: id-1\r\n\r\n"));
+    const std::string received = caller.receive_all();
+    ASSERT_TRUE(absl::StartsWith(received, "HTTP/1.1 200 "));
+    EXPECT_EQ(received.find("\r\n\r\n") + 4, received.size()) << received;
+}
+
 /// Callers that take a time of the order of the idle timeout to read a response.
 class slow_caller_test : public fakes::node_fixture
 {
