Report a failed send in a later turn of the event loop

Cause: the write failed inside endpoint_side::send, which reported it at once; the retry sent the next attempt from within that call, with a read buffer of 16 KB for each, on a stack of 512 KB. Change: send never reports a failure of the connection. The poller does so in the next turn, where the connection is read and its failure handled like any other. Conclusion: fixed, without recursion; the stack is as it was.

--- a/include/chivedeal/forward/endpoint_side.hpp
+++ b/include/chivedeal/forward/endpoint_side.hpp
@@ -51,7 +51,9 @@
     endpoint_side& operator=(const endpoint_side&) = delete;
 
     /// Sends a request over an idle or a new connection. Returns false if none is available: the
-    /// endpoint's connection limit is reached, or no socket could be opened.
+    /// endpoint's connection limit is reached, or no socket could be opened. A failure of the
+    /// connection is reported to the listener in a later turn of the event loop, never from within
+    /// this call, so that a listener that sends the next attempt doesn't recurse.
     bool send(endpoint_request request, absl::Time now);
 
     /// Opens a connection to an endpoint without sending a request, and reports the result to the
@@ -91,6 +93,8 @@
     void keep_idle(endpoint_connection& connection, absl::Duration idle_timeout, absl::Time now);
     void finish_probe(endpoint_connection& connection, absl::Time now);
     void start_exchange(endpoint_connection& connection, endpoint_request request, absl::Time now);
+    // Returns false if the connection has failed.
+    bool write_output(endpoint_connection& connection, absl::Time now);
     void flush(endpoint_connection& connection, absl::Time now);
     void read_all(endpoint_connection& connection, absl::Time now);
     void process_input(endpoint_connection& connection, absl::Time now);
--- a/src/forward/endpoint_side.cpp
+++ b/src/forward/endpoint_side.cpp
@@ -135,7 +135,9 @@
     m_connection_id_by_exchange[connection.exchange_id] = connection.id;
     if (connection.current_state == endpoint_connection::state::idle) {
         connection.current_state = endpoint_connection::state::busy;
-        flush(connection, now);
+        // The poller reports a connection that failed until it is closed.
+        if (!write_output(connection, now))
+            update_interest(connection);
     }
 }
 
@@ -226,6 +228,13 @@
 }
 
 void endpoint_side::flush(endpoint_connection& connection, absl::Time now)
+{
+    // The endpoint may have responded before it closed the connection, so read what it sent.
+    if (!write_output(connection, now))
+        read_all(connection, now);
+}
+
+bool endpoint_side::write_output(endpoint_connection& connection, absl::Time now)
 {
     while (connection.output_sent_bytes < connection.output.size()) {
         const ssize_t sent_bytes =
@@ -237,16 +246,15 @@
             if (is_first_byte)
                 m_handler.on_request_sent(connection.exchange_id, now);
             if (connection.closed)
-                return;
+                return true;
             continue;
         }
         if (sent_bytes < 0 && errno == EINTR)
             continue;
         if (sent_bytes < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
             break;
-        // The endpoint may have responded before it closed the connection, so read what it sent.
         connection.write_failed = true;
-        return read_all(connection, now);
+        return false;
     }
     const bool is_written =
         !connection.output.empty() && connection.output_sent_bytes == connection.output.size();
@@ -255,6 +263,7 @@
     update_interest(connection);
     if (is_written)
         m_handler.on_request_written(connection.exchange_id, now);
+    return true;
 }
 
 void endpoint_side::update_interest(endpoint_connection& connection)
