Let a node that was stopped look again before it ends a roll-out

The evaluation comes first after the pause, before the watcher has read the list and before a request has failed. Change: after a gap of more than a second between evaluations, a roll-out doesn't end for another second.

--- a/fakes/control_system.hpp
+++ b/fakes/control_system.hpp
@@ -54,15 +54,20 @@
                                      .slots = 1000,
                                      .started_at_unix_ms = ++m_started_endpoints});
         m_endpoints[id] = record;
-        for (const auto& [name, node] : nodes)
-            node->handle({forward::node_event::endpoint_changed{record}});
+        tell_all({forward::node_event::endpoint_changed{record}});
     }
 
     void unlist(const std::string& id)
     {
         m_endpoints.erase(id);
-        for (const auto& [name, node] : nodes)
-            node->handle({forward::node_event::endpoint_removed{endpoint_id(id)}});
+        tell_all({forward::node_event::endpoint_removed{endpoint_id(id)}});
+    }
+
+    /// Stops the process of a node for a time. What its watchers miss reaches it a little after it
+    /// goes on.
+    void freeze(const std::string& name, absl::Duration time)
+    {
+        m_frozen[name] = clock.now() + time;
     }
 
     const std::map<std::string, std::shared_ptr<const forward::endpoint_record>>& listed() const
@@ -107,7 +112,10 @@
         const bool has_old_endpoints = !is_done();
         if (!has_old_endpoints && !serve && m_endpoints.count("old-1") > 0)
             unlist("old-1");
+        deliver_late_events();
         for (const auto& [name, node] : nodes) {
+            if (is_frozen(name))
+                continue;
             if (serve)
                 serve(name, *node);
             else if (m_order)
@@ -119,7 +127,7 @@
         for (const auto& [name, node] : nodes)
             for (const auto& [peer_name, peer] : nodes)
                 if (peer_name != name && !node->is_cut_off_from_peers() &&
-                    !peer->is_cut_off_from_peers()) {
+                    !peer->is_cut_off_from_peers() && !is_frozen(name) && !is_frozen(peer_name)) {
                     const forward::node_beacon beacon = node->make_beacon();
                     peer->epochs().note(beacon.store_epoch);
                     peer->handle({forward::node_event::peer_heard{
@@ -196,6 +204,37 @@
     std::map<std::string, std::unique_ptr<control_node>> nodes;
 
 private:
+    // Interval in which watchers read the list of endpoints.
+    static constexpr absl::Duration watch_interval = absl::Milliseconds(600);
+
+    bool is_frozen(const std::string& name) const
+    {
+        const auto until = m_frozen.find(name);
+        return until != m_frozen.end() && clock.now() < until->second;
+    }
+
+    void tell_all(const forward::node_event& event)
+    {
+        for (const auto& [name, node] : nodes) {
+            if (is_frozen(name))
+                m_late_events[name].push_back(event);
+            else
+                node->handle(event);
+        }
+    }
+
+    void deliver_late_events()
+    {
+        for (auto& [name, events] : m_late_events) {
+            if (clock.now() < m_frozen[name] + watch_interval)
+                continue;
+            for (const forward::node_event& event : events)
+                if (const auto node = nodes.find(name); node != nodes.end())
+                    node->second->handle(event);
+            events.clear();
+        }
+    }
+
     // Whether the platform has stopped the endpoints of the old version.
     bool is_done()
     {
@@ -210,6 +249,8 @@
 
     std::map<std::string, std::shared_ptr<const forward::endpoint_record>> m_endpoints;
     std::int64_t m_started_endpoints = 0;
+    std::map<std::string, absl::Time> m_frozen;
+    std::map<std::string, std::vector<forward::node_event>> m_late_events;
     absl::Time m_ordered_at = absl::InfinitePast();
     std::size_t m_seen_statuses = 0;
     absl::Time m_done_at = absl::InfiniteFuture();
--- a/include/chivedeal/forward/rollout_evaluator.hpp
+++ b/include/chivedeal/forward/rollout_evaluator.hpp
@@ -71,6 +71,8 @@
 private:
     void record_answers(const version_outcomes& total, absl::Time now);
     void record_left(absl::Time now);
+    // Notices that the process was stopped for a time.
+    void record_evaluation(absl::Time now);
     // Other versions answer the requests that the target version should get.
     bool is_target_silent() const;
     // Rolls back, unless what happened since `since` suggests that the other versions are lost.
@@ -91,6 +93,9 @@
     bool m_is_target_stable = false;
     // The version has failed so often that it is rolled back as soon as another one is left.
     bool m_condemned = false;
+    absl::Time m_evaluated_at = absl::InfiniteFuture();
+    // Until then, what is known may be older than the last evaluations suggest.
+    absl::Time m_outdated_until = absl::InfinitePast();
     // When the version was first to be rolled back.
     absl::Time m_given_up_at = absl::InfiniteFuture();
     std::optional<endpoints_left> m_left = endpoints_left{};
--- a/src/forward/rollout_evaluator.cpp
+++ b/src/forward/rollout_evaluator.cpp
@@ -17,6 +17,9 @@
 // A side that has had no good response for this long while the other one had some doesn't answer.
 // Longer than the delay with which outcomes of other nodes become known.
 constexpr absl::Duration max_answer_gap = absl::Seconds(1);
+// Evaluations are due several times a second. After a longer gap, endpoints may have been lost and
+// requests may have failed without the evaluator having heard of it.
+constexpr absl::Duration max_evaluation_gap = absl::Seconds(1);
 // Endpoints that restart may be missing from the list for a moment.
 constexpr absl::Duration min_loss_time = absl::Seconds(1);
 
@@ -63,6 +66,7 @@
     record_answers(total, now);
     record_excess(excess_bad_responses(total), now);
     record_left(now);
+    record_evaluation(now);
     m_condemned = m_condemned ||
                   (m_excess_increase >= m_options.max_excess_bad_responses && !m_is_target_stable);
     if (m_condemned)
@@ -71,7 +75,7 @@
         m_is_status_known ? absl::FDivDuration(now - m_started_at, m_order.duration) : 0;
     m_proven = m_proven || (elapsed_fraction >= traffic_move_fraction && !is_suspect() &&
                             total.target_good >= m_options.min_good_responses);
-    if (elapsed_fraction >= completion_fraction && m_left)
+    if (elapsed_fraction >= completion_fraction && m_left && now >= m_outdated_until)
         complete(elapsed_fraction, now);
 }
 
@@ -95,6 +99,13 @@
         m_others_lost_at = std::min(m_others_lost_at, now);
 }
 
+void rollout_evaluator::record_evaluation(absl::Time now)
+{
+    if (now > m_evaluated_at + max_evaluation_gap)
+        m_outdated_until = now + m_options.outcome_delay;
+    m_evaluated_at = now;
+}
+
 bool rollout_evaluator::is_target_silent() const
 {
     return m_others_answered_at > m_target_answered_at + max_answer_gap;
--- a/test/forward_rollout_states_test.cpp
+++ b/test/forward_rollout_states_test.cpp
@@ -5,6 +5,8 @@
 #include "fakes/control_system.hpp"
 #include "fakes/rollout_traffic.hpp"
 
+#include "absl/strings/str_cat.h"
+
 #include <gtest/gtest.h>
 
 #include <string>
@@ -311,6 +313,73 @@
     }
 }
 
+// Guards against a node that was stopped and completes a roll-out by a list of endpoints that is out
+// of date. Without the other nodes, it holds the lease all the time.
+TEST_F(rollout_states, node_that_was_frozen_looks_at_the_endpoints_first)
+{
+    m_system.nodes.erase("n2");
+    m_system.nodes.erase("n3");
+    m_traffic.requests_per_tick = 36;
+    m_traffic.order("v2", absl::Seconds(20));
+    m_traffic.add_version("v2", {});
+    m_traffic.run(absl::Seconds(13));
+    ASSERT_EQ(m_system.nodes.at("n1")->share(), 1);
+    m_system.freeze("n1", absl::Seconds(5.5));
+    m_traffic.requests_per_tick = 0.25;
+    m_traffic.crash("v2");
+    m_traffic.run(absl::Seconds(9));
+    EXPECT_TRUE(m_traffic.has_ended(rollout_state::rolled_back, "v2"));
+    EXPECT_GE(served_share_after_restart(), 0.99);
+}
+
+// Guards against states that depend on which node holds the lease, and when it fails.
+TEST_F(rollout_states, bad_version_is_rolled_back_whichever_nodes_fail)
+{
+    enum class failure
+    {
+        freeze_holder,
+        restart_holder,
+        restart_all,
+        cut_off_holder
+    };
+    for (const failure kind : {failure::freeze_holder, failure::restart_holder,
+                               failure::restart_all, failure::cut_off_holder})
+        for (int begin = 1; begin <= 10; begin += 3) {
+            SCOPED_TRACE(absl::StrCat(static_cast<int>(kind), " after ", begin));
+            m_traffic.order("v2", absl::Seconds(20));
+            m_traffic.add_version("v2", {.failing = 0.2});
+            m_traffic.take_requests();
+            m_traffic.run(absl::Seconds(begin));
+            m_traffic.versions.at("v1").failing = 0.45;
+            if (kind == failure::freeze_holder)
+                m_system.freeze("n1", absl::Seconds(5));
+            else if (kind == failure::restart_holder)
+                m_system.restart("n1");
+            else if (kind == failure::restart_all)
+                restart_all();
+            else
+                m_system.nodes.at("n1")->set_cut_off(true);
+            m_traffic.run(absl::Seconds(5));
+            m_system.nodes.at("n1")->set_cut_off(false);
+            m_traffic.versions.at("v1").failing = 0;
+            m_traffic.run(absl::Seconds(15 - begin));
+            const auto requests = m_traffic.take_requests();
+            EXPECT_LE(requests.at("v2"), 0.1 * (requests.at("v1") + requests.at("v2")) + 50);
+            m_traffic.run(absl::Seconds(5));
+            EXPECT_TRUE(m_traffic.has_ended(rollout_state::rolled_back, "v2"));
+            m_traffic.run(absl::Seconds(5));
+        }
+}
+
+// Guards against a version that is done although it fails all requests of a route with little traffic.
+TEST_F(rollout_states, version_that_fails_on_a_quiet_route_is_not_done)
+{
+    m_traffic.order("v2");
+    m_traffic.add_version("v2", {.failing_by_route = {{"quiet", 1.0}}});
+    m_traffic.run(absl::Seconds(16));
+    EXPECT_TRUE(m_traffic.has_ended(rollout_state::rolled_back, "v2"));
+}
+
 // Returns in how many of 40 trials a version is done that fails the same share of requests as the
 // old one.
 int count_done(double failing, double failing_for_4_s, double requests_per_tick)
