Prove a version of a service with few requests within its slack

Callers and operators saw (reported by the users): at 57 requests a second a sound version is always rolled back in a roll-out of 12 s. Cause: 60 good responses are needed, and a share of 0.05 gives 30 in that time. Change: the platform allows expose_slack requests beyond the share; it is read from the settings. Where the share can't prove the version in time, the version gets a quarter of the requests until it has had 0.8 of the slack, unless it has half of the failures that condemn it. Without the setting nothing changes. Tests: sound_version.is_done_with_few_requests fails without the slack. The bound of the platform is checked at 2 to 400 requests a second by rollout_evaluator.bounds_the_larger_share_of_a_service_with_few_requests.

--- a/fakes/control_node.hpp
+++ b/fakes/control_node.hpp
@@ -32,7 +32,7 @@
 public:
     control_node(const char* name, const std::shared_ptr<fake_topics>& topics,
                  const fake_clock& clock, forward::duty_api& platform)
-        : m_settings{.node = node_id(name), .reports_usage = true},
+        : m_settings{.node = node_id(name), .unproven_slack_requests = 50, .reports_usage = true},
           m_clock(clock),
           m_store(topics),
           m_control({.settings = m_settings,
--- a/include/chivedeal/forward/node_settings.hpp
+++ b/include/chivedeal/forward/node_settings.hpp
@@ -54,6 +54,8 @@
     regions::cold_tolerance cold;
     /// Maximum share of a service's requests that an unproven version receives.
     double unproven_share = 0.1;
+    /// Requests that an unproven version may receive beyond that share.
+    double unproven_slack_requests = 0;
     /// Whether the whole system starts for the first time. Otherwise, requests may have been
     /// admitted and run shortly before the process started.
     bool is_first_start = false;
--- a/include/chivedeal/forward/rollout_evaluator.hpp
+++ b/include/chivedeal/forward/rollout_evaluator.hpp
@@ -29,6 +29,9 @@
         int max_excess_bad_responses = 12;
         /// Good responses required to prove a version good.
         int min_good_responses = 60;
+        /// Responses beyond its share by which a version may be proven where its share is too small to
+        /// do so in time.
+        double extra_responses = 0;
         /// Delay with which outcomes of other nodes become known.
         absl::Duration outcome_delay;
     };
@@ -71,6 +74,8 @@
 private:
     void record_answers(const version_outcomes& total, absl::Time now);
     void record_left(absl::Time now);
+    // Decides whether the version gets a larger share to be proven in time.
+    void adapt_share(absl::Time now);
     // Notices that the process was stopped for a time.
     void record_evaluation(absl::Time now);
     // Other versions answer the requests that the target version should get.
@@ -89,6 +94,7 @@
     absl::Time m_started_at;
     rollout_state m_state = rollout_state::running;
     bool m_proven = false;
+    bool m_has_larger_share = false;
     bool m_is_status_known = true;
     bool m_is_target_stable = false;
     // The version has failed so often that it is rolled back as soon as another one is left.
--- a/src/forward/rollout_duties.cpp
+++ b/src/forward/rollout_duties.cpp
@@ -35,6 +35,9 @@
 constexpr absl::Duration completed_split_retention = absl::Seconds(8);
 // Fraction of the platform's limit on a new version's share that the nodes use.
 constexpr double exposure_limit_fraction = 0.5;
+// The same for the requests beyond that share. The rest is for requests that are sent before the nodes
+// learn that the version has had these.
+constexpr double exposure_slack_fraction = 0.8;
 // Counts are passed on every 500 ms, and to other regions in beacons every 500 ms.
 constexpr absl::Duration outcome_delay = absl::Seconds(1);
 
@@ -47,9 +50,10 @@
     const auto known = m_rollouts.find(order.service);
     if (order.rewritten && known != m_rollouts.end())
         return known->second.on_rewritten(order.offset);
-    const rollout_evaluator::options evaluator_options{.unproven_share = m_settings.unproven_share *
-                                                                         exposure_limit_fraction,
-                                                       .outcome_delay = outcome_delay};
+    const rollout_evaluator::options evaluator_options{
+        .unproven_share = m_settings.unproven_share * exposure_limit_fraction,
+        .extra_responses = m_settings.unproven_slack_requests * exposure_slack_fraction,
+        .outcome_delay = outcome_delay};
     std::optional<rollout_status> earlier;
     if (known != m_rollouts.end())
         earlier = known->second.status(m_true_time_offset);
--- a/src/forward/rollout_evaluator.cpp
+++ b/src/forward/rollout_evaluator.cpp
@@ -20,6 +20,13 @@
 // Evaluations are due several times a second. After a longer gap, endpoints may have been lost and
 // requests may have failed without the evaluator having heard of it.
 constexpr absl::Duration max_evaluation_gap = absl::Seconds(1);
+// Share of an unproven version of a service with few requests, until it has had the responses that it
+// may have beyond its usual share.
+constexpr double larger_unproven_share = 0.25;
+// Fraction of these responses by which it must stay below the limit to get the larger share again.
+constexpr double share_margin = 0.1;
+// Time needed to measure the request rate of the service.
+constexpr double min_rate_time_s = 0.5;
 // Endpoints that restart may be missing from the list for a moment.
 constexpr absl::Duration min_loss_time = absl::Seconds(1);
 
@@ -75,6 +82,7 @@
         m_is_status_known ? absl::FDivDuration(now - m_started_at, m_order.duration) : 0;
     m_proven = m_proven || (elapsed_fraction >= traffic_move_fraction && !is_suspect() &&
                             total.target_good >= m_options.min_good_responses);
+    adapt_share(now);
     if (elapsed_fraction >= completion_fraction && m_left && now >= m_outdated_until)
         complete(elapsed_fraction, now);
 }
@@ -106,6 +114,24 @@
     m_evaluated_at = now;
 }
 
+void rollout_evaluator::adapt_share(absl::Time now)
+{
+    const version_outcomes& total = *m_total;
+    const auto target = static_cast<double>(total.target_good + total.target_bad);
+    const auto all = target + static_cast<double>(total.other_good + total.other_bad);
+    const double elapsed_s = absl::ToDoubleSeconds(now - m_started_at);
+    const double expected_responses = m_options.unproven_share * all /
+                                      std::max(elapsed_s, min_rate_time_s) * traffic_move_fraction *
+                                      absl::ToDoubleSeconds(m_order.duration);
+    const double limit = m_options.unproven_share * all + m_options.extra_responses;
+    // Responses under way may exceed the limit, so the larger share begins again only below it.
+    const double margin = m_has_larger_share ? 0 : m_options.extra_responses * share_margin;
+    m_has_larger_share = elapsed_s >= min_rate_time_s && !is_suspect() &&
+                         total.target_good < m_options.min_good_responses &&
+                         expected_responses < m_options.min_good_responses &&
+                         target < limit - margin;
+}
+
 bool rollout_evaluator::is_target_silent() const
 {
     return m_others_answered_at > m_target_answered_at + max_answer_gap;
@@ -178,8 +204,10 @@
     case rollout_state::running:
         break;
     }
+    if (!m_condemned && is_proven())
+        return 1;
     if (!m_condemned)
-        return is_proven() ? 1 : m_options.unproven_share;
+        return m_has_larger_share ? larger_unproven_share : m_options.unproven_share;
     // As long as the endpoints aren't known, another version may be left.
     return m_left ? m_options.unproven_share : 0;
 }
--- a/test/forward_rollout_evaluator_test.cpp
+++ b/test/forward_rollout_evaluator_test.cpp
@@ -90,6 +90,31 @@
     EXPECT_EQ(evaluator.state(), rollout_state::rolled_back);
 }
 
+// Guards against a bad version of a service with few requests that gets more than the platform allows:
+// a tenth of the requests and 50.
+TEST(rollout_evaluator, bounds_the_larger_share_of_a_service_with_few_requests)
+{
+    for (int requests_per_s = 2; requests_per_s <= 400; requests_per_s += 7) {
+        rollout_evaluator evaluator({.extra_responses = 40},
+                                    {.service = service_id("drafts"),
+                                     .target = version_id("v2"),
+                                     .duration = absl::Seconds(12)},
+                                    start);
+        double target = 0;
+        double all = 0;
+        double share = evaluator.share();
+        for (int half_seconds = 1; half_seconds <= 13; ++half_seconds) {
+            all += requests_per_s / 2.0;
+            target += share * requests_per_s / 2.0;
+            share = evaluator.share();
+            evaluator.on_outcomes({.target_good = static_cast<std::int64_t>(target),
+                                   .other_good = static_cast<std::int64_t>(all - target)},
+                                  start + absl::Milliseconds(500) * half_seconds);
+        }
+        EXPECT_LE(target, 0.1 * all + 50) << requests_per_s;
+    }
+}
+
 // Guards against a time in which the target failed less than the others and that excuses as many
 // failures later.
 TEST(rollout_evaluator, counts_failures_from_the_lowest_excess)
--- a/test/forward_rollout_states_test.cpp
+++ b/test/forward_rollout_states_test.cpp
@@ -416,6 +416,14 @@
     EXPECT_GE(count_done(0.2, 0.2, 24), 38);
 }
 
+// Guards against a version that can't be proven in time, since its share of the requests is too small
+// for that. 57 requests a second.
+TEST(sound_version, is_done_with_few_requests)
+{
+    EXPECT_GE(count_done(0, 0, 4.75), 36);
+    EXPECT_GE(count_done(0, 0, 7), 39);
+}
+
 // Guards against blaming a version for an incident that both versions have at the same time.
 TEST(sound_version, is_done_although_both_versions_fail_for_a_time)
 {
