Give no larger share where the platform allows no extra requests

Callers would see: without expose_slack an unproven version got a quarter of the requests for moments, up to its share of those so far. Cause: the limit on the larger share was compared without asking whether there is any slack. split_route_test.gives_an_unproven_version_its_share_of_a_small_part failed in a run of all tests (16 requests, 10 allowed), as the delay of the counts let it overshoot. Change: without extra responses there is no larger share.

--- a/src/forward/rollout_evaluator.cpp
+++ b/src/forward/rollout_evaluator.cpp
@@ -126,8 +126,8 @@
     const double limit = m_options.unproven_share * all + m_options.extra_responses;
     // Responses under way may exceed the limit, so the larger share begins again only below it.
     const double margin = m_has_larger_share ? 0 : m_options.extra_responses * share_margin;
-    m_has_larger_share = elapsed_s >= min_rate_time_s && !is_suspect() &&
-                         total.target_good < m_options.min_good_responses &&
+    m_has_larger_share = m_options.extra_responses > 0 && elapsed_s >= min_rate_time_s &&
+                         !is_suspect() && total.target_good < m_options.min_good_responses &&
                          expected_responses < m_options.min_good_responses &&
                          target < limit - margin;
 }
--- a/test/forward_rollout_evaluator_test.cpp
+++ b/test/forward_rollout_evaluator_test.cpp
@@ -115,6 +115,14 @@
     }
 }
 
+// Guards against a larger share on a platform that allows none.
+TEST(rollout_evaluator, keeps_to_its_share_without_extra_responses)
+{
+    rollout_evaluator evaluator = make_evaluator();
+    evaluator.on_outcomes({.target_good = 1, .other_good = 60}, start + absl::Seconds(1));
+    EXPECT_LE(evaluator.share(), 0.05);
+}
+
 // Guards against a time in which the target failed less than the others and that excuses as many
 // failures later.
 TEST(rollout_evaluator, counts_failures_from_the_lowest_excess)
