Try routes with few requests before a version is proven

Cause: with a share of 0.05 about one request of that route reaches the version before the traffic moves. The other routes prove it. Conclusion: fixed with few nodes. With many, a node's part is less than one request.

--- a/fakes/rollout_traffic.hpp
+++ b/fakes/rollout_traffic.hpp
@@ -139,6 +139,7 @@
     };
 
     static constexpr int max_attempts = 2;
+    static constexpr int max_trial_failures = 3;
 
     void serve(const std::string& name, control_node& node)
     {
@@ -180,7 +181,10 @@
         const absl::Time now = m_system.clock.now();
         const std::string route = ++state.requests % quiet_interval == 0 ? "quiet" : "busy";
         forward::endpoint_query query{.service = service_id("s")};
-        const double sample = m_uniform(m_random);
+        const double uniform_sample = m_uniform(m_random);
+        const bool is_trial =
+            state.counter.take_trial(service_id("s"), route, max_trial_failures, now);
+        const double sample = is_trial ? 0 : uniform_sample;
         ++m_sent;
         for (int attempt = 0; attempt < max_attempts; ++attempt) {
             const auto choice = state.pool->choose(query, sample, now);
--- a/include/chivedeal/forward/outcome_counter.hpp
+++ b/include/chivedeal/forward/outcome_counter.hpp
@@ -45,12 +45,21 @@
 
     std::vector<version_outcomes> snapshot() const;
 
+    /// Whether a request should go to the target version whatever its share, since this node has seen
+    /// no good response of it on the route: a route with few requests would otherwise show its
+    /// failures only when all traffic has moved. Returns true at most every 500 ms for a service, and
+    /// only until `max_failures` responses on such routes have failed.
+    bool take_trial(const service_id& service, const std::string& route, double max_failures,
+                    absl::Time now);
+
 private:
     struct route_counts
     {
         // Responses in the interval under way.
         response_counts target;
         response_counts stable;
+        // Of the target, since the order.
+        response_counts target_total;
         // Of the stable versions, before this interval.
         failure_history history;
         pace_baseline pace;
@@ -64,6 +73,7 @@
         std::map<std::string, route_counts> routes;
         failure_history history;
         double expected_bad = 0;
+        absl::Time next_trial = absl::InfinitePast();
     };
 
     static void add_comparisons(const watched_service& watched, version_outcomes& totals,
--- a/src/forward/outcome_counter.cpp
+++ b/src/forward/outcome_counter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
 #include <utility>
 
 namespace chivedeal::forward {
@@ -18,6 +19,8 @@
 // nearly all traffic has moved.
 constexpr double usual_rate_weight = 0.25;
 constexpr double min_usual_rate_weight = 1;
+// Limits the requests that are under way at a version that hangs.
+constexpr absl::Duration trial_interval = absl::Milliseconds(500);
 
 // Share of the target's responses in an interval that fail if it is no worse than the stable
 // versions. Absent if there are no responses of stable versions to tell.
@@ -78,10 +81,31 @@
     route_counts& counts = watched.routes[route];
     response_counts& of_interval = is_target ? counts.target : counts.stable;
     ++(good ? of_interval.good : of_interval.bad);
-    if (is_target)
+    if (is_target) {
+        ++(good ? counts.target_total.good : counts.target_total.bad);
         ++(good ? totals.target_good : totals.target_bad);
-    else
+    }
+    else {
         ++(good ? totals.other_good : totals.other_bad);
+    }
+}
+
+bool outcome_counter::take_trial(const service_id& service, const std::string& route,
+                                 double max_failures, absl::Time now)
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end() || now < found->second.next_trial)
+        return false;
+    watched_service& watched = found->second;
+    std::int64_t failures = 0;
+    for (const auto& [name, counts] : watched.routes)
+        failures += counts.target_total.good == 0 ? counts.target_total.bad : 0;
+    const auto counts = watched.routes.find(route);
+    const bool is_shown = counts != watched.routes.end() && counts->second.target_total.good > 0;
+    if (is_shown || static_cast<double>(failures + 1) > max_failures)
+        return false;
+    watched.next_trial = now + trial_interval;
+    return true;
 }
 
 void outcome_counter::count_response(const service_id& service, const version_id& version,
--- a/src/forward/request_runner.cpp
+++ b/src/forward/request_runner.cpp
@@ -91,6 +91,10 @@
            static_cast<double>(current.attempt_later_bytes);
 }
 
+// Fraction of the requests beyond its share which an unproven version may get that all nodes together
+// use to try routes with few requests.
+constexpr double trial_slack_fraction = 0.2;
+
 // Whether the endpoint has kept the caller waiting for so long that an answer, or the next data of a
 // stream, would count as bad.
 bool is_overdue(const exchange& current, absl::Time now)
@@ -195,6 +199,10 @@
                      .prompt_tokens = current.head.prompt_tokens,
                      .prefix = current.head.prefix,
                      .homes = current.match.homes()};
+    if (m_outcomes.take_trial(
+            current.query.service, matched.name,
+            m_settings.unproven_slack_requests * trial_slack_fraction / m_node_count, now))
+        current.routing_sample = 0;
     measure_request(current);
     m_exchange_by_connection[connection] = current.id;
     m_exchanges.emplace(current.id, std::move(new_exchange));
--- a/test/forward_outcome_counter_test.cpp
+++ b/test/forward_outcome_counter_test.cpp
@@ -134,6 +134,28 @@
     EXPECT_LE(outcomes.expected_bad_milli, 5000);
 }
 
+// Guards against a sound version that is tried again and again, and a bad one that gets more trials
+// than it may have.
+TEST(outcome_counter, tries_a_route_until_it_has_a_good_response)
+{
+    outcome_counter counter = make_counter();
+    EXPECT_FALSE(counter.take_trial(service_id("other"), "chat", 3, start));
+    absl::Time now = start;
+    const auto next_trial = [&](const char* route) {
+        now += absl::Seconds(1);
+        return counter.take_trial(drafts, route, 3, now);
+    };
+    EXPECT_TRUE(next_trial("chat"));
+    EXPECT_FALSE(counter.take_trial(drafts, "label", 3, now));
+    counter.count(drafts, new_version, "chat", true, now);
+    EXPECT_FALSE(next_trial("chat"));
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_TRUE(next_trial("label"));
+        counter.count(drafts, new_version, "label", false, now);
+    }
+    EXPECT_FALSE(next_trial("label"));
+}
+
 // Guards against a comparison with an abandoned version.
 TEST(outcome_counter, counts_only_the_target_and_the_stable_versions)
 {
--- a/test/forward_rollout_states_test.cpp
+++ b/test/forward_rollout_states_test.cpp
@@ -371,12 +371,17 @@
         }
 }
 
-// Guards against a version that is done although it fails all requests of a route with little traffic.
-TEST_F(rollout_states, version_that_fails_on_a_quiet_route_is_not_done)
+// Guards against a version that gets all traffic and is done although it fails all requests of a
+// route with little traffic: 3 of 144 requests a second.
+TEST_F(rollout_states, version_that_fails_on_a_quiet_route_is_not_proven)
 {
     m_traffic.order("v2");
     m_traffic.add_version("v2", {.failing_by_route = {{"quiet", 1.0}}});
-    m_traffic.run(absl::Seconds(16));
+    m_traffic.take_requests();
+    m_traffic.run(absl::Seconds(12));
+    const auto requests = m_traffic.take_requests();
+    EXPECT_LE(requests.at("v2"), 0.1 * (requests.at("v1") + requests.at("v2")) + 50);
+    m_traffic.run(absl::Seconds(4));
     EXPECT_TRUE(m_traffic.has_ended(rollout_state::rolled_back, "v2"));
 }
 
