End roll-outs also while the store answers slowly

Callers would see: while each answer of the store takes more than a second, a sound version is not done and a bad one not rolled back for lack of proof, however long that lasts. Cause: found by reading the change that postpones the end after a pause. A slow store makes every evaluation late, so each one looked like the end of a pause. Change: a further gap within five seconds postpones nothing. Tests: rollout_evaluator.ends_although_its_evaluations_are_far_apart fails without the change.

--- a/src/forward/rollout_evaluator.cpp
+++ b/src/forward/rollout_evaluator.cpp
@@ -20,6 +20,8 @@
 // Evaluations are due several times a second. After a longer gap, endpoints may have been lost and
 // requests may have failed without the evaluator having heard of it.
 constexpr absl::Duration max_evaluation_gap = absl::Seconds(1);
+// Further gaps within this time don't hold a roll-out up: a slow store makes all evaluations late.
+constexpr absl::Duration min_time_between_gaps = absl::Seconds(5);
 // Share of an unproven version of a service with few requests, until it has had the responses that it
 // may have beyond its usual share.
 constexpr double larger_unproven_share = 0.25;
@@ -109,7 +111,7 @@
 
 void rollout_evaluator::record_evaluation(absl::Time now)
 {
-    if (now > m_evaluated_at + max_evaluation_gap)
+    if (now > m_evaluated_at + max_evaluation_gap && now > m_outdated_until + min_time_between_gaps)
         m_outdated_until = now + m_options.outcome_delay;
     m_evaluated_at = now;
 }
--- a/test/forward_rollout_evaluator_test.cpp
+++ b/test/forward_rollout_evaluator_test.cpp
@@ -115,6 +115,25 @@
     }
 }
 
+// Guards against a sound version that is never done because the store takes more than a second for
+// each answer, and the evaluations are as far apart.
+TEST(rollout_evaluator, ends_although_its_evaluations_are_far_apart)
+{
+    rollout_evaluator evaluator({.outcome_delay = absl::Seconds(1)},
+                                {.service = service_id("drafts"),
+                                 .target = version_id("v2"),
+                                 .duration = absl::Seconds(12)},
+                                start);
+    version_outcomes total{.target_good = 10, .other_good = 100};
+    for (absl::Time now = start; now < start + absl::Seconds(15); now += absl::Seconds(1.5)) {
+        evaluator.on_outcomes(total, now);
+        evaluator.on_outcomes(total, now);
+        total.target_good += 20;
+        total.other_good += 100;
+    }
+    EXPECT_EQ(evaluator.state(), rollout_state::done);
+}
+
 // Guards against a larger share on a platform that allows none.
 TEST(rollout_evaluator, keeps_to_its_share_without_extra_responses)
 {
