Move the sum of excess failures to a class of its own

Cause: rollout_evaluator had four members and a function for the sum beside those of the states, the endpoints left and the share. Change: excess_tracker has the sum, its lowest value and whether it rises. No behaviour changes; the tests are as they were.

--- a/include/chivedeal/forward/rollout_evaluator.hpp
+++ b/include/chivedeal/forward/rollout_evaluator.hpp
@@ -2,13 +2,13 @@
 #define CHIVEDEAL_FORWARD_ROLLOUT_EVALUATOR_HPP
 
 #include "chivedeal/forward/endpoints_left.hpp"
+#include "chivedeal/forward/excess_tracker.hpp"
 #include "chivedeal/forward/rollout_order.hpp"
 #include "chivedeal/forward/rollout_state.hpp"
 #include "chivedeal/forward/version_outcomes.hpp"
 
 #include "absl/time/time.h"
 
-#include <algorithm>
 #include <cstdint>
 #include <optional>
 
@@ -37,8 +37,7 @@
     };
 
     /// Bad responses of the target version beyond those that the stable versions' failure rate
-    /// explains; negative if it fails less often than they do. Only increases count against a
-    /// version, so that a time in which it failed less often excuses no later failures.
+    /// explains; negative if it fails less often than they do.
     static double excess_bad_responses(const version_outcomes& total);
 
     rollout_evaluator(options settings, rollout_order order, absl::Time started_at);
@@ -56,7 +55,7 @@
     /// Another node has proven the version good.
     void on_proven() { m_proven = true; }
     /// Lowest excess that another process has seen.
-    void on_lowest_excess(double excess) { m_lowest_excess = std::min(m_lowest_excess, excess); }
+    void on_lowest_excess(double excess) { m_excess.on_lowest(excess); }
     void set_started_at(absl::Time started_at) { m_started_at = started_at; }
 
     /// The order was written again at another offset.
@@ -64,9 +63,7 @@
 
     const rollout_order& order() const { return m_order; }
     rollout_state state() const { return m_state; }
-    double lowest_excess() const { return m_lowest_excess; }
-    /// Increase of the excess over its lowest value so far.
-    double excess_increase() const { return m_excess_increase; }
+    const excess_tracker& excess() const { return m_excess; }
     bool is_proven() const { return m_proven || m_is_target_stable; }
     /// Share of the service's requests that the target version gets.
     double share() const;
@@ -83,7 +80,6 @@
     // Rolls back, unless what happened since `since` suggests that the other versions are lost.
     void give_up(absl::Time since, absl::Time now);
     bool can_go_back(absl::Time now) const;
-    void record_excess(double excess, absl::Time now);
     // Whether the version has too many failures to be proven, but not enough to be rolled back.
     bool is_suspect() const;
     void complete(double elapsed_fraction, absl::Time now);
@@ -108,12 +104,7 @@
     // Since when no other version is left; `InfiniteFuture` while one is.
     absl::Time m_others_lost_at = absl::InfiniteFuture();
     std::optional<version_outcomes> m_total;
-    double m_lowest_excess = 0;
-    // Increase of the excess over its lowest value: now, and at two times before.
-    double m_excess_increase = 0;
-    double m_last_increase = 0;
-    double m_earlier_increase = 0;
-    absl::Time m_next_sample = absl::InfinitePast();
+    excess_tracker m_excess;
     // When good responses of either side were last seen.
     absl::Time m_target_answered_at = absl::InfinitePast();
     absl::Time m_others_answered_at = absl::InfinitePast();
--- a/include/chivedeal/forward/rollout_status.hpp
+++ b/include/chivedeal/forward/rollout_status.hpp
@@ -26,7 +26,7 @@
     std::optional<absl::Time> started_at;
     /// Whether the target version gets all traffic.
     bool proven = false;
-    /// Lowest excess of bad responses so far; see `rollout_evaluator`.
+    /// Lowest excess of bad responses so far; see `excess_tracker`.
     double lowest_excess = 0;
     /// Versions that carried the service's traffic when the roll-out was ordered. Nodes of earlier
     /// versions store none.
--- a/include/chivedeal/forward/tracked_rollout.hpp
+++ b/include/chivedeal/forward/tracked_rollout.hpp
@@ -66,7 +66,7 @@
 
     /// Responses on all nodes, as far as this one knows.
     version_outcomes total() const { return m_outcomes.total(); }
-    double excess_increase() const { return m_evaluator.excess_increase(); }
+    double excess_increase() const { return m_evaluator.excess().increase(); }
     /// The status to be stored.
     rollout_status status(absl::Duration true_time_offset) const;
     /// Whether the status in the store has to be replaced. Only known after a read.
--- a/src/forward/rollout_evaluator.cpp
+++ b/src/forward/rollout_evaluator.cpp
@@ -38,8 +38,6 @@
 // Fraction of the excess at which a version is rolled back that it must stay below to be proven and
 // to be done.
 constexpr double max_proven_excess_fraction = 0.5;
-// The excess is rising if it is higher than once to twice this time before.
-constexpr absl::Duration excess_sample_interval = absl::Seconds(2);
 
 // Excess of the responses that no node could compare with others of the same interval. They are
 // judged by the stable versions' failure rate on all nodes. Without responses of stable versions,
@@ -73,11 +71,11 @@
     if (m_state != rollout_state::running)
         return;
     record_answers(total, now);
-    record_excess(excess_bad_responses(total), now);
+    m_excess.record(excess_bad_responses(total), now);
     record_left(now);
     record_evaluation(now);
-    m_condemned = m_condemned ||
-                  (m_excess_increase >= m_options.max_excess_bad_responses && !m_is_target_stable);
+    m_condemned = m_condemned || (m_excess.increase() >= m_options.max_excess_bad_responses &&
+                                  !m_is_target_stable);
     if (m_condemned)
         return give_up(now, now);
     const double elapsed_fraction =
@@ -158,19 +156,9 @@
            (now >= shown_at && m_target_answered_at <= m_given_up_at);
 }
 
-void rollout_evaluator::record_excess(double excess, absl::Time now)
-{
-    m_lowest_excess = std::min(m_lowest_excess, excess);
-    m_excess_increase = excess - m_lowest_excess;
-    if (now < m_next_sample)
-        return;
-    m_earlier_increase = std::exchange(m_last_increase, m_excess_increase);
-    m_next_sample = now + excess_sample_interval;
-}
-
 bool rollout_evaluator::is_suspect() const
 {
-    return m_excess_increase >= m_options.max_excess_bad_responses * max_proven_excess_fraction &&
+    return m_excess.increase() >= m_options.max_excess_bad_responses * max_proven_excess_fraction &&
            !m_is_target_stable;
 }
 
@@ -180,8 +168,7 @@
 {
     if (!m_left->others)
         return complete_without_others(now);
-    // Failures that have ended, such as those of an endpoint that crashed, don't hold it up.
-    const bool is_failing = is_suspect() && m_excess_increase > m_earlier_increase;
+    const bool is_failing = is_suspect() && m_excess.is_rising();
     if (is_proven() && m_left->target && !is_target_silent() && !is_failing)
         m_state = rollout_state::done;
     else if (!is_proven() || (!m_left->target && elapsed_fraction >= 1))
--- a/src/forward/tracked_rollout.cpp
+++ b/src/forward/tracked_rollout.cpp
@@ -125,7 +125,7 @@
         return current;
     current.started_at = m_started_at.value_or(m_learned_at + true_time_offset);
     current.proven = m_evaluator.is_proven();
-    current.lowest_excess = m_evaluator.lowest_excess();
+    current.lowest_excess = m_evaluator.excess().lowest();
     current.outcomes = m_outcomes;
     return current;
 }
