Say in the roll-out tests what each one begins

Cause: the tests of the table repeated the order and the start of a version's endpoints, and has_ended was asked for a state that is no end. Change: begin_rollout in the fake, and has_status. What the tests expect is as it was. Conclusion: tests only.

--- a/fakes/rollout_traffic.hpp
+++ b/fakes/rollout_traffic.hpp
@@ -82,6 +82,14 @@
                         .offset = m_orders});
     }
 
+    /// Orders a version and starts its endpoints.
+    void begin_rollout(const std::string& target, const version& added,
+                       absl::Duration duration = absl::Seconds(12))
+    {
+        order(target, duration);
+        add_version(target, added);
+    }
+
     void run(absl::Duration time)
     {
         for (absl::Duration elapsed; elapsed < time; elapsed += control_system::tick_interval) {
@@ -104,7 +112,8 @@
         return newest;
     }
 
-    bool has_ended(forward::rollout_state with, const std::string& target) const
+    /// Whether the newest status in the store is of the newest order and has this state and target.
+    bool has_status(forward::rollout_state with, const std::string& target) const
     {
         const auto newest = newest_status();
         return newest && newest->state == with && newest->target.str() == target &&
--- a/test/forward_rollout_states_test.cpp
+++ b/test/forward_rollout_states_test.cpp
@@ -53,39 +53,36 @@
 // the others stop.
 TEST_F(rollout_states, version_whose_endpoints_are_lost_is_not_done)
 {
-    m_traffic.order("v2", absl::Seconds(20));
-    m_traffic.add_version("v2", {});
+    m_traffic.begin_rollout("v2", {}, absl::Seconds(20));
     m_traffic.run(absl::Seconds(14));
     ASSERT_EQ(m_system.nodes.at("n1")->share(), 1);
     m_traffic.crash("v2");
     m_traffic.run(absl::Seconds(7));
-    EXPECT_TRUE(m_traffic.has_ended(rollout_state::rolled_back, "v2"));
+    EXPECT_TRUE(m_traffic.has_status(rollout_state::rolled_back, "v2"));
     EXPECT_GE(served_share_after_restart(), 0.99);
 }
 
 // Guards against the same while the records of the lost endpoints are still listed.
 TEST_F(rollout_states, version_that_does_not_answer_is_not_done)
 {
-    m_traffic.order("v2", absl::Seconds(20));
-    m_traffic.add_version("v2", {});
+    m_traffic.begin_rollout("v2", {}, absl::Seconds(20));
     m_traffic.run(absl::Seconds(15.5));
     m_traffic.crash("v2");
     m_traffic.run(absl::Seconds(7));
-    EXPECT_TRUE(m_traffic.has_ended(rollout_state::rolled_back, "v2"));
+    EXPECT_TRUE(m_traffic.has_status(rollout_state::rolled_back, "v2"));
     EXPECT_GE(served_share_after_restart(), 0.99);
 }
 
 // Guards against a sound version that is given up although its endpoints came back in time.
 TEST_F(rollout_states, version_is_done_when_its_endpoints_are_back)
 {
-    m_traffic.order("v2", absl::Seconds(20));
-    m_traffic.add_version("v2", {});
+    m_traffic.begin_rollout("v2", {}, absl::Seconds(20));
     m_traffic.run(absl::Seconds(14));
     m_traffic.crash("v2");
     m_traffic.run(absl::Seconds(4.5));
     m_traffic.add_version("v2", {});
     m_traffic.run(absl::Seconds(3));
-    EXPECT_TRUE(m_traffic.has_ended(rollout_state::done, "v2"));
+    EXPECT_TRUE(m_traffic.has_status(rollout_state::done, "v2"));
     EXPECT_GE(served_share_after_restart(), 0.99);
 }
 
@@ -93,15 +90,14 @@
 // is taken for the order of a new version, and the unproven one gets the rest of the traffic.
 TEST_F(rollout_states, called_off_version_gets_no_requests)
 {
-    m_traffic.order("v2");
-    m_traffic.add_version("v2", {.failing = 0.2});
+    m_traffic.begin_rollout("v2", {.failing = 0.2});
     m_traffic.run(absl::Seconds(4));
     m_traffic.order("v1");
     m_traffic.run(absl::Seconds(0.5));
     m_traffic.take_requests();
     m_traffic.run(absl::Seconds(15));
     EXPECT_EQ(m_traffic.take_requests()["v2"], 0);
-    EXPECT_TRUE(m_traffic.has_ended(rollout_state::done, "v1"));
+    EXPECT_TRUE(m_traffic.has_status(rollout_state::done, "v1"));
     EXPECT_GE(served_share_after_restart(), 0.99);
 }
 
@@ -109,8 +105,7 @@
 TEST_F(rollout_states, called_off_version_gets_no_requests_after_a_restart)
 {
     for (const absl::Duration delay : {absl::ZeroDuration(), absl::Seconds(3)}) {
-        m_traffic.order("v2", absl::Seconds(30));
-        m_traffic.add_version("v2", {.failing = 0.1});
+        m_traffic.begin_rollout("v2", {.failing = 0.1}, absl::Seconds(30));
         m_traffic.run(absl::Seconds(4));
         m_traffic.order("v1");
         m_traffic.run(delay);
@@ -119,15 +114,14 @@
         m_traffic.take_requests();
         m_traffic.run(absl::Seconds(15));
         EXPECT_EQ(m_traffic.take_requests()["v2"], 0);
-        EXPECT_TRUE(m_traffic.has_ended(rollout_state::done, "v1"));
+        EXPECT_TRUE(m_traffic.has_status(rollout_state::done, "v1"));
     }
 }
 
 // Guards against the same with an order that comes when the traffic has moved already.
 TEST_F(rollout_states, roll_out_is_called_off_after_its_version_was_proven)
 {
-    m_traffic.order("v2", absl::Seconds(20));
-    m_traffic.add_version("v2", {});
+    m_traffic.begin_rollout("v2", {}, absl::Seconds(20));
     m_traffic.run(absl::Seconds(14));
     ASSERT_EQ(m_system.nodes.at("n1")->share(), 1);
     m_traffic.order("v1");
@@ -135,33 +129,29 @@
     m_traffic.take_requests();
     m_traffic.run(absl::Seconds(15));
     EXPECT_EQ(m_traffic.take_requests()["v2"], 0);
-    EXPECT_TRUE(m_traffic.has_ended(rollout_state::done, "v1"));
+    EXPECT_TRUE(m_traffic.has_status(rollout_state::done, "v1"));
 }
 
 // An order of the old version after the new one is done starts new endpoints, which may be bad.
 TEST_F(rollout_states, version_that_was_replaced_is_new_again)
 {
-    m_traffic.order("v2");
-    m_traffic.add_version("v2", {});
+    m_traffic.begin_rollout("v2", {});
     m_traffic.run(absl::Seconds(16));
-    ASSERT_TRUE(m_traffic.has_ended(rollout_state::done, "v2"));
+    ASSERT_TRUE(m_traffic.has_status(rollout_state::done, "v2"));
     restart_all();
-    m_traffic.order("v1");
-    m_traffic.add_version("v1", {.failing = 0.3});
+    m_traffic.begin_rollout("v1", {.failing = 0.3});
     m_traffic.take_requests();
     m_traffic.run(absl::Seconds(16));
-    EXPECT_TRUE(m_traffic.has_ended(rollout_state::rolled_back, "v1"));
+    EXPECT_TRUE(m_traffic.has_status(rollout_state::rolled_back, "v1"));
     EXPECT_LE(m_traffic.take_requests()["v1"], 150);
 }
 
 // Guards against an unproven version that gets all requests but the small share of a third one.
 TEST_F(rollout_states, third_version_replaces_an_unproven_one)
 {
-    m_traffic.order("v2");
-    m_traffic.add_version("v2", {.failing = 0.2});
+    m_traffic.begin_rollout("v2", {.failing = 0.2});
     m_traffic.run(absl::Seconds(4));
-    m_traffic.order("v3");
-    m_traffic.add_version("v3", {});
+    m_traffic.begin_rollout("v3", {});
     m_traffic.run(absl::Seconds(0.5));
     m_traffic.take_requests();
     m_traffic.run(absl::Seconds(5));
@@ -169,25 +159,23 @@
     EXPECT_EQ(requests.count("v2"), 0U);
     EXPECT_GT(requests.at("v1"), 600);
     m_traffic.run(absl::Seconds(10));
-    EXPECT_TRUE(m_traffic.has_ended(rollout_state::done, "v3"));
+    EXPECT_TRUE(m_traffic.has_status(rollout_state::done, "v3"));
 }
 
 // The version that serves everything since the old one was lost counts as the stable one.
 TEST_F(rollout_states, third_version_is_compared_with_the_one_that_is_left)
 {
-    m_traffic.order("v2", absl::Seconds(60));
-    m_traffic.add_version("v2", {});
+    m_traffic.begin_rollout("v2", {}, absl::Seconds(60));
     m_traffic.run(absl::Seconds(4));
     m_traffic.crash("v1");
     m_traffic.run(absl::Seconds(6));
-    m_traffic.order("v3");
-    m_traffic.add_version("v3", {.failing = 0.5});
+    m_traffic.begin_rollout("v3", {.failing = 0.5});
     m_traffic.take_requests();
     m_traffic.run(absl::Seconds(14));
     const auto requests = m_traffic.take_requests();
     EXPECT_GT(requests.at("v2"), 1500);
     EXPECT_LE(requests.at("v3"), 100);
-    EXPECT_TRUE(m_traffic.has_ended(rollout_state::rolled_back, "v3"));
+    EXPECT_TRUE(m_traffic.has_status(rollout_state::rolled_back, "v3"));
 }
 
 // Guards against review/14: failures of the old version for some seconds excuse those of a bad one
@@ -195,8 +183,7 @@
 TEST_F(rollout_states, failures_of_the_old_version_excuse_no_later_ones)
 {
     for (const double failing : {0.2, 0.45, 1.0}) {
-        m_traffic.order("v2");
-        m_traffic.add_version("v2", {.failing = failing});
+        m_traffic.begin_rollout("v2", {.failing = failing});
         m_traffic.take_requests();
         m_traffic.run(absl::Seconds(2));
         m_traffic.versions.at("v1").failing = 0.45;
@@ -205,7 +192,7 @@
         m_traffic.run(absl::Seconds(6));
         const auto requests = m_traffic.take_requests();
         EXPECT_LE(requests.at("v2"), 0.1 * (requests.at("v1") + requests.at("v2")) + 50);
-        EXPECT_TRUE(m_traffic.has_ended(rollout_state::rolled_back, "v2"));
+        EXPECT_TRUE(m_traffic.has_status(rollout_state::rolled_back, "v2"));
         m_traffic.run(absl::Seconds(5));
     }
 }
@@ -216,8 +203,7 @@
 {
     for (int begin = 0; begin < 12; ++begin) {
         SCOPED_TRACE(begin);
-        m_traffic.order("v2", absl::Seconds(20));
-        m_traffic.add_version("v2", {.failing = 0.2});
+        m_traffic.begin_rollout("v2", {.failing = 0.2}, absl::Seconds(20));
         m_traffic.take_requests();
         m_traffic.run(absl::Seconds(begin));
         m_traffic.versions.at("v1").failing = 0.45;
@@ -226,7 +212,7 @@
         m_traffic.run(absl::Seconds(12 - begin));
         const auto requests = m_traffic.take_requests();
         EXPECT_LE(requests.at("v2"), 0.1 * (requests.at("v1") + requests.at("v2")) + 50);
-        EXPECT_TRUE(m_traffic.has_ended(rollout_state::rolled_back, "v2"));
+        EXPECT_TRUE(m_traffic.has_status(rollout_state::rolled_back, "v2"));
         m_traffic.run(absl::Seconds(5));
     }
 }
@@ -238,45 +224,41 @@
     for (const double crash_after : {1.0, 4.0, 6.0, 7.0, 9.5}) {
         SCOPED_TRACE(crash_after);
         m_traffic.requests_per_tick = 0.4;
-        m_traffic.order("v2");
-        m_traffic.add_version("v2", {});
+        m_traffic.begin_rollout("v2", {});
         m_traffic.run(absl::Seconds(crash_after));
         m_traffic.crash("v1");
         m_traffic.run(absl::Seconds(15));
-        EXPECT_TRUE(m_traffic.has_ended(rollout_state::done, "v2"));
+        EXPECT_TRUE(m_traffic.has_status(rollout_state::done, "v2"));
         EXPECT_GE(served_share_after_restart(), 0.99);
-        m_traffic.order("v1");
-        m_traffic.add_version("v1", {});
+        m_traffic.begin_rollout("v1", {});
         m_traffic.crash("v2");
         m_traffic.run(absl::Seconds(16));
-        EXPECT_TRUE(m_traffic.has_ended(rollout_state::done, "v1"));
+        EXPECT_TRUE(m_traffic.has_status(rollout_state::done, "v1"));
     }
 }
 
 // A bad version is better than none. It is neither done nor rolled back until another one is back.
 TEST_F(rollout_states, bad_version_is_held_while_no_other_one_is_left)
 {
-    m_traffic.order("v2");
-    m_traffic.add_version("v2", {.failing = 0.3});
+    m_traffic.begin_rollout("v2", {.failing = 0.3});
     m_traffic.run(absl::Seconds(1));
     m_traffic.crash("v1");
     m_traffic.run(absl::Seconds(6));
     m_traffic.take_served_share();
     m_traffic.run(absl::Seconds(10));
     EXPECT_GE(m_traffic.take_served_share(), 0.6);
-    EXPECT_TRUE(m_traffic.has_ended(rollout_state::running, "v2"));
+    EXPECT_TRUE(m_traffic.has_status(rollout_state::running, "v2"));
     m_traffic.add_version("v1", {});
     m_traffic.run(absl::Seconds(3));
-    EXPECT_TRUE(m_traffic.has_ended(rollout_state::rolled_back, "v2"));
+    EXPECT_TRUE(m_traffic.has_status(rollout_state::rolled_back, "v2"));
     EXPECT_GE(served_share_after_restart(), 0.99);
 }
 
 // Guards against a service that is refused although endpoints of the rolled-back version are left.
 TEST_F(rollout_states, rolled_back_version_serves_when_the_other_one_is_lost)
 {
-    m_traffic.order("v2");
-    m_traffic.add_version("v2", {.failing = 0.3});
-    while (!m_traffic.has_ended(rollout_state::rolled_back, "v2"))
+    m_traffic.begin_rollout("v2", {.failing = 0.3});
+    while (!m_traffic.has_status(rollout_state::rolled_back, "v2"))
         m_traffic.run(absl::Seconds(0.25));
     m_traffic.run(absl::Seconds(0.5));
     m_traffic.keep("v2");
@@ -297,17 +279,16 @@
 {
     for (const char* first : {"v1", "v2"}) {
         SCOPED_TRACE(first);
-        m_traffic.order("v2");
-        m_traffic.add_version("v2", {});
+        m_traffic.begin_rollout("v2", {});
         m_traffic.run(absl::Seconds(5));
         m_traffic.crash("v1");
         m_traffic.crash("v2");
         m_traffic.run(absl::Seconds(9));
-        EXPECT_TRUE(m_traffic.has_ended(rollout_state::running, "v2"));
+        EXPECT_TRUE(m_traffic.has_status(rollout_state::running, "v2"));
         m_traffic.add_version(first, {});
         m_traffic.run(absl::Seconds(4));
         const bool is_old_back = first == std::string("v1");
-        EXPECT_TRUE(m_traffic.has_ended(
+        EXPECT_TRUE(m_traffic.has_status(
             is_old_back ? rollout_state::rolled_back : rollout_state::done, "v2"));
         EXPECT_GE(served_share_after_restart(), 0.99);
     }
@@ -320,15 +301,14 @@
     m_system.nodes.erase("n2");
     m_system.nodes.erase("n3");
     m_traffic.requests_per_tick = 36;
-    m_traffic.order("v2", absl::Seconds(20));
-    m_traffic.add_version("v2", {});
+    m_traffic.begin_rollout("v2", {}, absl::Seconds(20));
     m_traffic.run(absl::Seconds(13));
     ASSERT_EQ(m_system.nodes.at("n1")->share(), 1);
     m_system.freeze("n1", absl::Seconds(5.5));
     m_traffic.requests_per_tick = 0.25;
     m_traffic.crash("v2");
     m_traffic.run(absl::Seconds(9));
-    EXPECT_TRUE(m_traffic.has_ended(rollout_state::rolled_back, "v2"));
+    EXPECT_TRUE(m_traffic.has_status(rollout_state::rolled_back, "v2"));
     EXPECT_GE(served_share_after_restart(), 0.99);
 }
 
@@ -346,8 +326,7 @@
                                failure::restart_all, failure::cut_off_holder})
         for (int begin = 1; begin <= 10; begin += 3) {
             SCOPED_TRACE(absl::StrCat(static_cast<int>(kind), " after ", begin));
-            m_traffic.order("v2", absl::Seconds(20));
-            m_traffic.add_version("v2", {.failing = 0.2});
+            m_traffic.begin_rollout("v2", {.failing = 0.2}, absl::Seconds(20));
             m_traffic.take_requests();
             m_traffic.run(absl::Seconds(begin));
             m_traffic.versions.at("v1").failing = 0.45;
@@ -366,7 +345,7 @@
             const auto requests = m_traffic.take_requests();
             EXPECT_LE(requests.at("v2"), 0.1 * (requests.at("v1") + requests.at("v2")) + 50);
             m_traffic.run(absl::Seconds(5));
-            EXPECT_TRUE(m_traffic.has_ended(rollout_state::rolled_back, "v2"));
+            EXPECT_TRUE(m_traffic.has_status(rollout_state::rolled_back, "v2"));
             m_traffic.run(absl::Seconds(5));
         }
 }
@@ -375,14 +354,13 @@
 // route with little traffic: 3 of 144 requests a second.
 TEST_F(rollout_states, version_that_fails_on_a_quiet_route_is_not_proven)
 {
-    m_traffic.order("v2");
-    m_traffic.add_version("v2", {.failing_by_route = {{"quiet", 1.0}}});
+    m_traffic.begin_rollout("v2", {.failing_by_route = {{"quiet", 1.0}}});
     m_traffic.take_requests();
     m_traffic.run(absl::Seconds(12));
     const auto requests = m_traffic.take_requests();
     EXPECT_LE(requests.at("v2"), 0.1 * (requests.at("v1") + requests.at("v2")) + 50);
     m_traffic.run(absl::Seconds(4));
-    EXPECT_TRUE(m_traffic.has_ended(rollout_state::rolled_back, "v2"));
+    EXPECT_TRUE(m_traffic.has_status(rollout_state::rolled_back, "v2"));
 }
 
 // Returns in how many of 40 trials a version is done that fails the same share of requests as the
@@ -398,8 +376,7 @@
         for (const char* name : {"n1", "n2", "n3"})
             system.add(name);
         traffic.run(absl::Seconds(4));
-        traffic.order("v2");
-        traffic.add_version("v2", {.failing = failing});
+        traffic.begin_rollout("v2", {.failing = failing});
         traffic.run(absl::Seconds(2));
         for (auto& [name, version] : traffic.versions)
             version.failing = failing_for_4_s;
@@ -407,7 +384,7 @@
         for (auto& [name, version] : traffic.versions)
             version.failing = failing;
         traffic.run(absl::Seconds(8));
-        done += traffic.has_ended(rollout_state::done, "v2") ? 1 : 0;
+        done += traffic.has_status(rollout_state::done, "v2") ? 1 : 0;
     }
     return done;
 }
